--- /dev/null
+++ b/replica/machine.go
@@ -0,0 +1,17 @@
+// Package replica keeps a replicated log between control hosts and applies it
+// to a deterministic state machine.
+package replica
+
+import "io"
+
+// Machine is a state machine that a log group replicates. Its methods are
+// called by one goroutine at a time.
+type Machine interface {
+	// Apply carries out a committed command. unixMillis is the leader's wall
+	// time when it was proposed; it may go backwards after a leader change.
+	Apply(index uint64, unixMillis int64, command []byte) (result []byte)
+	// Snapshot writes the whole state.
+	Snapshot(w io.Writer) error
+	// Restore replaces the state by one that Snapshot wrote.
+	Restore(r io.Reader) error
+}
