control: add the RPC layer with the deployment key proof and leader search

Entry hosts reach the leader of a log group through any control host; the verdict of a failed request is not-run only when no request was sent.

dispatch: add the state machine of one call

--- /dev/null
+++ b/control/peer.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	dialTimeout = time.Second
+	// redialDelay keeps a host that is down from being dialled in a busy loop.
+	redialDelay = 50 * time.Millisecond
+)
+
+// Peer is one control host as a client sees it. It dials on demand and keeps
+// one connection.
+type Peer struct {
+	id      string
+	address string
+	self    string
+	key     Key
+	tls     *tls.Config
+
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	dialled  time.Time
+	dialErr  error
+	isClosed bool
+}
+
+func newPeer(id, address, self string, key Key, config *tls.Config) *Peer {
+	return &Peer{id: id, address: address, self: self, key: key, tls: config}
+}
+
+// call sends a request and waits for its response. Errors of handlers come
+// back with their verdict.
+func (p *Peer) call(ctx context.Context, method string, params, result any) error {
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return &unsentError{err}
+	}
+	return readError(conn.Call(ctx, method, params, result))
+}
+
+// notify sends a message without a response.
+func (p *Peer) notify(ctx context.Context, method string, params any) error {
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Notify(ctx, method, params)
+}
+
+// unsentError says that a request did not leave this host.
+type unsentError struct {
+	err error
+}
+
+func (e *unsentError) Error() string { return e.err.Error() }
+func (e *unsentError) Unwrap() error { return e.err }
+
+func (p *Peer) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isClosed {
+		return nil, net.ErrClosed
+	}
+	if p.conn != nil {
+		select {
+		case <-p.conn.DisconnectNotify():
+			p.conn = nil
+		default:
+			return p.conn, nil
+		}
+	}
+	if p.dialErr != nil && time.Since(p.dialled) < redialDelay {
+		return nil, p.dialErr
+	}
+	p.conn, p.dialErr = p.dial(ctx)
+	p.dialled = time.Now()
+	return p.conn, p.dialErr
+}
+
+func (p *Peer) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, fmt.Errorf("control host %s: %w", p.id, err)
+	}
+	if p.tls != nil {
+		nc = tls.Client(nc, p.tls)
+	}
+	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(context.Background(), stream, rejectRequests{})
+	if err := authenticate(ctx, conn, p.key, p.self); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("control host %s: %w", p.id, readError(err))
+	}
+	return conn, nil
+}
+
+// reset drops the connection, so that the next call dials again. It is used
+// when a peer that accepts data does not answer.
+func (p *Peer) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		p.conn.Close()
+		p.conn = nil
+	}
+}
+
+func (p *Peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isClosed = true
+	if p.conn != nil {
+		p.conn.Close()
+		p.conn = nil
+	}
+}
+
+// rejectRequests is the handler of a client, which takes no requests.
+type rejectRequests struct{}
+
+func (rejectRequests) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "clients take no requests"})
+}
--- /dev/null
+++ b/dispatch/call.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"errors"
+
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// maxSends bounds how often one attempt of a call is sent to backend servers.
+const maxSends = 4
+
+// step is the state of a call on this host.
+type step uint8
+
+const (
+	stepOpening step = iota
+	stepWaiting      // another attempt of this call runs elsewhere
+	stepQueued
+	stepMarking
+	stepSending
+	stepSettling
+	stepDone
+)
+
+// action tells the driver what to do next.
+type action uint8
+
+const (
+	// actOpen asks the ledger to grant the call.
+	actOpen action = iota
+	// actPoll waits a moment and asks the ledger for the call's record.
+	actPoll
+	// actTakeOver asks the ledger for the next attempt of a call whose host may
+	// be gone.
+	actTakeOver
+	// actEnqueue waits in the scheduler's queue for a backend server.
+	actEnqueue
+	// actMark commits the intent to send.
+	actMark
+	// actSend sends the call to the assigned server.
+	actSend
+	// actSettle commits the outcome.
+	actSettle
+	// actReply answers the caller with the recorded answer.
+	actReply
+	// actFail answers the caller with an error.
+	actFail
+)
+
+var actionNames = []string{"open", "poll", "take-over", "enqueue", "mark", "send", "settle", "reply", "fail"}
+
+func (a action) String() string { return actionNames[a] }
+
+// target is the backend server that a call is assigned to.
+type target struct {
+	server      string
+	incarnation string
+}
+
+// call is the deterministic state machine of one call on one entry host. Each
+// method takes an event and returns the driver's next action.
+type call struct {
+	kind       ledger.CallKind
+	idempotent bool
+	host       string
+	incarn     string
+
+	step    step
+	state   ledger.CallState // as the ledger granted it
+	to      target
+	sends   int
+	failed  []string // servers that failed a send of this attempt
+	marked  map[target]bool
+	mayHave bool // a send may have reached a server
+
+	received int    // tokens of the answer, without gaps
+	text     []byte // their text
+
+	outcome ledger.SettleCall
+	err     *verdict.Error
+}
+
+func newCall(kind ledger.CallKind, idempotent bool, host, incarnation string) *call {
+	return &call{
+		kind:       kind,
+		idempotent: idempotent,
+		host:       host,
+		incarn:     incarnation,
+		marked:     make(map[target]bool),
+	}
+}
+
+// opened handles the ledger's answer to an open, poll or take-over.
+func (c *call) opened(s ledger.CallState) action {
+	c.state = s
+	switch {
+	case s.Status == ledger.CallOK:
+		c.step = stepDone
+		return actReply
+	case s.Status != ledger.CallRunning:
+		return c.fail(recordedError(s))
+	case s.Granted:
+		c.step = stepQueued
+		return actEnqueue
+	default:
+		c.step = stepWaiting
+		return actPoll
+	}
+}
+
+// polled handles the record of a call that runs elsewhere. Its host may be
+// gone, which the control hosts know and check.
+func (c *call) polled(s ledger.CallState) action {
+	if s.Status == ledger.CallRunning && !c.isOwn(s) {
+		c.state = s
+		return actTakeOver
+	}
+	s.Granted = false
+	return c.opened(s)
+}
+
+// isOwn says whether this process runs the attempt, for another request with
+// the same key.
+func (c *call) isOwn(s ledger.CallState) bool {
+	return s.Host == c.host && s.HostIncarnation == c.incarn
+}
+
+// openFailed handles a refusal of the ledger or the loss of its answer.
+func (c *call) openFailed(err error) action { return c.fail(verdict.From(err)) }
+
+// takeOverFailed handles a refused take-over: the other host is alive.
+func (c *call) takeOverFailed(err error) action {
+	var v *verdict.Error
+	if errors.As(err, &v) && (v.Reason() == verdict.CallInProgress || v.Reason() == verdict.StaleAttempt) {
+		return actPoll
+	}
+	return c.fail(verdict.From(err))
+}
+
+// assigned handles the scheduler's choice. A send is preceded by a mark,
+// unless the same server incarnation is already recorded for a model call.
+func (c *call) assigned(to target, recorded bool) action {
+	c.to = to
+	if c.kind == ledger.ModelCall && (recorded || c.marked[to]) {
+		return c.send()
+	}
+	c.step = stepMarking
+	return actMark
+}
+
+// refused handles a scheduler that gives up on the call.
+func (c *call) refused(reason verdict.Reason, message string, opts ...verdict.Option) action {
+	return c.giveUp(reason, message, opts...)
+}
+
+// markedSent handles the commit of the intent.
+func (c *call) markedSent() action {
+	c.marked[c.to] = true
+	return c.send()
+}
+
+// markFailed handles a refused or unknown commit of the intent. Nothing has
+// been sent in this send.
+func (c *call) markFailed(err error) action {
+	v := verdict.From(err)
+	if v.Reason() == verdict.StaleAttempt {
+		return c.fail(verdict.New(verdict.MayHaveRun, verdict.StaleAttempt,
+			"another host has taken this call over", verdict.WithCause(err)))
+	}
+	return c.giveUp(v.Reason(), "intent could not be recorded", verdict.WithCause(err))
+}
+
+func (c *call) send() action {
+	c.step = stepSending
+	c.sends++
+	return actSend
+}
+
+// token accepts the next token of the answer. It returns false for a token
+// that the caller already has, and an error for a gap.
+func (c *call) token(t engine.Token) (bool, error) {
+	if t.Offset < c.received {
+		return false, nil
+	}
+	if t.Offset > c.received {
+		return false, verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed,
+			"token %d arrived where token %d was due", t.Offset, c.received)
+	}
+	c.received++
+	c.text = append(c.text, t.Text...)
+	return true, nil
+}
+
+// succeeded handles a whole answer.
+func (c *call) succeeded(tokens int64, history []ledger.Message, answer []byte) action {
+	c.outcome = ledger.SettleCall{
+		Status:  ledger.CallOK,
+		Tokens:  tokens,
+		Answer:  answer,
+		History: history,
+		Verdict: verdict.Ran,
+	}
+	c.step = stepSettling
+	return actSettle
+}
+
+// broken handles a send that failed. mayRetry is the scheduler's word on the
+// retry budgets.
+func (c *call) broken(err error, mayRetry bool) action {
+	v := verdict.From(err)
+	c.mayHave = c.mayHave || v.Verdict() != verdict.NotRun
+	c.failed = append(c.failed, c.to.server)
+	repeatable := c.kind == ledger.ModelCall || c.idempotent || !c.mayHave
+	permanent := v.Reason() == verdict.BadRequest || v.Reason() == verdict.UnknownModel
+	if repeatable && !permanent && mayRetry && c.sends < maxSends {
+		c.step = stepQueued
+		return actEnqueue
+	}
+	return c.giveUp(v.Reason(), v.Message(), verdict.WithRetryAfter(v.RetryAfter()))
+}
+
+// timedOut handles the call's timeout or deadline.
+func (c *call) timedOut(reason verdict.Reason) action {
+	if c.step == stepSending {
+		c.mayHave = true
+	}
+	return c.giveUp(reason, "call did not finish in time")
+}
+
+// giveUp settles the call with the verdict that the sends so far allow.
+func (c *call) giveUp(reason verdict.Reason, message string, opts ...verdict.Option) action {
+	status, v := ledger.CallNotSent, verdict.NotRun
+	if c.mayHave {
+		status, v = ledger.CallFailed, verdict.MayHaveRun
+		if c.kind == ledger.ToolCall && !c.idempotent {
+			status = ledger.CallUnknown
+		}
+	}
+	c.err = verdict.New(v, reason, message, opts...)
+	c.outcome = ledger.SettleCall{
+		Status:  status,
+		Tokens:  int64(c.received),
+		Verdict: v,
+		Reason:  reason,
+	}
+	c.step = stepSettling
+	return actSettle
+}
+
+// settled handles the commit of the outcome.
+func (c *call) settled(s ledger.CallState) action {
+	c.state = s
+	c.step = stepDone
+	if c.err != nil {
+		return actFail
+	}
+	return actReply
+}
+
+// settleFailed handles an outcome that could not be recorded. The answer is
+// withheld, since a resend might be given another one.
+func (c *call) settleFailed(err error) action {
+	v := verdict.From(err)
+	if c.err != nil && c.err.Verdict() == verdict.NotRun && v.Reason() != verdict.StaleAttempt {
+		// Nothing was sent, whether or not the record says so.
+		c.step = stepDone
+		return actFail
+	}
+	return c.fail(verdict.New(verdict.MayHaveRun, v.Reason(), "outcome could not be recorded", verdict.WithCause(err)))
+}
+
+func (c *call) fail(err *verdict.Error) action {
+	c.err = err
+	c.step = stepDone
+	return actFail
+}
+
+// recordedError is the error that a resend of a failed call receives.
+func recordedError(s ledger.CallState) *verdict.Error {
+	reason := s.Reason
+	switch {
+	case s.Status == ledger.CallUnknown:
+		if reason == "" {
+			reason = verdict.OutcomeUnknown
+		}
+		return verdict.New(verdict.MayHaveRun, reason, "the call was sent and its outcome is not known")
+	case s.Status == ledger.CallNotSent:
+		return verdict.New(verdict.NotRun, reason, "the call was not sent")
+	default:
+		return verdict.New(s.Verdict, reason, "the call failed")
+	}
+}
