--- /dev/null
+++ b/board/board.go
@@ -0,0 +1,222 @@
+// Package board is the blackboard of an entry host: the backend servers, the
+// configuration in force and the state of the host's lease. Controllers write
+// what they learn and read what the others wrote.
+package board
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/tree"
+)
+
+// Board holds what an entry host knows. It is safe for concurrent use. Times
+// are durations since the process started.
+type Board struct {
+	mu              sync.RWMutex
+	servers         map[string]membership.Server
+	memberRevision  int64
+	hosts           int
+	entries         map[string]tree.Entry
+	appliedRevision int64
+	config          *Config
+	leaseUntil      time.Duration
+	draining        bool
+	listeners       []func(Event)
+}
+
+// Event says which part of the board a writer has changed.
+type Event uint8
+
+// The events.
+const (
+	ServersChanged Event = iota
+	ConfigChanged
+	LeaseChanged
+)
+
+// New returns an empty board without a lease.
+func New() *Board {
+	return &Board{
+		servers: make(map[string]membership.Server),
+		entries: make(map[string]tree.Entry),
+		config:  newConfig(nil),
+		hosts:   1,
+	}
+}
+
+// Listen registers a function that is called after each change, on the
+// writer's goroutine and without locks. It must be called before the first
+// write.
+func (b *Board) Listen(f func(Event)) { b.listeners = append(b.listeners, f) }
+
+func (b *Board) tell(e Event) {
+	for _, f := range b.listeners {
+		f(e)
+	}
+}
+
+// ApplyMembers takes in a member difference. Differences that do not advance
+// the revision are ignored, since responses can be late.
+func (b *Board) ApplyMembers(d membership.Difference) {
+	b.mu.Lock()
+	changed := d.Revision > b.memberRevision || d.Full || d.Hosts != b.hosts
+	if d.Revision < b.memberRevision {
+		b.mu.Unlock()
+		return
+	}
+	if d.Full {
+		b.servers = make(map[string]membership.Server, len(d.Servers))
+	}
+	for _, v := range d.Servers {
+		if v.Gone {
+			delete(b.servers, v.Server)
+			continue
+		}
+		b.servers[v.Server] = v
+	}
+	b.memberRevision = d.Revision
+	b.hosts = max(1, d.Hosts)
+	b.mu.Unlock()
+	if changed {
+		b.tell(ServersChanged)
+	}
+}
+
+// ApplyConfig takes in a configuration difference. Older revisions than the
+// applied one are ignored, so that the configuration never reverts.
+func (b *Board) ApplyConfig(d tree.Difference) {
+	b.mu.Lock()
+	if d.Revision <= b.appliedRevision {
+		b.mu.Unlock()
+		return
+	}
+	if d.Full {
+		b.entries = make(map[string]tree.Entry, len(d.Entries))
+	}
+	for _, e := range d.Entries {
+		if e.Deleted {
+			delete(b.entries, e.Path)
+			continue
+		}
+		b.entries[e.Path] = e
+	}
+	b.config = newConfig(b.entries)
+	b.appliedRevision = d.Revision
+	b.mu.Unlock()
+	b.tell(ConfigChanged)
+}
+
+// ExtendLease sets the time until which this host may take new work. It never
+// shortens the lease.
+func (b *Board) ExtendLease(until time.Duration) {
+	b.mu.Lock()
+	changed := until > b.leaseUntil
+	b.leaseUntil = max(b.leaseUntil, until)
+	b.mu.Unlock()
+	if changed {
+		b.tell(LeaseChanged)
+	}
+}
+
+// LeaseLive says whether the host may take new work at the given time.
+func (b *Board) LeaseLive(now time.Duration) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return now < b.leaseUntil
+}
+
+// SetDraining marks the host as shutting down: it takes no new work.
+func (b *Board) SetDraining() {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	b.tell(LeaseChanged)
+}
+
+// Draining says whether the host is shutting down.
+func (b *Board) Draining() bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.draining
+}
+
+// Server returns a backend server by its id.
+func (b *Board) Server(id string) (membership.Server, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	v, ok := b.servers[id]
+	return v, ok
+}
+
+// Servers returns all backend servers, by id.
+func (b *Board) Servers() []membership.Server {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	all := make([]membership.Server, 0, len(b.servers))
+	for _, v := range b.servers {
+		all = append(all, v)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Server < all[j].Server })
+	return all
+}
+
+// Service returns a server of the named plain service and the operation's
+// announcement.
+func (b *Board) Service(service, operation string) (op membership.Operation, found bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, v := range b.servers {
+		if v.Kind != membership.Service || v.ServiceName != service {
+			continue
+		}
+		for _, o := range v.Operations {
+			if o.Name == operation {
+				// Servers may disagree during an upgrade; the careful answer wins.
+				if !found || !o.Idempotent {
+					op = o
+				}
+				found = true
+			}
+		}
+	}
+	return op, found
+}
+
+// HasModel says whether any server has announced the model.
+func (b *Board) HasModel(model string) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, v := range b.servers {
+		for _, m := range v.Models {
+			if m.Name == model {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Hosts returns the number of entry hosts with a live lease, at least 1.
+func (b *Board) Hosts() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.hosts
+}
+
+// Config returns the configuration in force on this host.
+func (b *Board) Config() *Config {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.config
+}
+
+// Revisions returns the applied configuration revision and the member
+// revision.
+func (b *Board) Revisions() (applied, members int64) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.appliedRevision, b.memberRevision
+}
--- /dev/null
+++ b/dispatch/execution.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// pollInterval is the wait between two looks at a call that runs elsewhere.
+const pollInterval = 100 * time.Millisecond
+
+// attempt is one send of a call to a backend server.
+type attempt struct {
+	server     membership.Server
+	assignment schedule.Assignment
+	number     int // differs for each send of the call, on any host
+}
+
+// sendResult is a whole answer of a backend server.
+type sendResult struct {
+	tokens  int64
+	usage   schedule.Usage
+	history []ledger.Message
+	answer  []byte
+}
+
+// sender sends one kind of call.
+type sender interface {
+	send(ctx context.Context, a attempt) (sendResult, error)
+}
+
+// execution drives the state machine of one call.
+type execution struct {
+	d       *Dispatcher
+	c       *call
+	open    ledger.OpenCall
+	request schedule.Request
+	sender  sender
+	until   time.Time // the call's timeout or the program's deadline
+	logger  *zap.Logger
+
+	assignment schedule.Assignment
+	server     membership.Server
+	result     sendResult
+}
+
+// run carries the call to its end. When the caller goes away, a call that is
+// still queued is withdrawn and a call that was sent is finished, so that a
+// resend finds its answer.
+func (x *execution) run(caller context.Context) (ledger.CallState, error) {
+	work, cancel := context.WithDeadline(context.WithoutCancel(caller), x.until)
+	defer cancel()
+	next := actOpen
+	for {
+		switch next {
+		case actOpen:
+			next = x.doOpen(work)
+		case actPoll:
+			next = x.doPoll(caller, work)
+		case actTakeOver:
+			next = x.doTakeOver(work)
+		case actEnqueue:
+			next = x.doEnqueue(caller)
+		case actMark:
+			next = x.doMark(work)
+		case actSend:
+			next = x.doSend(work)
+		case actSettle:
+			next = x.doSettle(caller)
+		case actReply:
+			return x.c.state, nil
+		case actFail:
+			x.logFailure()
+			return x.c.state, x.c.err
+		}
+	}
+}
+
+func (x *execution) doOpen(work context.Context) action {
+	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
+	defer cancel()
+	s, err := x.d.ledger.OpenCall(ctx, x.open)
+	if err != nil {
+		return x.c.openFailed(err)
+	}
+	return x.opened(s)
+}
+
+// opened brings the call under the program's deadline, which the ledger knows.
+func (x *execution) opened(s ledger.CallState) action {
+	if deadline := time.UnixMilli(s.Deadline); s.Deadline > 0 && deadline.Before(x.until) {
+		x.until = deadline
+	}
+	return x.c.opened(s)
+}
+
+func (x *execution) doPoll(caller, work context.Context) action {
+	if !pause(caller, pollInterval) || work.Err() != nil {
+		return x.c.openFailed(verdict.New(verdict.MayHaveRun, verdict.CallInProgress,
+			"another attempt of this call is running", verdict.WithRetryAfter(time.Second)))
+	}
+	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
+	defer cancel()
+	s, err := x.d.ledger.Call(ctx, ledger.CallQuery{Program: x.open.Program, Team: x.open.Team, Key: x.open.Key})
+	if err != nil {
+		return x.c.openFailed(err)
+	}
+	return x.c.polled(s)
+}
+
+func (x *execution) doTakeOver(work context.Context) action {
+	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
+	defer cancel()
+	s, err := x.d.ledger.TakeOver(ctx, ledger.TakeOver{
+		Program:         x.open.Program,
+		Call:            x.c.state.Call,
+		Attempt:         x.c.state.Attempt,
+		Host:            x.d.host,
+		HostIncarnation: x.d.incarnation,
+	})
+	if err != nil {
+		return x.c.takeOverFailed(err)
+	}
+	x.logger.Info("call taken over", zap.Int("call", s.Call), zap.Int("attempt", s.Attempt))
+	return x.opened(s)
+}
+
+func (x *execution) doEnqueue(caller context.Context) action {
+	ctx, cancel := context.WithDeadline(caller, x.until)
+	defer cancel()
+	r := x.request
+	s := x.c.state
+	r.ID = schedule.CallID{Program: s.Program, Call: s.Call, Attempt: s.Attempt}
+	r.Class = schedulerClass(s.Class)
+	r.LastServer = s.LastServer
+	r.AttainedTokens = s.AttainedTokens
+	r.Avoid = x.c.failed
+	r.Deadline = x.d.clock() + time.Until(x.until)
+	queuedAt := x.d.clock()
+	a, err := x.d.queue.Submit(ctx, r)
+	if err != nil {
+		return x.refused(caller, err)
+	}
+	x.assignment = a
+	v, ok := x.d.board.Server(a.Server)
+	if !ok {
+		x.finished(schedule.Usage{}, schedule.FailedUnsent)
+		return x.c.broken(verdict.New(verdict.NotRun, verdict.NoServer, "the chosen server has left"), true)
+	}
+	x.server = v
+	x.logger.Info("call routed",
+		zap.Int("call", s.Call), zap.Int("attempt", s.Attempt), zap.String("server", a.Server),
+		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
+		zap.Duration("queued", x.d.clock()-queuedAt))
+	return x.c.assigned(target{server: v.Server, incarnation: v.Incarnation}, false)
+}
+
+func (x *execution) refused(caller context.Context, err error) action {
+	if caller.Err() != nil {
+		return x.c.refused(verdict.Cancelled, "the caller went away before the call was sent")
+	}
+	var v *verdict.Error
+	if errors.As(err, &v) {
+		return x.c.refused(v.Reason(), v.Message(), verdict.WithRetryAfter(v.RetryAfter()))
+	}
+	return x.c.timedOut(verdict.DeadlineExceeded)
+}
+
+func (x *execution) doMark(work context.Context) action {
+	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
+	defer cancel()
+	s := x.c.state
+	_, err := x.d.ledger.MarkSent(ctx, ledger.MarkSent{
+		Program:           s.Program,
+		Call:              s.Call,
+		Attempt:           s.Attempt,
+		Server:            x.server.Server,
+		ServerIncarnation: x.server.Incarnation,
+	})
+	if err != nil {
+		x.finished(schedule.Usage{}, schedule.FailedUnsent)
+		return x.c.markFailed(err)
+	}
+	return x.c.markedSent()
+}
+
+func (x *execution) doSend(work context.Context) action {
+	ctx, cancel := context.WithDeadline(work, x.until)
+	defer cancel()
+	r, err := x.sender.send(ctx, attempt{
+		server:     x.server,
+		assignment: x.assignment,
+		// The send number is unique across hosts, because the ledger's attempt
+		// number is, and an attempt has fewer than maxSends sends.
+		number: x.c.state.Attempt*(maxSends+1) + x.c.sends,
+	})
+	if err == nil {
+		x.finished(r.usage, schedule.Succeeded)
+		x.result = r
+		return x.c.succeeded(r.tokens, r.history, r.answer)
+	}
+	if ctx.Err() != nil {
+		x.finished(r.usage, schedule.TimedOut)
+		return x.c.timedOut(verdict.Timeout)
+	}
+	x.logger.Warn("send failed", zap.Int("call", x.c.state.Call), zap.String("server", x.server.Server),
+		zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
+	x.finished(r.usage, endOf(err))
+	return x.c.broken(err, x.d.queue.MayRetry(x.open.Team))
+}
+
+// endOf tells the scheduler what a failed send says of the server.
+func endOf(err error) schedule.End {
+	v := verdict.From(err)
+	switch {
+	case v.Verdict() == verdict.NotRun && v.Reason() == verdict.ServerFailed:
+		return schedule.FailedUnsent
+	case v.Reason() == verdict.ServerFailed:
+		return schedule.Crashed
+	default:
+		return schedule.Rejected
+	}
+}
+
+func (x *execution) finished(u schedule.Usage, e schedule.End) {
+	x.d.queue.Finished(x.assignment.ID, x.assignment.Server, u, e)
+}
+
+func (x *execution) doSettle(caller context.Context) action {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), settleTimeout)
+	defer cancel()
+	o := x.c.outcome
+	o.Program = x.c.state.Program
+	o.Call = x.c.state.Call
+	o.Attempt = x.c.state.Attempt
+	s, err := x.d.ledger.SettleCall(ctx, o)
+	if err != nil {
+		return x.c.settleFailed(err)
+	}
+	return x.c.settled(s)
+}
+
+func (x *execution) logFailure() {
+	x.logger.Info("call failed",
+		zap.Int("call", x.c.state.Call), zap.Int("sends", x.c.sends),
+		zap.Stringer("verdict", x.c.err.Verdict()), zap.String("reason", string(x.c.err.Reason())),
+		zap.Error(x.c.err))
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/dispatch/history.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"container/list"
+	"context"
+	"sync"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// historyCacheMessages bounds the messages that an entry host keeps of all
+// programs together.
+const historyCacheMessages = 50_000
+
+// histories caches the histories of programs. A history only grows, so a
+// cached one is a prefix of the recorded one and only the rest is fetched.
+type histories struct {
+	mu       sync.Mutex
+	limit    int
+	held     int
+	programs map[string]*list.Element
+	recent   *list.List // most recently used first
+}
+
+type history struct {
+	program  string
+	messages []ledger.Message
+}
+
+func newHistories(limit int) *histories {
+	return &histories{limit: limit, programs: make(map[string]*list.Element), recent: list.New()}
+}
+
+func (h *histories) get(program string) []ledger.Message {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e, ok := h.programs[program]
+	if !ok {
+		return nil
+	}
+	h.recent.MoveToFront(e)
+	return e.Value.(*history).messages
+}
+
+// put stores a history unless a longer one is held.
+func (h *histories) put(program string, messages []ledger.Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e, ok := h.programs[program]
+	if !ok {
+		e = h.recent.PushFront(&history{program: program})
+		h.programs[program] = e
+	}
+	v := e.Value.(*history)
+	if len(messages) > len(v.messages) {
+		h.held += len(messages) - len(v.messages)
+		v.messages = messages
+	}
+	for h.held > h.limit && h.recent.Len() > 1 {
+		h.drop(h.recent.Back())
+	}
+}
+
+func (h *histories) forget(program string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e, ok := h.programs[program]; ok {
+		h.drop(e)
+	}
+}
+
+func (h *histories) drop(e *list.Element) {
+	v := e.Value.(*history)
+	h.held -= len(v.messages)
+	delete(h.programs, v.program)
+	h.recent.Remove(e)
+}
+
+// fetchHistory returns a program's whole history.
+func (d *Dispatcher) fetchHistory(ctx context.Context, team, program string) ([]ledger.Message, error) {
+	known := d.histories.get(program)
+	rest, err := d.ledger.History(ctx, ledger.HistoryQuery{Program: program, Team: team, From: len(known)})
+	if err != nil {
+		return nil, err
+	}
+	all := append(known[:len(known):len(known)], rest...)
+	d.histories.put(program, all)
+	return all, nil
+}
+
+// newMessages returns what a request adds to the history. A whole
+// conversation must begin with the recorded history.
+func newMessages(m ModelCall, recorded []ledger.Message) ([]ledger.Message, error) {
+	if !m.WholeConversation {
+		return m.Messages, nil
+	}
+	if len(m.Messages) < len(recorded) {
+		return nil, historyMismatch(len(m.Messages))
+	}
+	for i, r := range recorded {
+		if m.Messages[i] != r {
+			return nil, historyMismatch(i)
+		}
+	}
+	return m.Messages[len(recorded):], nil
+}
+
+func historyMismatch(at int) error {
+	return verdict.Newf(verdict.MayHaveRun, verdict.BadRequest,
+		"messages: message %d does not continue the program's history; read it at /v1/programs/{id}/history", at)
+}
--- /dev/null
+++ b/dispatch/program.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// OpenProgram admits a program and records it. A resend of an opened program
+// gets its state. Errors carry a verdict.
+func (d *Dispatcher) OpenProgram(ctx context.Context, c ledger.OpenProgram) (ledger.ProgramState, error) {
+	if err := d.begin(true); err != nil {
+		return ledger.ProgramState{}, err
+	}
+	defer d.wait.Done()
+	if err := d.checkLimits(c); err != nil {
+		return ledger.ProgramState{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	// A sub-program is part of a program that is already admitted.
+	if c.Parent == "" {
+		if err := d.admit(ctx, c); err != nil {
+			return ledger.ProgramState{}, err
+		}
+	}
+	s, err := d.ledger.OpenProgram(ctx, c)
+	if err != nil {
+		d.queue.EndProgram(c.Program)
+		return ledger.ProgramState{}, err
+	}
+	return s, nil
+}
+
+func (d *Dispatcher) checkLimits(c ledger.OpenProgram) error {
+	limits, _ := d.board.Config().Team(c.Team)
+	if limits.MaxTokens > 0 && c.Budget.Tokens > limits.MaxTokens {
+		return verdict.Newf(verdict.NotRun, verdict.BadRequest,
+			"budget.tokens: %d is more than the %d that team %s allows a program", c.Budget.Tokens, limits.MaxTokens, c.Team)
+	}
+	if limits.MaxCalls > 0 && c.Budget.Calls > limits.MaxCalls {
+		return verdict.Newf(verdict.NotRun, verdict.BadRequest,
+			"budget.calls: %d is more than the %d that team %s allows a program", c.Budget.Calls, limits.MaxCalls, c.Team)
+	}
+	return nil
+}
+
+// admit asks the scheduler. A program that an earlier request has opened stays
+// open whatever the load is now.
+func (d *Dispatcher) admit(ctx context.Context, c ledger.OpenProgram) error {
+	a := d.queue.Admit(schedule.Program{
+		ID: c.Program, Team: c.Team, Class: schedulerClass(c.Class),
+		Deadline: d.clock() + time.Until(time.UnixMilli(c.Deadline)),
+	})
+	if a.Admitted {
+		return nil
+	}
+	if _, err := d.ledger.Program(ctx, ledger.ProgramQuery{Program: c.Program, Team: c.Team}); err == nil {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.Reason(a.Reason), "new programs are not admitted now",
+		verdict.WithRetryAfter(a.RetryAfter))
+}
+
+// EndProgram ends a program.
+func (d *Dispatcher) EndProgram(ctx context.Context, c ledger.EndProgram) (ledger.ProgramState, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ledgerTimeout)
+	defer cancel()
+	s, err := d.ledger.EndProgram(ctx, c)
+	if err != nil {
+		return ledger.ProgramState{}, err
+	}
+	d.queue.EndProgram(c.Program)
+	d.histories.forget(c.Program)
+	return s, nil
+}
+
+// Program returns a program's state.
+func (d *Dispatcher) Program(ctx context.Context, team, program string) (ledger.ProgramState, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	return d.ledger.Program(ctx, ledger.ProgramQuery{Program: program, Team: team})
+}
+
+// History returns a page of a program's history; a limit of 0 means all.
+func (d *Dispatcher) History(ctx context.Context, team, program string, from, limit int) ([]ledger.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	return d.ledger.History(ctx, ledger.HistoryQuery{Program: program, Team: team, From: from, Limit: limit})
+}
+
+func schedulerClass(c ledger.Class) schedule.Class {
+	switch c {
+	case ledger.Interactive:
+		return schedule.Interactive
+	case ledger.Batch:
+		return schedule.Batch
+	default:
+		return schedule.Standard
+	}
+}
+
+func schedulerServer(v membership.Server) schedule.Server {
+	s := schedule.Server{
+		ID: v.Server, Incarnation: v.Incarnation, DataCentre: v.DataCentre,
+		Service: v.ServiceName, Slots: v.Slots, CacheTokens: v.CacheTokens, Leaving: v.Leaving,
+	}
+	for _, m := range v.Models {
+		s.Models = append(s.Models, schedule.ServerModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+	}
+	return s
+}
+
+func fingerprint(text string) uint64 { return xxhash.Sum64String(text) }
--- /dev/null
+++ b/dispatch/queue.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// maxWake bounds the wait between two looks at the scheduler.
+const maxWake = 250 * time.Millisecond
+
+// Clock returns the time since the process started.
+type Clock func() time.Duration
+
+// Queue drives a scheduler: it gives it the time and hands its assignments to
+// the calls that wait for them.
+type Queue struct {
+	clock Clock
+
+	mu      sync.Mutex
+	s       *schedule.Scheduler
+	waiting map[schedule.CallID]chan decision
+
+	kick chan struct{}
+	stop chan struct{}
+	done chan struct{}
+}
+
+// decision is what the scheduler decided of a queued call.
+type decision struct {
+	assignment schedule.Assignment
+	refused    *schedule.Refused
+}
+
+// NewQueue starts a driver of the scheduler.
+func NewQueue(s *schedule.Scheduler, clock Clock) *Queue {
+	q := &Queue{
+		clock:   clock,
+		s:       s,
+		waiting: make(map[schedule.CallID]chan decision),
+		kick:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	go q.run()
+	return q
+}
+
+// Close stops the driver and waits for it. Calls that still wait are not
+// answered; their contexts must end.
+func (q *Queue) Close() {
+	close(q.stop)
+	<-q.done
+}
+
+func (q *Queue) run() {
+	defer close(q.done)
+	timer := time.NewTimer(maxWake)
+	defer timer.Stop()
+	for {
+		select {
+		case <-q.stop:
+			return
+		case <-q.kick:
+		case <-timer.C:
+		}
+		var wait time.Duration
+		q.Do(func(now time.Duration, s *schedule.Scheduler) { wait = s.Wake(now) - now })
+		timer.Reset(min(max(wait, time.Millisecond), maxWake))
+	}
+}
+
+// Do runs a function on the scheduler, and then delivers what it decided.
+func (q *Queue) Do(f func(now time.Duration, s *schedule.Scheduler)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock()
+	f(now, q.s)
+	for {
+		a, ok := q.s.Next(now)
+		if !ok {
+			break
+		}
+		q.deliver(a.ID, decision{assignment: a})
+	}
+	for _, r := range q.s.Refused(now) {
+		q.deliver(r.ID, decision{refused: &r})
+	}
+}
+
+func (q *Queue) deliver(id schedule.CallID, d decision) {
+	ch, ok := q.waiting[id]
+	if !ok {
+		if d.refused == nil {
+			q.s.Finished(q.clock(), id, d.assignment.Server, schedule.Usage{}, schedule.FailedUnsent)
+		}
+		return
+	}
+	delete(q.waiting, id)
+	ch <- d
+}
+
+// Submit queues a call and waits for a backend server. The caller of Submit
+// must report the end of the run by Finished.
+func (q *Queue) Submit(ctx context.Context, r schedule.Request) (schedule.Assignment, error) {
+	ch := make(chan decision, 1)
+	q.Do(func(now time.Duration, s *schedule.Scheduler) {
+		q.waiting[r.ID] = ch
+		s.Enqueue(now, r)
+	})
+	select {
+	case q.kick <- struct{}{}:
+	default:
+	}
+	select {
+	case d := <-ch:
+		return read(d)
+	case <-ctx.Done():
+	}
+	q.Do(func(now time.Duration, s *schedule.Scheduler) {
+		if _, ok := q.waiting[r.ID]; ok {
+			delete(q.waiting, r.ID)
+			s.Cancel(now, r.ID)
+			return
+		}
+		if d := <-ch; d.refused == nil {
+			s.Finished(now, r.ID, d.assignment.Server, schedule.Usage{}, schedule.FailedUnsent)
+		}
+	})
+	return schedule.Assignment{}, ctx.Err()
+}
+
+func read(d decision) (schedule.Assignment, error) {
+	if r := d.refused; r != nil {
+		return schedule.Assignment{}, verdict.New(verdict.NotRun, verdict.Reason(r.Reason),
+			"the call was not given a backend server", verdict.WithRetryAfter(r.RetryAfter))
+	}
+	return d.assignment, nil
+}
+
+// FirstToken reports the first token of a run.
+func (q *Queue) FirstToken(id schedule.CallID, server string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.s.FirstToken(q.clock(), id, server)
+}
+
+// Tokens reports further tokens of a run.
+func (q *Queue) Tokens(id schedule.CallID, server string, n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.s.Tokens(q.clock(), id, server, n)
+}
+
+// Finished reports the end of a run.
+func (q *Queue) Finished(id schedule.CallID, server string, u schedule.Usage, e schedule.End) {
+	q.Do(func(now time.Duration, s *schedule.Scheduler) { s.Finished(now, id, server, u, e) })
+}
+
+// MayRetry asks the retry budgets for one more attempt.
+func (q *Queue) MayRetry(team string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.s.MayRetry(q.clock(), team)
+}
+
+// Admit asks for a program's admission.
+func (q *Queue) Admit(p schedule.Program) schedule.Admission {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.s.AdmitProgram(q.clock(), p)
+}
+
+// EndProgram forgets a program.
+func (q *Queue) EndProgram(program string) {
+	q.Do(func(now time.Duration, s *schedule.Scheduler) { s.EndProgram(now, program) })
+}
+
+// Snapshot returns the scheduler's state for status pages.
+func (q *Queue) Snapshot() schedule.Snapshot {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.s.Snapshot()
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -26,6 +26,9 @@
 	WholeConversation bool
 	MaxTokens         int
 	Extra             map[string]any // further OpenAI fields for the engine
+	// FirstSend is true when no earlier request can have carried this key.
+	// Only then is a refusal that did not consult the ledger not-run.
+	FirstSend bool
 }
 
 // ToolCall is a routed call of a plain service.
@@ -40,6 +43,7 @@
 	// Idempotent is nil when the caller left it to the service's announcement.
 	Idempotent *bool
 	Body       json.RawMessage
+	FirstSend  bool // as in ModelCall
 }
 
 // Sink receives the tokens of a streamed answer in order, each once. An error
--- /dev/null
+++ b/dispatch/tool.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Tool runs a call of a plain service. Errors carry a verdict.
+func (d *Dispatcher) Tool(ctx context.Context, t ToolCall) (ToolAnswer, error) {
+	if err := d.begin(t.FirstSend); err != nil {
+		return ToolAnswer{}, err
+	}
+	defer d.wait.Done()
+	operation, found := d.board.Service(t.Service, t.Operation)
+	if !found {
+		return ToolAnswer{}, d.unconsulted(t.FirstSend, verdict.UnknownService,
+			"operation "+t.Service+"/"+t.Operation+" is not offered by any backend server")
+	}
+	idempotent := operation.Idempotent
+	if t.Idempotent != nil {
+		idempotent = *t.Idempotent
+	}
+	x := d.prepareTool(t, idempotent)
+	state, err := x.run(ctx)
+	if err != nil {
+		return ToolAnswer{}, err
+	}
+	var a ToolAnswer
+	if err := json.Unmarshal(state.Answer, &a); err != nil {
+		return ToolAnswer{}, verdict.New(verdict.Ran, verdict.Internal, "recorded answer cannot be read", verdict.WithCause(err))
+	}
+	return a, nil
+}
+
+func (d *Dispatcher) prepareTool(t ToolCall, idempotent bool) *execution {
+	name := t.Service + "/" + t.Operation
+	timeout := d.board.Config().ServiceTimeout(t.Service, defaultToolTimeout)
+	c := newCall(ledger.ToolCall, idempotent, d.host, d.incarnation)
+	return &execution{
+		d: d, c: c, until: time.Now().Add(timeout),
+		sender: &toolSender{d: d, call: c, request: t},
+		open: ledger.OpenCall{
+			Program: t.Program, Team: t.Team, Key: t.Key, Fingerprint: t.Fingerprint,
+			Kind: ledger.ToolCall, Name: name, Idempotent: idempotent,
+			Host: d.host, HostIncarnation: d.incarnation,
+			Timeout: timeout.Milliseconds(),
+		},
+		request: schedule.Request{
+			Team: t.Team, Service: t.Service, Idempotent: idempotent,
+			Fingerprint: fingerprint(t.Fingerprint),
+		},
+		logger: d.callLogger(t.RequestID, t.Program, t.Team, name),
+	}
+}
+
+// toolSender makes a tool call of a plain service.
+type toolSender struct {
+	d       *Dispatcher
+	call    *call
+	request ToolCall
+}
+
+func (s *toolSender) send(ctx context.Context, a attempt) (sendResult, error) {
+	id := ServiceCall{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
+	status, body, err := s.d.services.Call(ctx, a.server.Address, s.request.Operation, id, s.request.Body)
+	if err != nil {
+		return sendResult{}, err
+	}
+	if status >= http.StatusInternalServerError {
+		// A service that answers with an error of its own may have acted first.
+		return sendResult{}, verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed,
+			"service answered with status %d", status)
+	}
+	if !json.Valid(body) {
+		return sendResult{}, verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "service answered without valid JSON")
+	}
+	answer, err := json.Marshal(ToolAnswer{Call: s.call.state.Call, Status: status, Body: body})
+	if err != nil {
+		return sendResult{}, verdict.New(verdict.MayHaveRun, verdict.Internal, "answer cannot be encoded", verdict.WithCause(err))
+	}
+	return sendResult{answer: answer}, nil
+}
