--- a/control/client.go
+++ b/control/client.go
@@ -19,6 +19,7 @@
 	methodHeartbeat = "heartbeat"
 	methodAnnounce  = "announce"
 	methodReplica   = "replica-message"
+	methodPresence  = "presence"
 	methodStatus    = "status"
 
 	// ConfigGroup is the log group of configuration, leases and fencing
--- /dev/null
+++ b/control/programs.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Programs is the program ledger as entry hosts see it.
+type Programs struct {
+	client *Client
+}
+
+// NewPrograms returns the ledger behind the client.
+func NewPrograms(c *Client) *Programs { return &Programs{client: c} }
+
+func (p *Programs) propose(ctx context.Context, program string, c ledger.Command) (ledger.Result, error) {
+	r, err := Propose[ledger.Result](ctx, p.client, p.client.GroupOf(program), c)
+	if err != nil {
+		return r, err
+	}
+	return r, refusalError(r.Refusal)
+}
+
+func (p *Programs) query(ctx context.Context, program string, q ledger.Query) (ledger.QueryResult, error) {
+	r, err := Query[ledger.QueryResult](ctx, p.client, p.client.GroupOf(program), q)
+	if err != nil {
+		return r, err
+	}
+	return r, refusalError(r.Refusal)
+}
+
+func refusalError(r *ledger.Refusal) error {
+	if r == nil {
+		return nil
+	}
+	return verdict.New(r.Verdict, r.Reason, r.Message,
+		verdict.WithRetryAfter(time.Duration(r.RetryAfter)*time.Millisecond))
+}
+
+func (p *Programs) program(ctx context.Context, id string, c ledger.Command) (ledger.ProgramState, error) {
+	r, err := p.propose(ctx, id, c)
+	if err != nil {
+		return ledger.ProgramState{}, err
+	}
+	if r.Program == nil {
+		return ledger.ProgramState{}, incomplete("program")
+	}
+	return *r.Program, nil
+}
+
+func (p *Programs) call(ctx context.Context, id string, c ledger.Command) (ledger.CallState, error) {
+	r, err := p.propose(ctx, id, c)
+	if err != nil {
+		return ledger.CallState{}, err
+	}
+	if r.Call == nil {
+		return ledger.CallState{}, incomplete("call")
+	}
+	return *r.Call, nil
+}
+
+func incomplete(field string) error {
+	return verdict.Newf(verdict.MayHaveRun, verdict.Internal, "control host answered without field %q", field)
+}
+
+// OpenProgram opens a program. A sub-program lives in the group of its parent.
+func (p *Programs) OpenProgram(ctx context.Context, c ledger.OpenProgram) (ledger.ProgramState, error) {
+	return p.program(ctx, c.Program, ledger.Command{OpenProgram: &c})
+}
+
+// EndProgram ends a program.
+func (p *Programs) EndProgram(ctx context.Context, c ledger.EndProgram) (ledger.ProgramState, error) {
+	return p.program(ctx, c.Program, ledger.Command{EndProgram: &c})
+}
+
+// OpenCall asks for the next call of a program.
+func (p *Programs) OpenCall(ctx context.Context, c ledger.OpenCall) (ledger.CallState, error) {
+	return p.call(ctx, c.Program, ledger.Command{OpenCall: &c})
+}
+
+// MarkSent records the intent to send a call.
+func (p *Programs) MarkSent(ctx context.Context, c ledger.MarkSent) (ledger.CallState, error) {
+	return p.call(ctx, c.Program, ledger.Command{MarkSent: &c})
+}
+
+// SettleCall records the outcome of a call.
+func (p *Programs) SettleCall(ctx context.Context, c ledger.SettleCall) (ledger.CallState, error) {
+	return p.call(ctx, c.Program, ledger.Command{SettleCall: &c})
+}
+
+// TakeOver asks for the next attempt of a call whose host may be gone.
+func (p *Programs) TakeOver(ctx context.Context, c ledger.TakeOver) (ledger.CallState, error) {
+	return p.call(ctx, c.Program, ledger.Command{TakeOver: &c})
+}
+
+// Program returns a program's state.
+func (p *Programs) Program(ctx context.Context, q ledger.ProgramQuery) (ledger.ProgramState, error) {
+	r, err := p.query(ctx, q.Program, ledger.Query{Program: &q})
+	if err != nil {
+		return ledger.ProgramState{}, err
+	}
+	if r.Program == nil {
+		return ledger.ProgramState{}, incomplete("program")
+	}
+	return *r.Program, nil
+}
+
+// Call returns the record of a key.
+func (p *Programs) Call(ctx context.Context, q ledger.CallQuery) (ledger.CallState, error) {
+	r, err := p.query(ctx, q.Program, ledger.Query{Call: &q})
+	if err != nil {
+		return ledger.CallState{}, err
+	}
+	if r.Call == nil {
+		return ledger.CallState{}, incomplete("call")
+	}
+	return *r.Call, nil
+}
+
+// History returns a page of a program's history.
+func (p *Programs) History(ctx context.Context, q ledger.HistoryQuery) ([]ledger.Message, error) {
+	r, err := p.query(ctx, q.Program, ledger.Query{History: &q})
+	return r.History, err
+}
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -253,18 +253,22 @@
 func (c *call) settled(s ledger.CallState) action {
 	c.state = s
 	c.step = stepDone
-	if c.err != nil {
-		return actFail
+	if c.err == nil {
+		return actReply
 	}
-	return actReply
+	if c.err.Verdict() == verdict.NotRun && s.Verdict != verdict.NotRun {
+		// An attempt on another host, before this one, may have been sent.
+		c.err = verdict.New(s.Verdict, c.err.Reason(), c.err.Message(), verdict.WithRetryAfter(c.err.RetryAfter()))
+	}
+	return actFail
 }
 
 // settleFailed handles an outcome that could not be recorded. The answer is
 // withheld, since a resend might be given another one.
 func (c *call) settleFailed(err error) action {
 	v := verdict.From(err)
-	if c.err != nil && c.err.Verdict() == verdict.NotRun && v.Reason() != verdict.StaleAttempt {
-		// Nothing was sent, whether or not the record says so.
+	if c.err != nil && c.err.Verdict() == verdict.NotRun && c.state.Attempt == 1 && v.Reason() != verdict.StaleAttempt {
+		// The first attempt was not sent, whether or not the record says so.
 		c.step = stepDone
 		return actFail
 	}
