--- /dev/null
+++ b/disk/fs.go
@@ -0,0 +1,96 @@
+// Package disk keeps the durable state of one replica: its identity, a
+// checksummed log of entries and hard state, and snapshot files.
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// File is an open file. Written data is durable only after Sync.
+type File interface {
+	io.Reader
+	io.ReaderAt
+	io.Writer // appends
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+	Size() (int64, error)
+}
+
+// FS is the part of a file system that a replica needs. Created, renamed and
+// removed names are durable only after SyncDir.
+type FS interface {
+	MkdirAll(dir string) error
+	// Create opens an empty file for reading and appending.
+	Create(name string) (File, error)
+	// Open opens an existing file for reading and appending.
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// List returns the names in a directory, without the directory.
+	List(dir string) ([]string, error)
+	SyncDir(dir string) error
+}
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+// MkdirAll creates dir and its parents.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
+
+// Create opens an empty file for reading and appending.
+func (OS) Create(name string) (File, error) {
+	return open(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC|os.O_APPEND)
+}
+
+// Open opens an existing file for reading and appending.
+func (OS) Open(name string) (File, error) { return open(name, os.O_RDWR|os.O_APPEND) }
+
+func open(name string, flag int) (File, error) {
+	f, err := os.OpenFile(name, flag, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Rename replaces to by from.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove deletes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// List returns the names in a directory.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// SyncDir makes names in a directory durable.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(filepath.Clean(dir))
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
--- /dev/null
+++ b/disk/record.go
@@ -0,0 +1,183 @@
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// EntryKind tells the entries of a log apart.
+type EntryKind uint8
+
+// The kinds of entry. A leader appends a no-op entry at the start of its term.
+const (
+	Command EntryKind = iota
+	NoOp
+	Membership
+)
+
+// Entry is one entry of a replicated log.
+type Entry struct {
+	Index      uint64    `json:"index"`
+	Term       uint64    `json:"term"`
+	UnixMillis int64     `json:"unix-millis,omitempty"` // leader's wall time
+	Kind       EntryKind `json:"kind,omitempty"`
+	Data       []byte    `json:"data,omitempty"`
+}
+
+// HardState is what a replica must not forget: its term and its vote.
+type HardState struct {
+	Term            uint64
+	VoteID          string // empty when there is no vote in the term
+	VoteIncarnation uint64
+}
+
+// Base is the position before the first entry of a log, with the encoded
+// membership in force there.
+type Base struct {
+	Index   uint64
+	Term    uint64
+	Members []byte
+}
+
+// Batch is one durable write: hard state if it changed, and entries. An entry
+// replaces all entries at its index and above.
+type Batch struct {
+	HardState *HardState
+	Entries   []Entry
+}
+
+var errRecord = errors.New("malformed record")
+
+type recordKind uint8
+
+const (
+	hardStateRecord recordKind = iota + 1
+	entryRecord
+	baseRecord
+)
+
+func appendBytes(b, data []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(len(data)))
+	return append(b, data...)
+}
+
+func appendHardState(b []byte, h HardState) []byte {
+	b = append(b, byte(hardStateRecord))
+	b = binary.AppendUvarint(b, h.Term)
+	b = appendBytes(b, []byte(h.VoteID))
+	return binary.AppendUvarint(b, h.VoteIncarnation)
+}
+
+func appendEntry(b []byte, e Entry) []byte {
+	b = append(b, byte(entryRecord))
+	b = binary.AppendUvarint(b, e.Index)
+	b = binary.AppendUvarint(b, e.Term)
+	b = binary.AppendVarint(b, e.UnixMillis)
+	b = append(b, byte(e.Kind))
+	return appendBytes(b, e.Data)
+}
+
+func appendBase(b []byte, base Base) []byte {
+	b = append(b, byte(baseRecord))
+	b = binary.AppendUvarint(b, base.Index)
+	b = binary.AppendUvarint(b, base.Term)
+	return appendBytes(b, base.Members)
+}
+
+// decoder reads records. After the first failure every read gives zero.
+type decoder struct {
+	data   []byte
+	failed bool
+}
+
+func (d *decoder) fail() {
+	d.failed = true
+	d.data = nil
+}
+
+func (d *decoder) byte() byte {
+	if len(d.data) == 0 {
+		d.fail()
+		return 0
+	}
+	b := d.data[0]
+	d.data = d.data[1:]
+	return b
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.data)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.data = d.data[n:]
+	return v
+}
+
+func (d *decoder) varint() int64 {
+	v, n := binary.Varint(d.data)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.data = d.data[n:]
+	return v
+}
+
+func (d *decoder) bytes() []byte {
+	n := d.uvarint()
+	if n > uint64(len(d.data)) {
+		d.fail()
+		return nil
+	}
+	b := append([]byte(nil), d.data[:n]...)
+	d.data = d.data[n:]
+	return b
+}
+
+// contents is what the frames of a log add up to.
+type contents struct {
+	base      Base
+	hardState HardState
+	entries   []Entry
+}
+
+func (c *contents) last() uint64 { return c.base.Index + uint64(len(c.entries)) }
+
+// decode adds the records of one frame.
+func (c *contents) decode(payload []byte) error {
+	d := decoder{data: payload}
+	for len(d.data) > 0 {
+		if err := c.decodeRecord(&d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *contents) decodeRecord(d *decoder) error {
+	switch recordKind(d.byte()) {
+	case hardStateRecord:
+		h := HardState{Term: d.uvarint(), VoteID: string(d.bytes()), VoteIncarnation: d.uvarint()}
+		if d.failed {
+			return errRecord
+		}
+		c.hardState = h
+	case baseRecord:
+		b := Base{Index: d.uvarint(), Term: d.uvarint(), Members: d.bytes()}
+		if d.failed {
+			return errRecord
+		}
+		c.base, c.entries = b, nil
+	case entryRecord:
+		e := Entry{Index: d.uvarint(), Term: d.uvarint(), UnixMillis: d.varint(), Kind: EntryKind(d.byte()), Data: d.bytes()}
+		if d.failed || e.Index <= c.base.Index || e.Index > c.last()+1 {
+			return errRecord
+		}
+		c.entries = append(c.entries[:e.Index-c.base.Index-1], e)
+	default:
+		return errRecord
+	}
+	return nil
+}
--- /dev/null
+++ b/disk/snapshot.go
@@ -0,0 +1,231 @@
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash"
+	"hash/crc32"
+	"io"
+	"strings"
+)
+
+const (
+	snapshotPrefix = "snapshot-"
+	// snapshotTrailerBytes: length of the info, checksum of all before it.
+	snapshotTrailerBytes = 8
+)
+
+// SnapshotInfo says which position a snapshot holds. Index 0 means none.
+type SnapshotInfo struct {
+	Index   uint64
+	Term    uint64
+	Members []byte // encoded membership in force at Index
+	Bytes   int64  // size of the machine's state
+}
+
+// SnapshotWriter writes one snapshot file. It does not touch the log, so it
+// may be used by another goroutine than the rest of the store.
+type SnapshotWriter struct {
+	store *Store
+	temp  string
+	file  File
+	sum   hash.Hash32
+	info  SnapshotInfo
+}
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+func isOwn(name string) bool {
+	return name == identityFile || name == logFile || strings.HasPrefix(name, snapshotPrefix) || strings.HasSuffix(name, tempSuffix)
+}
+
+// CreateSnapshot starts a snapshot of the local machine.
+func (s *Store) CreateSnapshot(info SnapshotInfo) (*SnapshotWriter, error) {
+	return s.createSnapshot(info, "local"+tempSuffix)
+}
+
+// ReceiveSnapshot starts a snapshot that another replica sends.
+func (s *Store) ReceiveSnapshot(info SnapshotInfo) (*SnapshotWriter, error) {
+	return s.createSnapshot(info, "received"+tempSuffix)
+}
+
+func (s *Store) createSnapshot(info SnapshotInfo, temp string) (*SnapshotWriter, error) {
+	f, err := s.fs.Create(s.path(temp))
+	if err != nil {
+		return nil, fmt.Errorf("create snapshot: %w", err)
+	}
+	info.Bytes = 0
+	return &SnapshotWriter{store: s, temp: temp, file: f, sum: crc32.New(castagnoli), info: info}, nil
+}
+
+// Write appends a part of the machine's state.
+func (w *SnapshotWriter) Write(data []byte) (int, error) {
+	n, err := w.file.Write(data)
+	_, _ = w.sum.Write(data[:n])
+	w.info.Bytes += int64(n)
+	if err != nil {
+		return n, fmt.Errorf("write snapshot: %w", err)
+	}
+	return n, nil
+}
+
+// Close drops the snapshot unless it was finished.
+func (w *SnapshotWriter) Close() error {
+	if w.file == nil {
+		return nil
+	}
+	f := w.file
+	w.file = nil
+	return f.Close()
+}
+
+// Finish makes the snapshot durable under its name and removes older ones.
+// The log is untouched.
+func (w *SnapshotWriter) Finish() (SnapshotInfo, error) {
+	s, info := w.store, w.info
+	trailer := appendBase(nil, Base{Index: info.Index, Term: info.Term, Members: info.Members})
+	_, _ = w.sum.Write(trailer)
+	n := uint32(len(trailer))
+	trailer = binary.LittleEndian.AppendUint32(trailer, n)
+	trailer = binary.LittleEndian.AppendUint32(trailer, w.sum.Sum32())
+	_, err := w.file.Write(trailer)
+	if err == nil {
+		err = w.file.Sync()
+	}
+	if err = errors.Join(err, w.Close()); err != nil {
+		return SnapshotInfo{}, fmt.Errorf("finish snapshot: %w", err)
+	}
+	if err := s.fs.Rename(s.path(w.temp), s.path(snapshotName(info.Index))); err != nil {
+		return SnapshotInfo{}, fmt.Errorf("rename snapshot: %w", err)
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return SnapshotInfo{}, fmt.Errorf("sync data folder: %w", err)
+	}
+	return info, s.removeSnapshotsBefore(info.Index)
+}
+
+func (s *Store) removeSnapshotsBefore(index uint64) error {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if strings.HasPrefix(n, snapshotPrefix) && n < snapshotName(index) {
+			if err := s.fs.Remove(s.path(n)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// findSnapshot returns the newest snapshot after checking it, and removes
+// unfinished files.
+func (s *Store) findSnapshot() (SnapshotInfo, error) {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return SnapshotInfo{}, fmt.Errorf("list data folder: %w", err)
+	}
+	var newest string
+	for _, n := range names {
+		switch {
+		case strings.HasSuffix(n, tempSuffix):
+			if err := s.fs.Remove(s.path(n)); err != nil {
+				return SnapshotInfo{}, err
+			}
+		case strings.HasPrefix(n, snapshotPrefix) && n > newest:
+			newest = n
+		}
+	}
+	if newest == "" {
+		return SnapshotInfo{}, nil
+	}
+	return s.checkSnapshot(newest)
+}
+
+// checkSnapshot reads a whole snapshot file against its checksum.
+func (s *Store) checkSnapshot(name string) (SnapshotInfo, error) {
+	f, err := s.fs.Open(s.path(name))
+	if err != nil {
+		return SnapshotInfo{}, fmt.Errorf("open snapshot: %w", err)
+	}
+	defer f.Close()
+	damaged := fmt.Errorf("%w: %s does not match its checksum", ErrDamaged, name)
+	size, err := f.Size()
+	if err != nil || size < snapshotTrailerBytes {
+		return SnapshotInfo{}, errors.Join(damaged, err)
+	}
+	var tail [snapshotTrailerBytes]byte
+	if _, err := f.ReadAt(tail[:], size-snapshotTrailerBytes); err != nil {
+		return SnapshotInfo{}, errors.Join(damaged, err)
+	}
+	sum := crc32.New(castagnoli)
+	if _, err := io.Copy(sum, io.NewSectionReader(f, 0, size-snapshotTrailerBytes)); err != nil {
+		return SnapshotInfo{}, errors.Join(damaged, err)
+	}
+	n := int64(binary.LittleEndian.Uint32(tail[:]))
+	if sum.Sum32() != binary.LittleEndian.Uint32(tail[4:]) || n > size-snapshotTrailerBytes {
+		return SnapshotInfo{}, damaged
+	}
+	record := make([]byte, n)
+	stateBytes := size - snapshotTrailerBytes - n
+	if _, err := f.ReadAt(record, stateBytes); err != nil {
+		return SnapshotInfo{}, errors.Join(damaged, err)
+	}
+	var c contents
+	if err := c.decode(record); err != nil || snapshotName(c.base.Index) != name {
+		return SnapshotInfo{}, damaged
+	}
+	return SnapshotInfo{Index: c.base.Index, Term: c.base.Term, Members: c.base.Members, Bytes: stateBytes}, nil
+}
+
+// reconcile checks that snapshot and log join without a gap. A crash after a
+// received snapshot was finished and before the log was replaced leaves a
+// log that ends below the snapshot or differs from it; the log is replaced
+// then.
+func (s *Store) reconcile(r *Recovered) error {
+	last := r.Base.Index + uint64(len(r.Entries))
+	switch {
+	case r.Snapshot.Index < r.Base.Index:
+		return fmt.Errorf("%w: log starts after index %d but the snapshot is at %d", ErrDamaged, r.Base.Index, r.Snapshot.Index)
+	case r.Snapshot.Index > last || r.termAt(r.Snapshot.Index) != r.Snapshot.Term:
+		r.Base = Base{Index: r.Snapshot.Index, Term: r.Snapshot.Term, Members: r.Snapshot.Members}
+		r.Entries = nil
+		return s.rewrite(r.Base, r.HardState, nil)
+	}
+	return nil
+}
+
+func (r *Recovered) termAt(index uint64) uint64 {
+	if index == r.Base.Index {
+		return r.Base.Term
+	}
+	return r.Entries[index-r.Base.Index-1].Term
+}
+
+// OpenSnapshot opens the machine's state in a snapshot for reading.
+func (s *Store) OpenSnapshot(info SnapshotInfo) (io.ReadCloser, error) {
+	f, err := s.fs.Open(s.path(snapshotName(info.Index)))
+	if err != nil {
+		return nil, fmt.Errorf("open snapshot: %w", err)
+	}
+	return struct {
+		io.Reader
+		io.Closer
+	}{io.NewSectionReader(f, 0, info.Bytes), f}, nil
+}
+
+// ReadChunk reads up to size bytes of the machine's state in a snapshot.
+func (s *Store) ReadChunk(info SnapshotInfo, offset int64, size int) ([]byte, error) {
+	f, err := s.fs.Open(s.path(snapshotName(info.Index)))
+	if err != nil {
+		return nil, fmt.Errorf("open snapshot: %w", err)
+	}
+	defer f.Close()
+	data := make([]byte, min(int64(size), info.Bytes-offset))
+	if _, err := f.ReadAt(data, offset); err != nil && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("read snapshot: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/disk/store.go
@@ -0,0 +1,321 @@
+package disk
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"syscall"
+)
+
+const (
+	identityFile = "identity"
+	logFile      = "log"
+	tempSuffix   = ".tmp"
+)
+
+// ErrDamaged is wrapped by errors about files that cannot be trusted. The
+// replica may only come back as a new incarnation.
+var ErrDamaged = errors.New("data folder is damaged")
+
+// ErrStopped is wrapped by every write after a write or sync failed: what the
+// file holds is unknown until it is read again at the next start.
+var ErrStopped = errors.New("store stopped after a failed write")
+
+// ErrFull is wrapped by a write that found no space. Nothing was written; the
+// same write may be tried again.
+var ErrFull = errors.New("disk is full")
+
+// Identity names a replica and the life of its data folder.
+type Identity struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	Checksum    uint32 `json:"checksum"`
+}
+
+func (i Identity) sum() uint32 {
+	return checksum(int64(i.Incarnation), []byte(i.ID), nil)
+}
+
+// Recovered is the state found when a store was opened.
+type Recovered struct {
+	Identity  Identity
+	HardState HardState
+	Base      Base
+	Entries   []Entry
+	Snapshot  SnapshotInfo
+	// TornBytes were cut from the end of the log.
+	TornBytes int64
+}
+
+// Store owns the data folder of one replica. The methods that change the log
+// are called by one goroutine at a time; those of snapshots by any.
+type Store struct {
+	fs        FS
+	dir       string
+	log       File
+	size      int64
+	buffer    []byte
+	failed    error
+	hardState HardState // goes into the header when the log is rewritten
+}
+
+// Open opens the data folder, or creates it for the replica with the given id
+// and incarnation if it holds none. An existing folder keeps its incarnation.
+func Open(fsys FS, dir, id string, incarnation uint64) (*Store, Recovered, error) {
+	s := &Store{fs: fsys, dir: dir}
+	if err := fsys.MkdirAll(dir); err != nil {
+		return nil, Recovered{}, fmt.Errorf("create data folder: %w", err)
+	}
+	found, err := s.readIdentity()
+	if errors.Is(err, fs.ErrNotExist) {
+		found, err = s.create(id, incarnation)
+	}
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if found.ID != id {
+		return nil, Recovered{}, fmt.Errorf("data folder belongs to replica %q, not %q", found.ID, id)
+	}
+	r, err := s.load()
+	if err != nil {
+		return nil, Recovered{}, errors.Join(err, s.Close())
+	}
+	r.Identity = found
+	return s, r, nil
+}
+
+func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
+
+func (s *Store) readIdentity() (Identity, error) {
+	data, err := s.readFile(identityFile)
+	if err != nil {
+		return Identity{}, err
+	}
+	var i Identity
+	if err := json.Unmarshal(data, &i); err != nil || i.Checksum != i.sum() {
+		return Identity{}, fmt.Errorf("%w: identity file does not match its checksum", ErrDamaged)
+	}
+	return i, nil
+}
+
+// create writes the log before the identity, so that an identity without a
+// log means a lost log.
+func (s *Store) create(id string, incarnation uint64) (Identity, error) {
+	if err := s.rewrite(Base{}, HardState{}, nil); err != nil {
+		return Identity{}, err
+	}
+	i := Identity{ID: id, Incarnation: incarnation}
+	i.Checksum = i.sum()
+	data, err := json.Marshal(i)
+	if err != nil {
+		return Identity{}, err
+	}
+	if err := s.replaceFile(identityFile, data); err != nil {
+		return Identity{}, fmt.Errorf("write identity: %w", err)
+	}
+	return i, nil
+}
+
+func (s *Store) readFile(name string) ([]byte, error) {
+	f, err := s.fs.Open(s.path(name))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(f)
+}
+
+// replaceFile puts data under a name in one step: write, sync, rename, sync.
+func (s *Store) replaceFile(name string, data []byte) error {
+	f, err := s.fs.Create(s.path(name + tempSuffix))
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(s.path(name+tempSuffix), s.path(name)); err != nil {
+		return err
+	}
+	return s.fs.SyncDir(s.dir)
+}
+
+func (s *Store) load() (Recovered, error) {
+	data, err := s.readFile(logFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return Recovered{}, fmt.Errorf("%w: the log is missing", ErrDamaged)
+	}
+	if err != nil {
+		return Recovered{}, fmt.Errorf("read log: %w", err)
+	}
+	c, end, err := decodeLog(data)
+	if err != nil {
+		return Recovered{}, err
+	}
+	if s.log, err = s.fs.Open(s.path(logFile)); err != nil {
+		return Recovered{}, fmt.Errorf("open log: %w", err)
+	}
+	torn := int64(len(data)) - end
+	if torn > 0 {
+		if err := errors.Join(s.log.Truncate(end), s.log.Sync()); err != nil {
+			return Recovered{}, fmt.Errorf("cut the torn end of the log: %w", err)
+		}
+	}
+	s.size, s.hardState = end, c.hardState
+	snapshot, err := s.findSnapshot()
+	if err != nil {
+		return Recovered{}, err
+	}
+	r := Recovered{HardState: c.hardState, Base: c.base, Entries: c.entries, Snapshot: snapshot, TornBytes: torn}
+	return r, s.reconcile(&r)
+}
+
+// decodeLog reads the frames of a log and returns their contents and where
+// the last valid one ends. Each frame was synced before the next was written,
+// so only the last one can be torn; a bad frame before a valid one means that
+// synced data was changed.
+func decodeLog(data []byte) (contents, int64, error) {
+	var c contents
+	var offset int64
+	for offset < int64(len(data)) {
+		payload, ok := readFrame(data, offset)
+		if !ok {
+			break
+		}
+		if err := c.decode(payload); err != nil {
+			return contents{}, 0, fmt.Errorf("%w: log offset %d: %w", ErrDamaged, offset, err)
+		}
+		offset += frameHeaderBytes + int64(len(payload))
+	}
+	if offset == 0 {
+		return contents{}, 0, fmt.Errorf("%w: the log has no valid first record", ErrDamaged)
+	}
+	if offset < int64(len(data)) && frameAfter(data, offset) {
+		return contents{}, 0, fmt.Errorf("%w: log offset %d: checksum mismatch before valid records", ErrDamaged, offset)
+	}
+	return c, offset, nil
+}
+
+// Write appends a batch and syncs it. After an error the store is stopped.
+func (s *Store) Write(b Batch) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if b.HardState == nil && len(b.Entries) == 0 {
+		return nil
+	}
+	frame := append(s.buffer[:0], make([]byte, frameHeaderBytes)...)
+	if b.HardState != nil {
+		frame = appendHardState(frame, *b.HardState)
+	}
+	for _, e := range b.Entries {
+		frame = appendEntry(frame, e)
+	}
+	sealFrame(frame, s.size)
+	s.buffer = frame
+	if _, err := s.log.Write(frame); err != nil {
+		return s.writeFailed(err)
+	}
+	if err := s.log.Sync(); err != nil {
+		return s.stop(fmt.Errorf("sync log: %w", err))
+	}
+	s.size += int64(len(frame))
+	if b.HardState != nil {
+		s.hardState = *b.HardState
+	}
+	return nil
+}
+
+// writeFailed takes back a part that was written. On a full disk the store
+// goes on, since what the file holds is known again.
+func (s *Store) writeFailed(cause error) error {
+	if !errors.Is(cause, syscall.ENOSPC) {
+		return s.stop(fmt.Errorf("write log: %w", cause))
+	}
+	if err := s.log.Truncate(s.size); err != nil {
+		return s.stop(fmt.Errorf("write log: %w", errors.Join(cause, err)))
+	}
+	return fmt.Errorf("%w: write log: %w", ErrFull, cause)
+}
+
+func (s *Store) stop(err error) error {
+	if s.failed == nil {
+		s.failed = fmt.Errorf("%w: %w", ErrStopped, err)
+	}
+	return s.failed
+}
+
+// rewrite replaces the log by one that starts at base.
+func (s *Store) rewrite(base Base, h HardState, entries []Entry) error {
+	frame := appendBase(make([]byte, frameHeaderBytes), base)
+	frame = appendHardState(frame, h)
+	for _, e := range entries {
+		frame = appendEntry(frame, e)
+	}
+	sealFrame(frame, 0)
+	if err := s.replaceFile(logFile, frame); err != nil {
+		return s.stop(fmt.Errorf("rewrite log: %w", err))
+	}
+	if s.log != nil {
+		s.log.Close()
+	}
+	log, err := s.fs.Open(s.path(logFile))
+	if err != nil {
+		return s.stop(fmt.Errorf("reopen log: %w", err))
+	}
+	s.log, s.size, s.hardState = log, int64(len(frame)), h
+	return nil
+}
+
+// Compact drops the entries up to base from the log. entries are those that
+// remain. A snapshot at base or above must have been saved.
+// A nil hard state keeps the current one.
+func (s *Store) Compact(base Base, h *HardState, entries []Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if h == nil {
+		h = &s.hardState
+	}
+	return s.rewrite(base, *h, entries)
+}
+
+// Close closes the files. Everything written is already durable.
+func (s *Store) Close() error {
+	if s.log == nil {
+		return nil
+	}
+	err := s.log.Close()
+	s.log = nil
+	return err
+}
+
+// SetAside moves the files of a damaged or rolled-back data folder into a
+// subfolder, so that the next Open starts a new incarnation.
+func SetAside(fsys FS, dir string, incarnation uint64) error {
+	names, err := fsys.List(dir)
+	if err != nil {
+		return err
+	}
+	slices.Sort(names)
+	aside := filepath.Join(dir, fmt.Sprintf("damaged-%016x", incarnation))
+	if err := fsys.MkdirAll(aside); err != nil {
+		return err
+	}
+	for _, n := range names {
+		if isOwn(n) {
+			if err := fsys.Rename(filepath.Join(dir, n), filepath.Join(aside, n)); err != nil {
+				return err
+			}
+		}
+	}
+	return errors.Join(fsys.SyncDir(aside), fsys.SyncDir(dir))
+}
--- /dev/null
+++ b/replica/applier.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+// applyItem is work for the applier; restore comes before entries.
+type applyItem struct {
+	restore   *disk.SnapshotInfo
+	entries   []disk.Entry
+	readIndex uint64
+	reads     []*request
+}
+
+// applier owns the machine.
+type applier struct {
+	group   *Group
+	applied uint64
+	term    uint64 // of the entry at applied
+	members []byte // in force at applied
+	reads   []applyItem
+
+	sinceEntries int // since the last snapshot
+	sinceBytes   int64
+}
+
+func newApplier(g *Group, r disk.Recovered) (*applier, error) {
+	a := &applier{group: g, applied: r.Base.Index, term: r.Base.Term, members: r.Base.Members}
+	if r.Snapshot.Index > 0 {
+		if err := a.restore(r.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+func (a *applier) restore(info disk.SnapshotInfo) error {
+	f, err := a.group.store.OpenSnapshot(info)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := a.group.machine.Restore(f); err != nil {
+		return fmt.Errorf("restore snapshot %d: %w", info.Index, err)
+	}
+	a.applied, a.term, a.members = info.Index, info.Term, info.Members
+	a.sinceEntries, a.sinceBytes = 0, 0
+	return nil
+}
+
+func (a *applier) run() {
+	g := a.group
+	defer g.workers.Done()
+	defer a.refuseReads()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-g.toApply.ready:
+		}
+		for _, item := range g.toApply.take() {
+			if err := a.handle(item); err != nil {
+				g.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (a *applier) handle(item applyItem) error {
+	if item.restore != nil {
+		if err := a.restore(*item.restore); err != nil {
+			return err
+		}
+	}
+	for _, e := range item.entries {
+		a.apply(e)
+	}
+	if len(item.reads) > 0 {
+		a.reads = append(a.reads, item)
+	}
+	a.finishReads()
+	o := a.group.options
+	if a.sinceEntries >= o.snapshotEntries || a.sinceBytes >= o.snapshotBytes {
+		a.save()
+	}
+	return nil
+}
+
+func (a *applier) apply(e disk.Entry) {
+	var result []byte
+	switch e.Kind {
+	case disk.Command:
+		result = a.group.machine.Apply(e.Index, e.UnixMillis, e.Data)
+	case disk.Membership:
+		a.members = e.Data
+	case disk.NoOp:
+	}
+	a.applied, a.term = e.Index, e.Term
+	a.sinceEntries++
+	a.sinceBytes += int64(len(e.Data))
+	a.group.waiters.applied(e.Index, e.Term, result)
+}
+
+func (a *applier) finishReads() {
+	kept := a.reads[:0]
+	for _, item := range a.reads {
+		if item.readIndex > a.applied {
+			kept = append(kept, item)
+			continue
+		}
+		for _, r := range item.reads {
+			r.finish(nil, nil)
+		}
+	}
+	a.reads = kept
+}
+
+func (a *applier) refuseReads() {
+	for _, item := range append(a.reads, a.group.toApply.take()...) {
+		for _, r := range item.reads {
+			r.finish(nil, a.group.unavailable())
+		}
+	}
+}
+
+// save takes a snapshot. A failure, such as a full disk, is not fatal: the
+// log still holds everything.
+func (a *applier) save() {
+	a.sinceEntries, a.sinceBytes = 0, 0
+	info, err := a.writeSnapshot()
+	if err != nil {
+		a.group.options.logger.Error("snapshot failed", zap.Error(err))
+		return
+	}
+	a.group.saved.put(info)
+}
+
+func (a *applier) writeSnapshot() (disk.SnapshotInfo, error) {
+	w, err := a.group.store.CreateSnapshot(disk.SnapshotInfo{Index: a.applied, Term: a.term, Members: a.members})
+	if err != nil {
+		return disk.SnapshotInfo{}, err
+	}
+	if err := a.group.machine.Snapshot(w); err != nil {
+		return disk.SnapshotInfo{}, errors.Join(err, w.Close())
+	}
+	return w.Finish()
+}
--- /dev/null
+++ b/replica/election.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+func (n *Node) resetElection(now Now) {
+	spread := time.Duration(n.Random.Int64N(int64(n.Timing.Election)))
+	n.electionAt = now.Elapsed + n.Timing.Election + spread
+}
+
+// follow makes the replica a follower in a term that is not older than its own.
+func (n *Node) follow(now Now, term uint64) {
+	if term > n.hard.Term {
+		n.setHard(disk.HardState{Term: term})
+	}
+	if n.role == Leader {
+		n.refuseReads()
+	}
+	n.role, n.leader = Follower, Ref{}
+	n.leaderHeard = false
+	n.votes = nil
+	n.resetElection(now)
+}
+
+// heard notes a message from the leader of the current term.
+func (n *Node) heard(now Now, leader Ref) {
+	if n.role != Follower {
+		n.follow(now, n.hard.Term)
+	}
+	n.leader, n.leaderHeardAt, n.leaderHeard = leader, now.Elapsed, true
+	n.resetElection(now)
+}
+
+// hearsLeader returns whether a leader is at work, as far as this replica
+// knows. It then refuses votes that the leader did not ask for.
+func (n *Node) hearsLeader(now Now) bool {
+	if n.role == Leader {
+		return true
+	}
+	return n.leaderHeard && now.Elapsed-n.leaderHeardAt < n.Timing.Election
+}
+
+// campaign asks for pre-votes.
+func (n *Node) campaign(now Now) {
+	n.resetElection(now)
+	if !n.members.isVoter(n.Self) || n.stalled(now) {
+		return
+	}
+	n.role, n.leader, n.leaderHeard = PreCandidate, Ref{}, false
+	n.votes = map[Ref]bool{n.Self: true}
+	if n.won() {
+		n.elect(now, false)
+		return
+	}
+	n.askVotes(preVote, n.hard.Term+1, false)
+}
+
+// elect raises the term and asks for votes. The own vote counts once it is on
+// disk.
+func (n *Node) elect(now Now, forced bool) {
+	if !n.members.isVoter(n.Self) {
+		return
+	}
+	n.resetElection(now)
+	n.role, n.leader, n.leaderHeard = Candidate, Ref{}, false
+	n.votes = map[Ref]bool{}
+	n.setHard(disk.HardState{Term: n.hard.Term + 1, VoteID: n.Self.ID, VoteIncarnation: n.Self.Incarnation})
+	n.askVotes(vote, n.hard.Term, forced)
+}
+
+func (n *Node) askVotes(kind MessageKind, term uint64, forced bool) {
+	for _, x := range n.members {
+		if x.Ref == n.Self || x.Learner {
+			continue
+		}
+		m := n.message(kind, x.Ref)
+		m.Term, m.Forced = term, forced
+		m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
+		n.after(m)
+	}
+}
+
+func (n *Node) countOwnVote(now Now) {
+	if n.role != Candidate || n.synced != n.hard {
+		return
+	}
+	n.votes[n.Self] = true
+	if n.won() {
+		n.becomeLeader(now)
+	}
+}
+
+// upToDate returns whether a candidate's log holds all that this one does, as
+// far as its end tells.
+func (n *Node) upToDate(m Message) bool {
+	last := n.log.lastTerm()
+	return m.LogTerm > last || m.LogTerm == last && m.Index >= n.log.last()
+}
+
+func (n *Node) onPreVote(now Now, m Message) {
+	if !n.formed() || n.hearsLeader(now) {
+		return
+	}
+	r := n.message(preVoteReply, m.From)
+	if m.Term > n.hard.Term && n.upToDate(m) {
+		r.Term = m.Term
+	} else {
+		r.Reject = true
+	}
+	n.after(r)
+}
+
+func (n *Node) onVote(now Now, m Message) {
+	if !n.formed() {
+		return // has no full state to vote on
+	}
+	r := n.message(voteReply, m.From)
+	mine := Ref{ID: n.hard.VoteID, Incarnation: n.hard.VoteIncarnation}
+	free := mine == Ref{} || mine == m.From
+	if free && n.upToDate(m) {
+		if mine != m.From {
+			n.setHard(disk.HardState{Term: n.hard.Term, VoteID: m.From.ID, VoteIncarnation: m.From.Incarnation})
+		}
+		n.resetElection(now)
+	} else {
+		r.Reject = true
+	}
+	n.after(r)
+}
+
+func (n *Node) onVoteReply(now Now, m Message) {
+	want := n.role == Candidate && m.Kind == voteReply && m.Term == n.hard.Term ||
+		n.role == PreCandidate && m.Kind == preVoteReply && m.Term == n.hard.Term+1
+	if !want || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	if !n.won() {
+		return
+	}
+	if n.role == PreCandidate {
+		n.elect(now, false)
+	} else {
+		n.becomeLeader(now)
+	}
+}
+
+// won counts the votes of known incarnations only.
+func (n *Node) won() bool {
+	count := 0
+	for r := range n.votes {
+		if n.members.isVoter(r) {
+			count++
+		}
+	}
+	return count >= n.members.quorum()
+}
--- /dev/null
+++ b/replica/group_test.go
@@ -0,0 +1,248 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/faults"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// journal is a machine that keeps all commands.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, _ int64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return []byte(fmt.Sprint(len(j.commands)))
+}
+
+func (j *journal) Snapshot(w io.Writer) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return json.NewEncoder(w).Encode(j.commands)
+}
+
+func (j *journal) Restore(r io.Reader) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return json.NewDecoder(r).Decode(&j.commands)
+}
+
+func (j *journal) all() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// switchboard is a transport between groups in one process. Messages take the
+// way through JSON that they take between hosts.
+type switchboard struct {
+	mu     sync.Mutex
+	groups map[string]*Group
+	cut    map[string]bool
+}
+
+func (s *switchboard) Send(m Message) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	var copied Message
+	if err := json.Unmarshal(data, &copied); err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	g := s.groups[m.To.ID]
+	if s.cut[m.From.ID] || s.cut[m.To.ID] {
+		g = nil
+	}
+	s.mu.Unlock()
+	if g != nil {
+		g.Deliver(copied)
+	}
+}
+
+func (s *switchboard) setCut(id string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[id] = cut
+}
+
+func (s *switchboard) set(id string, g *Group) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g == nil {
+		delete(s.groups, id)
+		return
+	}
+	s.groups[id] = g
+}
+
+var testIDs = []string{"control-1", "control-2", "control-3"}
+
+var testTiming = Timing{Heartbeat: 20 * time.Millisecond, Election: 100 * time.Millisecond}
+
+// trio is a group of three replicas.
+type trio struct {
+	t        testing.TB
+	board    *switchboard
+	disks    map[string]*faults.Disk
+	machines map[string]*journal
+	groups   map[string]*Group
+	options  []Option
+}
+
+func newTrio(t testing.TB, opts ...Option) *trio {
+	c := &trio{
+		t: t, board: &switchboard{groups: map[string]*Group{}, cut: map[string]bool{}},
+		disks: map[string]*faults.Disk{}, machines: map[string]*journal{}, groups: map[string]*Group{}, options: opts,
+	}
+	for _, id := range testIDs {
+		c.disks[id] = faults.NewDisk()
+		c.start(id)
+	}
+	return c
+}
+
+func (c *trio) start(id string) {
+	c.t.Helper()
+	m := &journal{}
+	opts := append([]Option{WithFS(c.disks[id]), WithTiming(testTiming)}, c.options...)
+	g, err := Open(Config{ID: id, Peers: testIDs, Dir: "data"}, m, c.board, opts...)
+	assert.NilError(c.t, err)
+	c.machines[id], c.groups[id] = m, g
+	c.board.set(id, g)
+}
+
+func (c *trio) stop(id string) {
+	c.t.Helper()
+	assert.NilError(c.t, c.groups[id].Close())
+	c.board.set(id, nil)
+	delete(c.groups, id)
+}
+
+func (c *trio) close() {
+	for _, id := range testIDs {
+		if c.groups[id] != nil {
+			c.stop(id)
+		}
+	}
+}
+
+// propose retries until a leader takes the command.
+func (c *trio) propose(ctx context.Context, command string) []byte {
+	c.t.Helper()
+	for ctx.Err() == nil {
+		for _, id := range testIDs {
+			g := c.groups[id]
+			if g == nil {
+				continue
+			}
+			result, err := g.Propose(ctx, []byte(command))
+			if err == nil {
+				return result
+			}
+		}
+		pause(ctx)
+	}
+	c.t.Fatalf("no leader took %q", command)
+	return nil
+}
+
+func (c *trio) leader(ctx context.Context) *Group {
+	c.t.Helper()
+	for ctx.Err() == nil {
+		for _, g := range c.groups {
+			if id, ok := g.Leader(); ok && id == g.config.ID {
+				return g
+			}
+		}
+		pause(ctx)
+	}
+	c.t.Fatal("no leader")
+	return nil
+}
+
+// pause waits a little between attempts.
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(5 * time.Millisecond):
+	}
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against commands lost or reordered between proposal, log and machine,
+// and against a read that misses a finished proposal.
+func TestGroupAppliesProposals(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := newTrio(t)
+	defer c.close()
+	ctx := testContext(t)
+	for i := range 50 {
+		assert.Equal(t, string(c.propose(ctx, fmt.Sprint(i))), fmt.Sprint(i+1))
+	}
+	g := c.leader(ctx)
+	assert.NilError(t, g.Read(ctx))
+	assert.Equal(t, len(c.machines[g.config.ID].all()), 50)
+}
+
+// Guards against committed commands that a restart of the whole group loses.
+func TestGroupRestarts(t *testing.T) {
+	c := newTrio(t)
+	ctx := testContext(t)
+	for i := range 20 {
+		c.propose(ctx, fmt.Sprint(i))
+	}
+	c.close()
+	for _, id := range testIDs {
+		c.start(id)
+	}
+	defer c.close()
+	assert.Equal(t, string(c.propose(ctx, "last")), "21")
+}
+
+// Guards against a refusal that claims to know more or less than it does: a
+// follower never appended, a cut-off leader did.
+func TestProposalVerdicts(t *testing.T) {
+	c := newTrio(t)
+	defer c.close()
+	ctx := testContext(t)
+	c.propose(ctx, "first")
+	g := c.leader(ctx)
+	for id, f := range c.groups {
+		if id != g.config.ID {
+			_, err := f.Propose(ctx, []byte("x"))
+			assert.Equal(t, verdict.Of(err), verdict.NotRun)
+			assert.Equal(t, verdict.Of(f.Read(ctx)), verdict.NotRun)
+		}
+	}
+	c.board.setCut(g.config.ID, true)
+	_, err := g.Propose(ctx, []byte("y"))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	var e *verdict.Error
+	assert.Assert(t, errors.As(err, &e))
+	c.board.setCut(g.config.ID, false)
+	c.stop(g.config.ID)
+	_, err = g.Propose(ctx, []byte("z"))
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+}
--- /dev/null
+++ b/replica/leader.go
@@ -0,0 +1,241 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+// leadership is the state that only a leader has.
+type leadership struct {
+	termStart uint64 // index of the no-op entry of the term
+	progress  map[Ref]*progress
+	nextBeat  time.Duration
+	round     uint64
+	reads     []pendingRead
+	joining   map[string]joiner
+	handover  Ref
+}
+
+// progress is what a leader knows of one other replica.
+type progress struct {
+	match   uint64 // entries up to here are known to agree
+	next    uint64 // first entry to send
+	probing bool   // next is a guess: send one message at a time
+	waiting bool   // a probe is under way
+	flying  []uint64
+	heardAt time.Duration
+	round   uint64 // last round that was echoed
+	// Transfer of a snapshot; Index 0 when there is none.
+	snapshot disk.SnapshotInfo
+	offset   int64
+}
+
+func (n *Node) becomeLeader(now Now) {
+	n.role, n.leader = Leader, n.Self
+	n.lead = leadership{progress: map[Ref]*progress{}, joining: map[string]joiner{}}
+	n.syncProgress(now)
+	n.lead.termStart = n.log.last() + 1
+	n.appendOwn(now, disk.NoOp, [][]byte{nil})
+	n.beat(now)
+}
+
+// syncProgress makes progress hold exactly the other members.
+func (n *Node) syncProgress(now Now) {
+	for _, x := range n.members {
+		if x.Ref != n.Self && n.lead.progress[x.Ref] == nil {
+			n.lead.progress[x.Ref] = &progress{next: n.log.last() + 1, probing: true, heardAt: now.Elapsed}
+		}
+	}
+	for r := range n.lead.progress {
+		if _, ok := n.members.find(r); !ok {
+			delete(n.lead.progress, r)
+		}
+	}
+}
+
+// others returns the other members in a fixed order.
+func (n *Node) others() []Ref {
+	refs := make([]Ref, 0, len(n.members))
+	for _, x := range n.members {
+		if x.Ref != n.Self {
+			refs = append(refs, x.Ref)
+		}
+	}
+	return refs
+}
+
+func (n *Node) appendOwn(now Now, kind disk.EntryKind, data [][]byte) {
+	entries := make([]disk.Entry, len(data))
+	for i, d := range data {
+		entries[i] = disk.Entry{Index: n.log.last() + 1 + uint64(i), Term: n.hard.Term, UnixMillis: now.UnixMillis, Kind: kind, Data: d}
+	}
+	n.putEntries(entries)
+	if kind == disk.Membership {
+		n.syncProgress(now)
+	}
+}
+
+// Propose appends commands to the leader's log. It returns the index of the
+// first one, or 0 if this replica does not take proposals: nothing was
+// appended then.
+func (n *Node) Propose(now Now, commands [][]byte) (uint64, Output) {
+	if !n.accepts() || len(commands) == 0 {
+		return 0, n.take(now)
+	}
+	first := n.log.last() + 1
+	n.appendOwn(now, disk.Command, commands)
+	n.replicate()
+	return first, n.take(now)
+}
+
+// accepts returns whether the replica takes proposals: a leader that is not
+// handing over.
+func (n *Node) accepts() bool { return n.role == Leader && n.lead.handover == Ref{} }
+
+// replicate sends new entries to every replica that can take them.
+func (n *Node) replicate() {
+	for _, r := range n.others() {
+		n.sendEntries(r, n.lead.progress[r])
+	}
+}
+
+func (n *Node) sendEntries(to Ref, p *progress) {
+	for p.next <= n.log.last() && !p.waiting && p.snapshot.Index == 0 && len(p.flying) < maxAppendsFlying {
+		n.sendAppend(to, p)
+	}
+}
+
+// sendAppend sends the entries from next on. Without any it is a heartbeat,
+// which also finds out whether earlier messages were lost.
+func (n *Node) sendAppend(to Ref, p *progress) {
+	m := n.message(appendEntries, to)
+	m.Commit, m.Round = n.commit, n.lead.round
+	prev, ok := n.log.term(p.next - 1)
+	if !ok {
+		n.beginSnapshot(to, p)
+		return
+	}
+	m.Index, m.LogTerm = p.next-1, prev
+	if !p.probing && p.next <= n.log.last() && len(p.flying) < maxAppendsFlying {
+		m.Entries = n.log.from(p.next, maxAppendBytes)
+	}
+	switch {
+	case p.probing:
+		p.waiting = true
+	case len(m.Entries) > 0:
+		p.next = m.Entries[len(m.Entries)-1].Index + 1
+		p.flying = append(p.flying, p.next-1)
+	}
+	n.early(m)
+}
+
+// beat sends a heartbeat to every member.
+func (n *Node) beat(now Now) {
+	n.lead.nextBeat = now.Elapsed + n.Timing.Heartbeat
+	for _, r := range n.others() {
+		p := n.lead.progress[r]
+		p.waiting = false
+		if p.snapshot.Index != 0 {
+			n.sendChunk(r, p)
+			continue
+		}
+		n.sendAppend(r, p)
+	}
+}
+
+func (n *Node) tickLeader(now Now) {
+	if !n.hasQuorum(now) || n.stalled(now) {
+		n.follow(now, n.hard.Term)
+		return
+	}
+	n.repair(now)
+	if now.Elapsed >= n.lead.nextBeat {
+		n.beat(now)
+	}
+}
+
+// stalled returns whether the disk has not finished a write for long.
+func (n *Node) stalled(now Now) bool {
+	return n.writes > 0 && now.Elapsed-n.writeSince >= n.Timing.Election
+}
+
+// hasQuorum returns whether a quorum answered within the election timeout. A
+// leader without one may have been replaced already.
+func (n *Node) hasQuorum(now Now) bool {
+	count := 0
+	for _, x := range n.members {
+		if x.Learner {
+			continue
+		}
+		if x.Ref == n.Self || now.Elapsed-n.lead.progress[x.Ref].heardAt < n.Timing.Election {
+			count++
+		}
+	}
+	return count >= n.members.quorum()
+}
+
+// advanceCommit commits what a quorum of voters has on disk. Only entries of
+// the leader's own term are counted; earlier ones are committed with them.
+func (n *Node) advanceCommit() {
+	var matches []uint64
+	for _, x := range n.members {
+		switch {
+		case x.Learner:
+		case x.Ref == n.Self:
+			matches = append(matches, n.log.stable)
+		default:
+			matches = append(matches, n.lead.progress[x.Ref].match)
+		}
+	}
+	if len(matches) == 0 {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-n.members.quorum()]
+	if t, ok := n.log.term(index); !ok || t != n.hard.Term || index <= n.commit {
+		return
+	}
+	n.commit = index
+	n.releaseReads()
+}
+
+func (n *Node) onAppendReply(now Now, m Message) {
+	if n.role != Leader {
+		return
+	}
+	p := n.lead.progress[m.From]
+	if p == nil {
+		return // not a member: an old incarnation, or one removed
+	}
+	p.heardAt = now.Elapsed
+	p.round = max(p.round, m.Round)
+	if m.Reject {
+		n.onAppendRejected(m, p)
+	} else {
+		n.onAppendAgreed(m, p)
+	}
+	n.releaseReads()
+	n.sendEntries(m.From, p)
+	n.finishHandover(now)
+}
+
+func (n *Node) onAppendAgreed(m Message, p *progress) {
+	p.match = max(p.match, m.Index)
+	if p.probing && m.Index+1 >= p.next {
+		p.probing, p.waiting = false, false
+	}
+	p.next = max(p.next, p.match+1)
+	p.flying = slices.DeleteFunc(p.flying, func(i uint64) bool { return i <= p.match })
+	n.advanceCommit()
+}
+
+func (n *Node) onAppendRejected(m Message, p *progress) {
+	if m.Index <= p.match || m.Index > p.next {
+		return // late answer to a message that was overtaken
+	}
+	p.next = max(m.Index, p.match+1)
+	p.flying = nil
+	p.probing, p.waiting = true, false
+}
--- /dev/null
+++ b/replica/log.go
@@ -0,0 +1,89 @@
+package replica
+
+import "github.com/sycamoreline/sycamoreline/disk"
+
+// entryLog holds the entries after base. Those up to stable are on disk.
+type entryLog struct {
+	base    disk.Base
+	entries []disk.Entry
+	stable  uint64
+}
+
+func (l *entryLog) last() uint64 { return l.base.Index + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of an entry, and false if the log does not hold it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base.Index:
+		return l.base.Term, true
+	case index < l.base.Index || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.base.Index-1].Term, true
+}
+
+// from returns the entries from index on, up to a size in bytes; at least one
+// if there is any.
+func (l *entryLog) from(index uint64, maxBytes int) []disk.Entry {
+	rest := l.entries[index-l.base.Index-1:]
+	size := 0
+	for i, e := range rest {
+		size += len(e.Data)
+		if i > 0 && size > maxBytes {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// between returns the entries above low and up to high.
+func (l *entryLog) between(low, high uint64) []disk.Entry {
+	a, b := low-l.base.Index, high-l.base.Index
+	return l.entries[a:b:b]
+}
+
+// put appends entries and replaces those at their index and above.
+func (l *entryLog) put(entries []disk.Entry) {
+	keep := entries[0].Index - l.base.Index - 1
+	l.stable = min(l.stable, entries[0].Index-1)
+	if keep < uint64(len(l.entries)) {
+		// A copy, since slices handed out by from and between must not change.
+		l.entries = append([]disk.Entry(nil), l.entries[:keep]...)
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// conflict returns where a leader should try next after an entry at index did
+// not match: below the entries of the term found there.
+func (l *entryLog) conflict(index uint64) uint64 {
+	if index > l.last() {
+		return l.last() + 1
+	}
+	term, _ := l.term(index)
+	for index > l.base.Index+1 {
+		t, _ := l.term(index - 1)
+		if t != term {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// reset drops everything up to base, and everything else unless the log
+// agrees with base.
+func (l *entryLog) reset(base disk.Base) {
+	if t, ok := l.term(base.Index); ok && t == base.Term {
+		l.entries = append([]disk.Entry(nil), l.entries[base.Index-l.base.Index:]...)
+	} else {
+		l.entries = nil
+		l.stable = base.Index
+	}
+	l.base = base
+	l.stable = max(l.stable, base.Index)
+}
--- /dev/null
+++ b/replica/loop.go
@@ -0,0 +1,221 @@
+package replica
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+// loop owns the node: every event goes through it, one at a time.
+func (g *Group) loop() {
+	defer g.workers.Done()
+	defer g.finishRequests()
+	ticker := time.NewTicker(g.options.timing.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	closing := g.closing
+	var deadline <-chan time.Time
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-closing:
+			closing = nil
+			deadline = time.After(g.options.timing.Election)
+			g.handOver()
+		case <-deadline:
+			g.fail(nil)
+		case <-g.inbox.ready:
+			for _, m := range g.inbox.take() {
+				g.handle(g.node.Step(g.now(), m))
+			}
+		case <-g.requests.ready:
+			g.takeRequests()
+		case <-g.written.ready:
+			g.takeWritten()
+		case <-g.saved.ready:
+			for _, info := range g.saved.take() {
+				g.handle(g.node.Compact(g.now(), info, g.options.keepEntries))
+			}
+		case <-ticker.C:
+			g.handle(g.node.Tick(g.now()))
+		}
+		if closing == nil && g.node.Role() != Leader {
+			g.fail(nil)
+		}
+	}
+}
+
+func (g *Group) handOver() {
+	out, ok := g.node.HandOver(g.now())
+	g.handle(out)
+	if !ok {
+		g.fail(nil)
+	}
+}
+
+// finishRequests answers the callers that still wait when the loop ends.
+func (g *Group) finishRequests() {
+	for _, r := range g.requests.take() {
+		if r.claimed.CompareAndSwap(false, true) {
+			r.finish(nil, g.unavailable())
+		}
+	}
+	for _, rs := range g.reading {
+		for _, r := range rs {
+			r.finish(nil, g.unavailable())
+		}
+	}
+	g.waiters.abandonAbove(0, "the replica stopped before the proposal was committed")
+}
+
+// takeRequests proposes all waiting commands at once, so that they share one
+// write, and confirms all waiting reads by one round.
+func (g *Group) takeRequests() {
+	var proposals, reads []*request
+	var commands [][]byte
+	for _, r := range g.requests.take() {
+		switch {
+		case !r.claimed.CompareAndSwap(false, true):
+		case r.read:
+			reads = append(reads, r)
+		default:
+			proposals = append(proposals, r)
+			commands = append(commands, r.command)
+		}
+	}
+	g.propose(proposals, commands)
+	if len(reads) > 0 {
+		g.readID++
+		g.reading[g.readID] = reads
+		g.handle(g.node.ReadIndex(g.now(), g.readID))
+	}
+}
+
+func (g *Group) propose(requests []*request, commands [][]byte) {
+	if len(requests) == 0 {
+		return
+	}
+	first, out := g.node.Propose(g.now(), commands)
+	if first == 0 {
+		leader, _ := g.node.Leader()
+		for _, r := range requests {
+			r.finish(nil, notLeader(leader))
+		}
+	} else {
+		for i, r := range requests {
+			g.waiters.add(first+uint64(i), g.node.Term(), r)
+		}
+	}
+	g.handle(out)
+}
+
+// handle carries out an output of the node.
+func (g *Group) handle(out Output) {
+	if out.Fatal != nil {
+		g.fail(out.Fatal)
+		return
+	}
+	g.send(out.Early)
+	for _, c := range out.Chunks {
+		g.sendChunk(c)
+	}
+	if out.Persist.empty() && g.busy == 0 {
+		g.send(out.After)
+	} else if !out.Persist.empty() || len(out.After) > 0 {
+		g.busy++
+		g.writes.put(write{persist: out.Persist, after: out.After})
+	}
+	if out.Restore != nil || len(out.Apply) > 0 {
+		g.toApply.put(applyItem{restore: out.Restore, entries: out.Apply})
+	}
+	for _, r := range out.Reads {
+		g.finishRead(r)
+	}
+	g.noteLeader()
+}
+
+func (g *Group) finishRead(r ReadResult) {
+	requests := g.reading[r.ID]
+	delete(g.reading, r.ID)
+	if !r.Refused {
+		g.toApply.put(applyItem{readIndex: r.Index, reads: requests})
+		return
+	}
+	leader, _ := g.node.Leader()
+	for _, q := range requests {
+		q.finish(nil, notLeader(leader))
+	}
+}
+
+// noteLeader publishes the leader, and answers the proposals whose outcome
+// became unknown when this replica stopped leading.
+func (g *Group) noteLeader() {
+	leader, _ := g.node.Leader()
+	before := g.leader.Load()
+	if before != nil && *before == leader {
+		return
+	}
+	self := g.node.Self
+	if before != nil && *before == self {
+		g.waiters.abandonAbove(g.node.Commit(), "leadership was lost before the proposal was committed")
+	}
+	g.leader.Store(&leader)
+	g.options.logger.Info("leader changed", zap.String("leader", leader.ID), zap.Uint64("term", g.node.Term()))
+}
+
+func (g *Group) send(ms []Message) {
+	for _, m := range ms {
+		g.transport.Send(m)
+	}
+}
+
+func (g *Group) sendChunk(c ChunkRead) {
+	data, err := g.store.ReadChunk(c.Info, c.Message.Offset, chunkBytes)
+	if err != nil {
+		g.options.logger.Warn("read part of a snapshot", zap.Error(err))
+		return
+	}
+	c.Message.Data = data
+	c.Message.Last = c.Message.Offset+int64(len(data)) >= c.Info.Bytes
+	g.transport.Send(c.Message)
+}
+
+func (g *Group) takeWritten() {
+	for _, w := range g.written.take() {
+		g.busy--
+		switch {
+		case errors.Is(w.err, errChunk):
+			g.options.logger.Warn("store part of a snapshot", zap.Error(w.err))
+			g.handle(g.node.ChunkFailed(g.now()))
+		case w.err != nil:
+			g.fail(w.err)
+			return
+		default:
+			g.send(w.after)
+			if !w.persist.empty() {
+				g.handle(g.node.Persisted(g.now(), w.persist))
+			}
+		}
+	}
+}
+
+// write is a Persist with the messages that wait for it.
+type write struct {
+	persist Persist
+	after   []Message
+	err     error
+}
+
+// simple returns whether the write can share one sync with its neighbours.
+func (w write) simple() bool { return w.persist.Reset == nil && w.persist.Chunk == nil }
+
+func (w write) batch(b disk.Batch) disk.Batch {
+	if w.persist.HardState != nil {
+		b.HardState = w.persist.HardState
+	}
+	b.Entries = append(b.Entries, w.persist.Entries...)
+	return b
+}
--- /dev/null
+++ b/replica/snapshot.go
@@ -0,0 +1,141 @@
+package replica
+
+import "github.com/sycamoreline/sycamoreline/disk"
+
+// incomingChunks is a snapshot that the leader is sending.
+type incomingChunks struct {
+	info   disk.SnapshotInfo
+	offset int64
+}
+
+func (n *Node) beginSnapshot(to Ref, p *progress) {
+	p.snapshot, p.offset = n.snapshot, 0
+	p.flying = nil
+	n.sendChunk(to, p)
+}
+
+func (n *Node) sendChunk(to Ref, p *progress) {
+	m := n.message(chunk, to)
+	m.Index, m.LogTerm, m.Offset, m.Round = p.snapshot.Index, p.snapshot.Term, p.offset, n.lead.round
+	members, err := decodeMembers(p.snapshot.Members)
+	if err != nil {
+		n.fail("read membership of snapshot: %w", err)
+		return
+	}
+	m.Members = members
+	n.out.Chunks = append(n.out.Chunks, ChunkRead{Info: p.snapshot, Message: m})
+}
+
+func (n *Node) onChunk(m Message) {
+	r := n.message(chunkReply, m.From)
+	r.Index, r.Round = m.Index, m.Round
+	members := m.Members.encode()
+	if m.Index <= n.commit {
+		r.Last = true
+		n.reply(r)
+		return
+	}
+	if n.chunk.info.Index != m.Index || n.chunk.info.Term != m.LogTerm || m.Offset == 0 {
+		n.chunk = incomingChunks{info: disk.SnapshotInfo{Index: m.Index, Term: m.LogTerm, Members: members}}
+	}
+	if m.Offset != n.chunk.offset {
+		r.Offset = n.chunk.offset
+		n.reply(r)
+		return
+	}
+	n.chunk.offset += int64(len(m.Data))
+	n.out.Persist.Chunk = &Chunk{Info: n.chunk.info, Offset: m.Offset, Data: m.Data, Last: m.Last}
+	r.Offset = n.chunk.offset
+	if !m.Last {
+		n.after(r)
+	}
+}
+
+// ChunkFailed reports that a part of a received snapshot could not be stored.
+// The transfer starts again.
+func (n *Node) ChunkFailed(now Now) Output {
+	n.writeDone(now)
+	n.chunk = incomingChunks{}
+	return n.take(now)
+}
+
+// install takes over a received snapshot that is on disk.
+func (n *Node) install(now Now, info disk.SnapshotInfo) {
+	n.chunk = incomingChunks{}
+	n.snapshot = info
+	if info.Index <= n.commit {
+		return
+	}
+	base := disk.Base{Index: info.Index, Term: info.Term, Members: info.Members}
+	n.log.reset(base)
+	n.commit, n.applied = info.Index, info.Index
+	if err := n.loadMembers(); err != nil {
+		n.fail("read membership of snapshot: %w", err)
+	}
+	n.out.Persist.Reset = &base
+	n.out.Persist.Entries = n.log.entries
+	n.out.Restore = &info
+	if n.leader != (Ref{}) {
+		r := n.message(chunkReply, n.leader)
+		r.Index, r.Last = info.Index, true
+		n.after(r)
+	}
+	n.resetElection(now)
+}
+
+func (n *Node) onChunkReply(now Now, m Message) {
+	if n.role != Leader {
+		return
+	}
+	p := n.lead.progress[m.From]
+	if p == nil {
+		return
+	}
+	p.heardAt = now.Elapsed
+	p.round = max(p.round, m.Round)
+	n.releaseReads()
+	if p.snapshot.Index == 0 || p.snapshot.Index != m.Index || m.Reject {
+		return
+	}
+	if m.Last {
+		p.match, p.next = max(p.match, m.Index), max(p.next, m.Index+1)
+		p.snapshot = disk.SnapshotInfo{}
+		p.probing, p.waiting = true, false
+		n.advanceCommit()
+		n.sendEntries(m.From, p)
+		return
+	}
+	if m.Offset != p.offset {
+		p.offset = m.Offset
+		n.sendChunk(m.From, p)
+	}
+}
+
+// Compact drops entries that a durable local snapshot covers. keep entries
+// below the snapshot remain for followers that are slightly behind.
+func (n *Node) Compact(now Now, info disk.SnapshotInfo, keep uint64) Output {
+	if info.Index > n.snapshot.Index {
+		n.snapshot = info
+	}
+	if info.Index < keep || info.Index-keep <= n.log.base.Index || info.Index > n.log.stable {
+		return n.take(now)
+	}
+	index := info.Index - keep
+	term, _ := n.log.term(index)
+	base := disk.Base{Index: index, Term: term, Members: n.membersAt(index)}
+	n.log.reset(base)
+	n.out.Persist.Reset = &base
+	n.out.Persist.Entries = n.log.entries
+	return n.take(now)
+}
+
+// membersAt returns the encoded membership in force at an index in the log.
+func (n *Node) membersAt(index uint64) []byte {
+	data := n.log.base.Members
+	for _, e := range n.log.between(n.log.base.Index, index) {
+		if e.Kind == disk.Membership {
+			data = e.Data
+		}
+	}
+	return data
+}
