--- /dev/null
+++ b/ledger/call.go
@@ -0,0 +1,199 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// call is the record of a call, kept for resends of its key.
+type call struct {
+	Number            int             `json:"number"`
+	Attempt           int             `json:"attempt"`
+	Key               string          `json:"key"`
+	Fingerprint       string          `json:"fingerprint"`
+	Kind              CallKind        `json:"kind"`
+	Name              string          `json:"name"`
+	Idempotent        bool            `json:"idempotent,omitempty"`
+	Status            CallStatus      `json:"status"`
+	Sent              bool            `json:"sent,omitempty"`
+	Host              string          `json:"host"`
+	HostIncarnation   string          `json:"host-incarnation"`
+	Server            string          `json:"server,omitempty"`
+	ServerIncarnation string          `json:"server-incarnation,omitempty"`
+	LastServer        string          `json:"last-server,omitempty"`
+	Tokens            int64           `json:"tokens,omitempty"`
+	Answer            json.RawMessage `json:"answer,omitempty"`
+	Verdict           verdict.Verdict `json:"verdict"`
+	Reason            verdict.Reason  `json:"reason,omitempty"`
+	HistoryLength     int             `json:"history-length,omitempty"`
+}
+
+// running is what is needed of the running call only. A program has at most
+// one.
+type running struct {
+	Call     int       `json:"call"`
+	Request  string    `json:"request,omitempty"` // proposal that started the attempt
+	Worst    int64     `json:"worst"`             // tokens reserved for the attempt
+	Until    int64     `json:"until"`             // bound of the attempt, Unix milliseconds
+	Timeout  int64     `json:"timeout"`
+	Messages []Message `json:"messages,omitempty"`
+	// EarlierSent means that an attempt before this one may have been sent.
+	EarlierSent bool `json:"earlier-sent,omitempty"`
+}
+
+// lost is an attempt that was taken over. Its reservation stays until its
+// cost is known, or bounded because its time has run out.
+type lost struct {
+	Call    int   `json:"call"`
+	Attempt int   `json:"attempt"`
+	Worst   int64 `json:"worst"`
+	Until   int64 `json:"until"`
+}
+
+func (m *Machine) openCall(c *OpenCall) Result {
+	p := m.programs[c.Program]
+	if p == nil || p.Team != c.Team {
+		return Result{Refusal: m.unknownProgram(c.Program)}
+	}
+	if number, ok := p.keys[c.Key]; ok {
+		return p.resend(p.Calls[number-1], c)
+	}
+	if refusal := m.checkOpenCall(p, c); refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	p.reserve(Budget{Tokens: c.WorstTokens, Calls: 1})
+	k := &call{
+		Number: len(p.Calls) + 1, Attempt: 1, Key: c.Key, Fingerprint: c.Fingerprint,
+		Kind: c.Kind, Name: c.Name, Idempotent: c.Idempotent, Status: CallRunning,
+		Host: c.Host, HostIncarnation: c.HostIncarnation,
+		LastServer: p.LastServer, HistoryLength: len(p.History),
+	}
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = m.options.callTimeout
+	}
+	p.Running = &running{
+		Call: k.Number, Request: c.Request, Worst: c.WorstTokens, Messages: c.Messages,
+		Timeout: timeout, Until: m.clock + timeout + m.options.settleGrace,
+	}
+	p.addCall(k)
+	m.touch(p)
+	return granted(p, k)
+}
+
+func (m *Machine) checkOpenCall(p *program, c *OpenCall) *Refusal {
+	switch {
+	case p.Dropped:
+		// The record of the key may be among those that were dropped.
+		return newRefusal(verdict.MayHaveRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+	case p.Status != ProgramOpen:
+		return newRefusal(verdict.NotRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+	case p.Deadline <= m.clock:
+		return newRefusal(verdict.NotRun, verdict.DeadlineExceeded, "deadline of program %q has passed", p.ID)
+	case p.Running != nil:
+		return newRefusal(verdict.NotRun, verdict.CallInProgress, "call %d of program %q is running", p.Running.Call, p.ID)
+	case !p.affords(Budget{Tokens: c.WorstTokens, Calls: 1}):
+		free := p.free()
+		return newRefusal(verdict.NotRun, verdict.BudgetExceeded,
+			"program %q has %d tokens and %d calls left: the call may need %d tokens",
+			p.ID, free.Tokens, free.Calls, c.WorstTokens)
+	}
+	return nil
+}
+
+// resend answers an open-call whose key has a record.
+func (p *program) resend(k *call, c *OpenCall) Result {
+	if k.Fingerprint != c.Fingerprint {
+		return refuse(verdict.NotRun, verdict.KeyReused, "key %q was used with another body", c.Key)
+	}
+	if p.owns(k, c.Host, c.HostIncarnation, c.Request) {
+		return granted(p, k)
+	}
+	return Result{Call: p.callState(k)}
+}
+
+// owns says whether request started the running attempt of k. The proposer
+// may have lost the first result, so it gets the grant again.
+func (p *program) owns(k *call, host, incarnation, request string) bool {
+	return k.Status == CallRunning && request != "" && p.Running.Request == request &&
+		k.Host == host && k.HostIncarnation == incarnation
+}
+
+func (m *Machine) markSent(c *MarkSent) Result {
+	p, k, refusal := m.findAttempt(c.Program, c.Call, c.Attempt)
+	if refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	place := place{c.Server, c.ServerIncarnation}
+	again := k.Sent && k.Server == c.Server && k.ServerIncarnation == c.ServerIncarnation
+	switch {
+	case again:
+		return Result{Call: p.callState(k)}
+	case k.Sent && !k.Idempotent:
+		return refuse(verdict.MayHaveRun, verdict.OutcomeUnknown,
+			"call %d of program %q is not idempotent and was sent to server %q", k.Number, p.ID, k.Server)
+	case p.Status != ProgramOpen:
+		return refuse(p.sentVerdict(k), verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+	case m.memory.isGone(place):
+		return refuse(p.sentVerdict(k), verdict.NoServer, "server %q incarnation %q is gone", c.Server, c.ServerIncarnation)
+	}
+	k.Sent, k.Server, k.ServerIncarnation = true, c.Server, c.ServerIncarnation
+	if k.Kind == ModelCall {
+		p.LastServer = c.Server
+		m.memory.hold(p, place)
+	}
+	m.touch(p)
+	return Result{Call: p.callState(k)}
+}
+
+// sentVerdict is the verdict of a refusal to send the running call.
+func (p *program) sentVerdict(k *call) verdict.Verdict {
+	if k.Sent || p.Running.EarlierSent {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// findAttempt returns the call whose running attempt is named, or a refusal.
+func (m *Machine) findAttempt(id string, number, attempt int) (*program, *call, *Refusal) {
+	p := m.programs[id]
+	if p == nil {
+		return nil, nil, m.unknownProgram(id)
+	}
+	if number > len(p.Calls) {
+		return nil, nil, newRefusal(verdict.MayHaveRun, verdict.StaleAttempt, "program %q has no call %d", id, number)
+	}
+	k := p.Calls[number-1]
+	if k.Status != CallRunning || k.Attempt != attempt {
+		return p, k, newRefusal(verdict.MayHaveRun, verdict.StaleAttempt,
+			"call %d of program %q is %s at attempt %d", number, id, k.Status, k.Attempt)
+	}
+	return p, k, nil
+}
+
+func (p *program) addCall(k *call) {
+	p.Calls = append(p.Calls, k)
+	p.CallCount = len(p.Calls)
+	if p.keys == nil {
+		p.keys = make(map[string]int)
+	}
+	p.keys[k.Key] = k.Number
+}
+
+func granted(p *program, k *call) Result {
+	state := p.callState(k)
+	state.Granted = true
+	return Result{Call: state}
+}
+
+func (p *program) callState(k *call) *CallState {
+	return &CallState{
+		Program: p.ID, Call: k.Number, Attempt: k.Attempt, Kind: k.Kind, Name: k.Name,
+		Idempotent: k.Idempotent, Status: k.Status, Sent: k.Sent, Host: k.Host,
+		HostIncarnation: k.HostIncarnation, Server: k.Server, LastServer: k.LastServer,
+		Tokens: k.Tokens, Answer: k.Answer, Verdict: k.Verdict, Reason: k.Reason,
+		HistoryLength: k.HistoryLength, Class: p.Class, Deadline: p.Deadline,
+		AttainedTokens: p.Spent.Tokens,
+	}
+}
--- /dev/null
+++ b/ledger/check.go
@@ -0,0 +1,133 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+)
+
+const (
+	maxIDBytes = 512
+	// maxUnixMillis and maxAmount leave room for sums without overflow.
+	maxUnixMillis = int64(1) << 52
+	maxAmount     = int64(1) << 52
+)
+
+// check refuses a command that is malformed whatever the state is.
+func (c *Command) check() error {
+	set := 0
+	var err error
+	note := func(present bool, check func() error) {
+		if present {
+			set++
+			err = errors.Join(err, check())
+		}
+	}
+	note(c.OpenProgram != nil, func() error { return c.OpenProgram.check() })
+	note(c.OpenCall != nil, func() error { return c.OpenCall.check() })
+	note(c.MarkSent != nil, func() error { return c.MarkSent.check() })
+	note(c.SettleCall != nil, func() error { return c.SettleCall.check() })
+	note(c.TakeOver != nil, func() error { return c.TakeOver.check() })
+	note(c.EndProgram != nil, func() error { return c.EndProgram.check() })
+	note(c.ReleaseConfirmed != nil, func() error { return c.ReleaseConfirmed.check() })
+	note(c.ServerGone != nil, func() error { return c.ServerGone.check() })
+	note(c.Tick != nil, func() error { return nil })
+	if set != 1 {
+		return fmt.Errorf("command has %d parts: want exactly one", set)
+	}
+	return err
+}
+
+func (c *OpenProgram) check() error {
+	if c.Class == "" {
+		c.Class = Standard
+	}
+	return errors.Join(
+		checkID("program", c.Program), checkID("team", c.Team), checkID("key", c.Key),
+		checkAmount("budget.tokens", c.Budget.Tokens), checkAmount("budget.calls", c.Budget.Calls),
+		checkAmount("deadline", c.Deadline),
+		checkOneOf("class", c.Class, Interactive, Standard, Batch),
+		checkParent(c))
+}
+
+func checkParent(c *OpenProgram) error {
+	if c.Parent == c.Program {
+		return fmt.Errorf("parent %q: want another program", c.Parent)
+	}
+	if len(c.Parent) > maxIDBytes {
+		return fmt.Errorf("parent: %d bytes, want at most %d", len(c.Parent), maxIDBytes)
+	}
+	return nil
+}
+
+func (c *OpenCall) check() error {
+	return errors.Join(
+		checkID("program", c.Program), checkID("team", c.Team), checkID("key", c.Key),
+		checkID("fingerprint", c.Fingerprint), checkID("name", c.Name),
+		checkID("host", c.Host), checkID("host-incarnation", c.HostIncarnation),
+		checkOneOf("kind", c.Kind, ModelCall, ToolCall),
+		checkAmount("worst-tokens", c.WorstTokens), checkAmount("timeout", c.Timeout))
+}
+
+func (c *MarkSent) check() error {
+	return errors.Join(
+		checkID("program", c.Program), checkCount("call", c.Call), checkCount("attempt", c.Attempt),
+		checkID("server", c.Server), checkID("server-incarnation", c.ServerIncarnation))
+}
+
+func (c *SettleCall) check() error {
+	return errors.Join(
+		checkID("program", c.Program), checkCount("call", c.Call), checkCount("attempt", c.Attempt),
+		checkOneOf("status", c.Status, CallOK, CallFailed, CallNotSent, CallUnknown),
+		checkAmount("tokens", c.Tokens))
+}
+
+func (c *TakeOver) check() error {
+	return errors.Join(
+		checkID("program", c.Program), checkCount("call", c.Call), checkCount("attempt", c.Attempt),
+		checkID("host", c.Host), checkID("host-incarnation", c.HostIncarnation))
+}
+
+func (c *EndProgram) check() error {
+	return errors.Join(checkID("program", c.Program),
+		checkOneOf("status", c.Status, ProgramDone, ProgramFailed, ProgramExpired))
+}
+
+func (c *ReleaseConfirmed) check() error {
+	return errors.Join(checkID("server", c.Server),
+		checkID("server-incarnation", c.ServerIncarnation), checkID("program", c.Program))
+}
+
+func (c *ServerGone) check() error {
+	return errors.Join(checkID("server", c.Server),
+		checkID("server-incarnation", c.ServerIncarnation))
+}
+
+func checkID(field, value string) error {
+	if value == "" || len(value) > maxIDBytes {
+		return fmt.Errorf("%s: %d bytes, want 1 to %d", field, len(value), maxIDBytes)
+	}
+	return nil
+}
+
+func checkAmount(field string, value int64) error {
+	if value < 0 || value > maxAmount {
+		return fmt.Errorf("%s %d: want 0 to %d", field, value, maxAmount)
+	}
+	return nil
+}
+
+func checkCount(field string, value int) error {
+	if value < 1 {
+		return fmt.Errorf("%s %d: want 1 or more", field, value)
+	}
+	return nil
+}
+
+func checkOneOf[T ~string](field string, value T, allowed ...T) error {
+	for _, a := range allowed {
+		if value == a {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s %q: want one of %q", field, value, allowed)
+}
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -9,6 +9,9 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
+// UnknownKey refuses a query for a key without a record.
+const UnknownKey verdict.Reason = "unknown-key"
+
 // CallKind tells model calls from tool calls.
 type CallKind string
 
@@ -94,18 +97,21 @@
 // OpenCall asks for the next call of a program to be granted, or for the
 // record of an earlier call under the same key.
 type OpenCall struct {
-	Program         string    `json:"program"`
-	Team            string    `json:"team"` // must be the program's team
-	Key             string    `json:"key"`
-	Fingerprint     string    `json:"fingerprint"` // hash of the request body
-	Kind            CallKind  `json:"kind"`
-	Name            string    `json:"name"` // model, or service/operation
-	Idempotent      bool      `json:"idempotent"`
-	WorstTokens     int64     `json:"worst-tokens"`
-	Host            string    `json:"host"`
-	HostIncarnation string    `json:"host-incarnation"`
-	Timeout         int64     `json:"timeout"` // milliseconds
-	Messages        []Message `json:"messages,omitempty"`
+	Program         string   `json:"program"`
+	Team            string   `json:"team"` // must be the program's team
+	Key             string   `json:"key"`
+	Fingerprint     string   `json:"fingerprint"` // hash of the request body
+	Kind            CallKind `json:"kind"`
+	Name            string   `json:"name"` // model, or service/operation
+	Idempotent      bool     `json:"idempotent"`
+	WorstTokens     int64    `json:"worst-tokens"`
+	Host            string   `json:"host"`
+	HostIncarnation string   `json:"host-incarnation"`
+	Timeout         int64    `json:"timeout"` // milliseconds
+	// Request is chosen by the proposer. A repeated proposal with the same
+	// request, host and incarnation gets the grant again.
+	Request  string    `json:"request,omitempty"`
+	Messages []Message `json:"messages,omitempty"`
 }
 
 // MarkSent records that the call is about to be sent to a backend server. A
@@ -139,6 +145,7 @@
 	Attempt         int    `json:"attempt"` // the attempt that is replaced
 	Host            string `json:"host"`
 	HostIncarnation string `json:"host-incarnation"`
+	Request         string `json:"request,omitempty"` // as in OpenCall
 }
 
 // EndProgram ends a program. Status is ProgramDone, ProgramFailed or
--- /dev/null
+++ b/ledger/machine.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/tidwall/btree"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Machine is the state of one program group. It is not safe for concurrent
+// use.
+type Machine struct {
+	options options
+	// clock is the greatest time seen, in Unix milliseconds. It never goes
+	// back, so a leader with a slow clock cannot revive an expired program.
+	clock    int64
+	programs map[string]*program
+	timers   *btree.BTreeG[timer]
+	memory   memory
+	// closed orders the ended programs whose history is still kept, oldest
+	// first.
+	closed *btree.BTreeG[timer]
+	// forgotten counts programs that were removed. As long as it is 0, an
+	// unknown program is known never to have run anything.
+	forgotten int64
+}
+
+// New returns an empty machine.
+func New(opts ...Option) *Machine {
+	o := defaultOptions()
+	for _, set := range opts {
+		set(&o)
+	}
+	return &Machine{
+		options:  o,
+		programs: make(map[string]*program),
+		timers:   newTimers(),
+		memory:   newMemory(),
+		closed:   newTimers(),
+	}
+}
+
+// Apply carries out a command in JSON and returns its Result in JSON.
+// Malformed input is refused and changes nothing.
+func (m *Machine) Apply(unixMillis int64, command []byte) []byte {
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return encode(badCommand(err))
+	}
+	return encode(m.ApplyCommand(unixMillis, c))
+}
+
+// ApplyCommand is Apply without the JSON.
+func (m *Machine) ApplyCommand(unixMillis int64, c Command) Result {
+	if err := c.check(); err != nil {
+		return badCommand(err)
+	}
+	m.clock = max(m.clock, min(unixMillis, maxUnixMillis))
+	switch {
+	case c.OpenProgram != nil:
+		return m.openProgram(c.OpenProgram)
+	case c.OpenCall != nil:
+		return m.openCall(c.OpenCall)
+	case c.MarkSent != nil:
+		return m.markSent(c.MarkSent)
+	case c.SettleCall != nil:
+		return m.settleCall(c.SettleCall)
+	case c.TakeOver != nil:
+		return m.takeOver(c.TakeOver)
+	case c.EndProgram != nil:
+		return m.endProgram(c.EndProgram)
+	case c.ReleaseConfirmed != nil:
+		m.memory.confirm(*c.ReleaseConfirmed)
+	case c.ServerGone != nil:
+		m.serverGone(*c.ServerGone)
+	case c.Tick != nil:
+		m.tick()
+	}
+	return Result{}
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// Only a typed command with a malformed raw answer gets here.
+		data, _ = json.Marshal(badCommand(err))
+	}
+	return data
+}
+
+func badCommand(err error) Result {
+	return refuse(verdict.NotRun, verdict.BadRequest, "%s", err)
+}
+
+func refuse(v verdict.Verdict, reason verdict.Reason, format string, args ...any) Result {
+	return Result{Refusal: newRefusal(v, reason, format, args...)}
+}
+
+func newRefusal(v verdict.Verdict, reason verdict.Reason, format string, args ...any) *Refusal {
+	return &Refusal{Verdict: v, Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/ledger/machine_test.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Guards against a call that is granted twice, loses its place in the
+// history, or answers a resend with something else than its record.
+func TestCallOfAProgram(t *testing.T) {
+	m := New()
+	openTestProgram(t, m, "p", Budget{Tokens: 100, Calls: 2})
+	r := m.ApplyCommand(2, openTestCall("p", "k1", 60))
+	assert.Assert(t, r.Call.Granted)
+	r = m.ApplyCommand(3, openTestCall("p", "k2", 10))
+	assert.Equal(t, r.Refusal.Reason, verdict.CallInProgress)
+
+	m.ApplyCommand(4, Command{MarkSent: &MarkSent{"p", 1, 1, "s1", "i1"}})
+	settle := Command{SettleCall: &SettleCall{
+		Program: "p", Call: 1, Attempt: 1, Status: CallOK, Tokens: 40,
+		Answer: json.RawMessage(`"sized"`), History: []Message{{"assistant", "sized"}},
+	}}
+	for range 2 {
+		r = m.ApplyCommand(5, settle)
+		assert.Assert(t, r.Refusal == nil)
+		assert.Equal(t, r.Call.Verdict, verdict.Ran)
+	}
+	r = m.ApplyCommand(6, openTestCall("p", "k1", 60))
+	assert.Assert(t, !r.Call.Granted)
+	assert.Equal(t, string(r.Call.Answer), `"sized"`)
+	r = m.ApplyCommand(7, openTestCall("p", "k2", 61))
+	assert.Equal(t, r.Refusal.Reason, verdict.BudgetExceeded)
+
+	q := m.Answer(Query{History: &HistoryQuery{Program: "p", Team: "team"}})
+	assert.DeepEqual(t, q.History, []Message{{"user", "k1"}, {"assistant", "sized"}})
+	m.ApplyCommand(8, Command{EndProgram: &EndProgram{Program: "p", Team: "team", Status: ProgramDone}})
+	q = m.Answer(Query{Releases: &ReleasesQuery{}})
+	assert.DeepEqual(t, q.Releases, []Release{{"s1", "i1", "p"}})
+}
+
+// Guards against a snapshot that loses state.
+func TestSnapshotRestore(t *testing.T) {
+	m := New()
+	openTestProgram(t, m, "p", Budget{Tokens: 100, Calls: 2})
+	m.ApplyCommand(2, openTestCall("p", "k1", 60))
+	var first, second bytes.Buffer
+	assert.NilError(t, m.Snapshot(&first))
+	n := New()
+	assert.NilError(t, n.Restore(bytes.NewReader(first.Bytes())))
+	assert.NilError(t, n.Snapshot(&second))
+	assert.Equal(t, first.String(), second.String())
+}
+
+func openTestProgram(t *testing.T, m *Machine, id string, budget Budget) {
+	t.Helper()
+	r := m.ApplyCommand(1, Command{OpenProgram: &OpenProgram{
+		Program: id, Team: "team", Class: Standard, Budget: budget, Key: "open",
+	}})
+	assert.Assert(t, r.Refusal == nil, "%+v", r.Refusal)
+}
+
+func openTestCall(program, key string, worst int64) Command {
+	return Command{OpenCall: &OpenCall{
+		Program: program, Team: "team", Key: key, Fingerprint: key, Kind: ModelCall, Name: "model",
+		Idempotent: true, WorstTokens: worst, Host: "h1", HostIncarnation: "1",
+		Messages: []Message{{"user", key}},
+	}}
+}
--- /dev/null
+++ b/ledger/outcome.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func (m *Machine) settleCall(c *SettleCall) Result {
+	p, k, refusal := m.findAttempt(c.Program, c.Call, c.Attempt)
+	if p == nil {
+		return Result{Refusal: refusal}
+	}
+	if refusal != nil {
+		if k.Attempt == c.Attempt && k.Status == c.Status {
+			return Result{Call: p.callState(k)}
+		}
+		m.settleLost(p, c)
+		return Result{Refusal: refusal, Call: p.callState(k)}
+	}
+	k.Answer, k.Reason, k.Verdict = c.Answer, c.Reason, c.Verdict
+	if c.Status == CallOK {
+		p.History = append(append(p.History, p.Running.Messages...), c.History...)
+	}
+	m.finish(p, k, c.Status, c.Tokens)
+	return Result{Call: p.callState(k)}
+}
+
+// finish records the outcome of the running attempt and its cost.
+func (m *Machine) finish(p *program, k *call, status CallStatus, tokens int64) {
+	r := p.Running
+	if status == CallNotSent && r.EarlierSent {
+		// This attempt was not sent, but the one it replaced may have been.
+		status = CallUnknown
+	}
+	k.Status = status
+	spent := Budget{Tokens: tokens, Calls: 1}
+	switch status {
+	case CallOK:
+		k.Verdict = verdict.Ran
+	case CallNotSent:
+		k.Verdict = verdict.NotRun
+		spent = Budget{}
+	case CallUnknown:
+		k.Verdict = verdict.MayHaveRun
+	case CallFailed:
+		if r.EarlierSent && k.Verdict == verdict.NotRun {
+			k.Verdict = verdict.MayHaveRun
+		}
+	}
+	k.Tokens = p.settle(Budget{Tokens: r.Worst, Calls: 1}, spent).Tokens
+	p.Running = nil
+	m.touch(p)
+}
+
+// settleLost replaces the reservation of an attempt that was taken over by
+// its true cost.
+func (m *Machine) settleLost(p *program, c *SettleCall) {
+	i := slices.IndexFunc(p.Lost, func(l lost) bool { return l.Call == c.Call && l.Attempt == c.Attempt })
+	if i < 0 {
+		return
+	}
+	tokens := c.Tokens
+	if c.Status == CallNotSent {
+		tokens = 0
+	}
+	p.settle(Budget{Tokens: p.Lost[i].Worst}, Budget{Tokens: tokens})
+	p.Lost = slices.Delete(p.Lost, i, i+1)
+	m.update(p)
+}
+
+// takeOver trusts the proposer that the lease of the attempt's host has run
+// out. The attempt number makes one of several take-overs win.
+func (m *Machine) takeOver(c *TakeOver) Result {
+	p, k, refusal := m.findAttempt(c.Program, c.Call, c.Attempt)
+	if p == nil {
+		return Result{Refusal: refusal}
+	}
+	if k.Status != CallRunning {
+		return Result{Call: p.callState(k)}
+	}
+	if refusal != nil {
+		if k.Attempt == c.Attempt+1 && p.owns(k, c.Host, c.HostIncarnation, c.Request) {
+			return granted(p, k)
+		}
+		return Result{Refusal: refusal, Call: p.callState(k)}
+	}
+	if k.Sent && !k.Idempotent {
+		m.lose(p, k, verdict.OutcomeUnknown)
+		return Result{Call: p.callState(k)}
+	}
+	return m.startAttempt(p, k, c)
+}
+
+func (m *Machine) startAttempt(p *program, k *call, c *TakeOver) Result {
+	r := p.Running
+	// Only a non-idempotent call must be marked before it is sent, so only
+	// there a missing mark proves that nothing was sent.
+	proven := !k.Idempotent && !k.Sent
+	mayHaveRun := verdict.MayHaveRun
+	if proven {
+		mayHaveRun = verdict.NotRun
+	}
+	switch {
+	case p.Status != ProgramOpen:
+		return refuse(mayHaveRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+	case p.Deadline <= m.clock:
+		return refuse(mayHaveRun, verdict.DeadlineExceeded, "deadline of program %q has passed", p.ID)
+	case !proven && !p.affords(Budget{Tokens: r.Worst}):
+		return refuse(mayHaveRun, verdict.BudgetExceeded, "program %q cannot pay another attempt of %d tokens", p.ID, r.Worst)
+	}
+	if !proven {
+		p.Lost = append(p.Lost, lost{Call: k.Number, Attempt: k.Attempt, Worst: r.Worst, Until: r.Until})
+		p.reserve(Budget{Tokens: r.Worst})
+		r.EarlierSent = true
+	}
+	k.Attempt++
+	k.Host, k.HostIncarnation = c.Host, c.HostIncarnation
+	k.Sent, k.Server, k.ServerIncarnation = false, "", ""
+	r.Request = c.Request
+	r.Until = m.clock + r.Timeout + m.options.settleGrace
+	m.touch(p)
+	return granted(p, k)
+}
+
+// lose ends a call whose outcome will not be known. Its cost is bounded by
+// its reservation.
+func (m *Machine) lose(p *program, k *call, reason verdict.Reason) {
+	k.Reason = reason
+	if !k.Sent && !k.Idempotent {
+		m.finish(p, k, CallNotSent, 0)
+		return
+	}
+	m.finish(p, k, CallUnknown, p.Running.Worst)
+}
--- /dev/null
+++ b/ledger/program.go
@@ -0,0 +1,167 @@
+package ledger
+
+import (
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// program is the state of a program and, with its tags, its record in a
+// snapshot.
+type program struct {
+	ID       string        `json:"id"`
+	Team     string        `json:"team"`
+	Class    Class         `json:"class"`
+	Key      string        `json:"key"`
+	Parent   string        `json:"parent,omitempty"`
+	Status   ProgramStatus `json:"status"`
+	Reason   string        `json:"reason,omitempty"`
+	Budget   Budget        `json:"budget"`
+	Spent    Budget        `json:"spent"`
+	Reserved Budget        `json:"reserved"`
+	Deadline int64         `json:"deadline"`
+	Touched  int64         `json:"touched"` // last activity, for the idle timeout
+	Ended    int64         `json:"ended,omitempty"`
+	// Children counts sub-programs whose cost is not settled yet.
+	Children int `json:"children,omitempty"`
+	// Closed means that the program has ended and its cost is final.
+	Closed bool `json:"closed,omitempty"`
+	// Dropped means that calls and history are no longer kept.
+	Dropped    bool      `json:"dropped,omitempty"`
+	Calls      []*call   `json:"calls,omitempty"`
+	CallCount  int       `json:"call-count,omitempty"`
+	Running    *running  `json:"running,omitempty"`
+	Lost       []lost    `json:"lost,omitempty"`
+	History    []Message `json:"history,omitempty"`
+	LastServer string    `json:"last-server,omitempty"`
+	Memory     []place   `json:"memory,omitempty"`
+
+	keys map[string]int // call numbers
+	due  int64          // time of the entry in Machine.timers, 0 for none
+}
+
+func (m *Machine) openProgram(c *OpenProgram) Result {
+	if p := m.programs[c.Program]; p != nil {
+		return p.reopen(c)
+	}
+	deadline := m.clock + m.options.maxLifetime
+	if c.Deadline > 0 {
+		deadline = min(deadline, c.Deadline)
+	}
+	parent := m.programs[c.Parent]
+	if c.Parent != "" {
+		if refusal := m.checkParent(parent, c); refusal != nil {
+			return Result{Refusal: refusal}
+		}
+		deadline = min(deadline, parent.Deadline)
+	}
+	if deadline <= m.clock {
+		return refuse(verdict.NotRun, verdict.DeadlineExceeded, "deadline of program %q has passed", c.Program)
+	}
+	if parent != nil {
+		parent.reserve(c.Budget)
+		parent.Children++
+		m.touch(parent)
+	}
+	p := &program{
+		ID: c.Program, Team: c.Team, Class: c.Class, Key: c.Key, Parent: c.Parent,
+		Status: ProgramOpen, Budget: c.Budget, Deadline: deadline,
+	}
+	m.programs[p.ID] = p
+	m.touch(p)
+	return Result{Program: p.state()}
+}
+
+func (m *Machine) checkParent(parent *program, c *OpenProgram) *Refusal {
+	switch {
+	case parent == nil || parent.Team != c.Team:
+		return newRefusal(verdict.NotRun, verdict.UnknownProgram, "parent program %q is unknown", c.Parent)
+	case parent.Status != ProgramOpen:
+		return newRefusal(verdict.NotRun, verdict.ProgramEnded, "parent program %q is %s", c.Parent, parent.Status)
+	case !parent.affords(c.Budget):
+		return newRefusal(verdict.NotRun, verdict.BudgetExceeded,
+			"parent program %q cannot reserve the budget", c.Parent)
+	}
+	return nil
+}
+
+// reopen answers an open-program for an id that exists. The deadline is not
+// compared: callers give it relative to the time of sending.
+func (p *program) reopen(c *OpenProgram) Result {
+	if p.Team != c.Team || p.Key != c.Key {
+		return refuse(verdict.NotRun, verdict.ProgramExists, "program %q exists", c.Program)
+	}
+	if p.Class != c.Class || p.Budget != c.Budget || p.Parent != c.Parent {
+		return refuse(verdict.NotRun, verdict.KeyReused, "key %q was used with another body", c.Key)
+	}
+	return Result{Program: p.state()}
+}
+
+func (m *Machine) endProgram(c *EndProgram) Result {
+	p := m.programs[c.Program]
+	if p == nil || (c.Team != "" && c.Team != p.Team) {
+		return Result{Refusal: m.unknownProgram(c.Program)}
+	}
+	if p.Status == ProgramOpen {
+		m.end(p, c.Status, c.Reason)
+	}
+	return Result{Program: p.state()}
+}
+
+func (m *Machine) end(p *program, status ProgramStatus, reason string) {
+	p.Status, p.Reason, p.Ended = status, reason, m.clock
+	m.update(p)
+}
+
+// touch notes activity of a program.
+func (m *Machine) touch(p *program) {
+	p.Touched = m.clock
+	m.update(p)
+}
+
+// update must be called after each change of a program.
+func (m *Machine) update(p *program) {
+	for p != nil {
+		if p.Status != ProgramOpen && p.Running == nil && len(p.Lost) == 0 {
+			m.memory.release(p)
+		}
+		parent := m.close(p)
+		m.reschedule(p)
+		p = parent
+	}
+	m.limitClosed()
+}
+
+// close settles the cost of an ended program with its parent, which it
+// returns when it changed.
+func (m *Machine) close(p *program) *program {
+	if p.Closed || p.Status == ProgramOpen || p.Running != nil || len(p.Lost) > 0 || p.Children > 0 {
+		return nil
+	}
+	p.Closed = true
+	m.closed.Set(timer{p.Ended, p.ID})
+	parent := m.programs[p.Parent]
+	if parent == nil {
+		return nil
+	}
+	parent.Children--
+	parent.settle(p.Budget, p.Spent)
+	parent.Touched = m.clock
+	return parent
+}
+
+// unknownProgram refuses a request for a program that is not in the state.
+// Once programs have been forgotten, an unknown one may have been one of them.
+func (m *Machine) unknownProgram(id string) *Refusal {
+	v := verdict.NotRun
+	if m.forgotten > 0 {
+		v = verdict.MayHaveRun
+	}
+	return newRefusal(v, verdict.UnknownProgram, "program %q is unknown", id)
+}
+
+func (p *program) state() *ProgramState {
+	return &ProgramState{
+		Program: p.ID, Team: p.Team, Class: p.Class, Status: p.Status, Reason: p.Reason,
+		Budget: p.Budget, Spent: p.Spent, Reserved: p.Reserved, Deadline: p.Deadline,
+		Parent: p.Parent, Calls: p.CallCount, HistoryLength: len(p.History), LastServer: p.LastServer,
+	}
+}
--- /dev/null
+++ b/ledger/query.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Query answers a Query in JSON with a QueryResult in JSON.
+func (m *Machine) Query(query []byte) []byte {
+	var q Query
+	if err := json.Unmarshal(query, &q); err != nil {
+		return encode(QueryResult{Refusal: newRefusal(verdict.NotRun, verdict.BadRequest, "%s", err)})
+	}
+	return encode(m.Answer(q))
+}
+
+// Answer is Query without the JSON.
+func (m *Machine) Answer(q Query) QueryResult {
+	switch {
+	case q.Program != nil:
+		return m.onProgram(q.Program.Program, q.Program.Team, func(p *program) QueryResult {
+			return QueryResult{Program: p.state()}
+		})
+	case q.History != nil:
+		return m.onProgram(q.History.Program, q.History.Team, func(p *program) QueryResult {
+			return QueryResult{Program: p.state(), History: page(p.History, q.History.From, q.History.Limit)}
+		})
+	case q.Call != nil:
+		return m.onProgram(q.Call.Program, q.Call.Team, func(p *program) QueryResult {
+			return p.callOf(q.Call.Key)
+		})
+	case q.Releases != nil:
+		at := place{Server: q.Releases.Server}
+		return QueryResult{Releases: recordsOf(m.memory.due, at, max(q.Releases.Limit, 0))}
+	}
+	return QueryResult{Refusal: newRefusal(verdict.NotRun, verdict.BadRequest, "query is empty")}
+}
+
+// onProgram runs answer for the program, if the team may see it. An empty
+// team is an operator.
+func (m *Machine) onProgram(id, team string, answer func(*program) QueryResult) QueryResult {
+	p := m.programs[id]
+	if p == nil || (team != "" && team != p.Team) {
+		return QueryResult{Refusal: m.unknownProgram(id)}
+	}
+	return answer(p)
+}
+
+func (p *program) callOf(key string) QueryResult {
+	number, ok := p.keys[key]
+	if !ok {
+		v := verdict.NotRun
+		if p.Dropped {
+			v = verdict.MayHaveRun
+		}
+		return QueryResult{Refusal: newRefusal(v, UnknownKey, "program %q has no record of key %q", p.ID, key)}
+	}
+	return QueryResult{Call: p.callState(p.Calls[number-1])}
+}
+
+func page(history []Message, from, limit int) []Message {
+	from = min(max(from, 0), len(history))
+	to := len(history)
+	if limit > 0 && limit < to-from {
+		to = from + limit
+	}
+	return slices.Clip(history[from:to])
+}
--- /dev/null
+++ b/ledger/snapshot.go
@@ -0,0 +1,106 @@
+package ledger
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+const snapshotVersion = 1
+
+// header is the first record of a snapshot. The programs follow, one record
+// each, ordered by id; Programs tells a complete snapshot from a truncated one.
+type header struct {
+	Version   int       `json:"version"`
+	Clock     int64     `json:"clock"`
+	Programs  int       `json:"programs"`
+	Forgotten int64     `json:"forgotten"`
+	Due       []Release `json:"due,omitempty"`
+	Gone      []place   `json:"gone,omitempty"`
+}
+
+// Snapshot writes the whole state as JSON records. Equal states give equal
+// bytes.
+func (m *Machine) Snapshot(w io.Writer) error {
+	buffered := bufio.NewWriterSize(w, 64<<10)
+	encoder := json.NewEncoder(buffered)
+	err := encoder.Encode(header{
+		Version: snapshotVersion, Clock: m.clock, Programs: len(m.programs), Forgotten: m.forgotten,
+		Due: m.memory.due.Items(), Gone: m.memory.goneOrder,
+	})
+	if err != nil {
+		return fmt.Errorf("write snapshot header: %w", err)
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.programs)) {
+		if err := encoder.Encode(m.programs[id]); err != nil {
+			return fmt.Errorf("write program %q: %w", id, err)
+		}
+	}
+	return buffered.Flush()
+}
+
+// Restore replaces the state by one that Snapshot wrote. On an error the
+// state is unchanged.
+func (m *Machine) Restore(r io.Reader) error {
+	decoder := json.NewDecoder(bufio.NewReaderSize(r, 64<<10))
+	var h header
+	if err := decoder.Decode(&h); err != nil {
+		return fmt.Errorf("read snapshot header: %w", err)
+	}
+	if h.Version != snapshotVersion {
+		return fmt.Errorf("snapshot version %d: want %d", h.Version, snapshotVersion)
+	}
+	n := New()
+	n.options, n.clock, n.forgotten = m.options, h.Clock, h.Forgotten
+	for _, r := range h.Due {
+		n.memory.due.Set(r)
+	}
+	for _, at := range h.Gone {
+		n.memory.noteGone(at, len(h.Gone))
+	}
+	for i := range h.Programs {
+		p := new(program)
+		if err := decoder.Decode(p); err != nil {
+			return fmt.Errorf("read program %d of %d: %w", i+1, h.Programs, err)
+		}
+		if err := n.add(p); err != nil {
+			return fmt.Errorf("program %q: %w", p.ID, err)
+		}
+	}
+	*m = *n
+	return nil
+}
+
+// add rebuilds the indexes of a program that was read.
+func (m *Machine) add(p *program) error {
+	if m.programs[p.ID] != nil {
+		return fmt.Errorf("is there twice")
+	}
+	if p.Running != nil && (p.Running.Call < 1 || p.Running.Call > len(p.Calls)) {
+		return fmt.Errorf("running call %d of %d", p.Running.Call, len(p.Calls))
+	}
+	calls := p.Calls
+	p.Calls = nil
+	for i, k := range calls {
+		if k == nil || k.Number != i+1 {
+			return fmt.Errorf("call %d is out of order", i+1)
+		}
+		p.Calls = append(p.Calls, k)
+		if p.keys == nil {
+			p.keys = make(map[string]int, len(calls))
+		}
+		p.keys[k.Key] = k.Number
+	}
+	m.programs[p.ID] = p
+	for _, at := range p.Memory {
+		m.memory.held.Set(Release{at.Server, at.Incarnation, p.ID})
+	}
+	if p.Closed && !p.Dropped {
+		m.closed.Set(timer{p.Ended, p.ID})
+	}
+	m.reschedule(p)
+	return nil
+}
--- /dev/null
+++ b/ledger/timer.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/tidwall/btree"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// timer orders programs by a time in Unix milliseconds.
+type timer struct {
+	at      int64
+	program string
+}
+
+func newTimers() *btree.BTreeG[timer] {
+	less := func(a, b timer) bool {
+		if a.at != b.at {
+			return a.at < b.at
+		}
+		return a.program < b.program
+	}
+	return btree.NewBTreeGOptions(less, btree.Options{NoLocks: true})
+}
+
+// nextDue returns when tick has to look at the program, or 0 for never.
+func (m *Machine) nextDue(p *program) int64 {
+	if p.Closed {
+		kept := p.Ended + m.options.retention
+		if p.Dropped {
+			return max(kept, p.Deadline)
+		}
+		return kept
+	}
+	due := int64(0)
+	sooner := func(at int64) {
+		if due == 0 || at < due {
+			due = at
+		}
+	}
+	if p.Status == ProgramOpen {
+		sooner(p.Deadline)
+		if p.idle() {
+			sooner(p.Touched + m.options.idle)
+		}
+	}
+	if p.Running != nil {
+		sooner(p.Running.Until)
+	}
+	for _, l := range p.Lost {
+		sooner(l.Until)
+	}
+	return due
+}
+
+func (p *program) idle() bool { return p.Running == nil && p.Children == 0 }
+
+// reschedule keeps the one timer of a program at its next due time.
+func (m *Machine) reschedule(p *program) {
+	due := m.nextDue(p)
+	if due == p.due {
+		return
+	}
+	if p.due != 0 {
+		m.timers.Delete(timer{p.due, p.ID})
+	}
+	if due != 0 {
+		m.timers.Set(timer{due, p.ID})
+	}
+	p.due = due
+}
+
+// tick looks at the programs that are due and at no others.
+func (m *Machine) tick() {
+	for range m.options.tickBatch {
+		t, ok := m.timers.Min()
+		if !ok || t.at > m.clock {
+			return
+		}
+		m.expire(m.programs[t.program])
+	}
+}
+
+func (m *Machine) expire(p *program) {
+	if p.Closed {
+		m.drop(p)
+		return
+	}
+	if r := p.Running; r != nil && r.Until <= m.clock {
+		m.lose(p, p.Calls[r.Call-1], verdict.Timeout)
+	}
+	m.boundLost(p)
+	if p.Status != ProgramOpen {
+		return
+	}
+	switch {
+	case p.Deadline <= m.clock:
+		m.end(p, ProgramExpired, "deadline")
+	case p.idle() && p.Touched+m.options.idle <= m.clock:
+		m.end(p, ProgramExpired, "idle")
+	}
+}
+
+// boundLost charges lost attempts in full once their time has run out.
+func (m *Machine) boundLost(p *program) {
+	p.Lost = slices.DeleteFunc(p.Lost, func(l lost) bool {
+		if l.Until > m.clock {
+			return false
+		}
+		p.settle(Budget{Tokens: l.Worst}, Budget{Tokens: l.Worst})
+		return true
+	})
+	m.update(p)
+}
+
+// drop removes calls and history of a closed program, and the program itself
+// once its deadline has passed too.
+func (m *Machine) drop(p *program) {
+	if !p.Dropped {
+		p.Dropped = true
+		p.Calls, p.History, p.keys = nil, nil, nil
+		m.closed.Delete(timer{p.Ended, p.ID})
+	}
+	if max(p.Deadline, p.Ended+m.options.retention) > m.clock {
+		m.reschedule(p)
+		return
+	}
+	m.timers.Delete(timer{p.due, p.ID})
+	delete(m.programs, p.ID)
+	m.forgotten++
+}
+
+// limitClosed drops calls and history of the programs that ended first.
+func (m *Machine) limitClosed() {
+	for m.closed.Len() > m.options.maxClosed {
+		t, _ := m.closed.Min()
+		m.drop(m.programs[t.program])
+	}
+}
