Add the configuration tree machine

The version of a path does not start again at 1 after its tombstone was removed, because a condition on a version read before the deletion would hold again.

--- a/tree/change.go
+++ b/tree/change.go
@@ -54,3 +54,47 @@
 	Full     bool    `json:"full,omitempty"` // entries are the whole tree, not a difference
 	Entries  []Entry `json:"entries,omitempty"`
 }
+
+// Command is one log entry for the tree. Exactly one field is set.
+type Command struct {
+	Change *Change `json:"change,omitempty"`
+}
+
+// Query asks the tree without changing it. Exactly one field is set.
+type Query struct {
+	Get        *GetQuery        `json:"get,omitempty"`
+	List       *ListQuery       `json:"list,omitempty"`
+	Difference *DifferenceQuery `json:"difference,omitempty"`
+	Outcome    *OutcomeQuery    `json:"outcome,omitempty"`
+}
+
+// GetQuery asks for one path.
+type GetQuery struct {
+	Path string `json:"path"`
+}
+
+// ListQuery asks for the paths at or below a prefix such as /teams/a.
+type ListQuery struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"` // last path of the page before
+	Limit  int    `json:"limit"`           // 0 means all
+}
+
+// DifferenceQuery asks for what changed after a revision.
+type DifferenceQuery struct {
+	Since int64 `json:"since"`
+}
+
+// OutcomeQuery asks for the outcome of a change id.
+type OutcomeQuery struct {
+	ChangeID string `json:"change-id"`
+}
+
+// QueryResult is the answer to a Query.
+type QueryResult struct {
+	Error      string      `json:"error,omitempty"` // set when the query is malformed
+	Revision   int64       `json:"revision"`
+	Entries    []Entry     `json:"entries,omitempty"`
+	Difference *Difference `json:"difference,omitempty"`
+	Outcome    *Outcome    `json:"outcome,omitempty"` // nil when the id is unknown
+}
--- /dev/null
+++ b/tree/machine.go
@@ -0,0 +1,215 @@
+package tree
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/tidwall/btree"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// ChangeIDReused refuses a change id that was used for another change.
+const ChangeIDReused verdict.Reason = "change-id-reused"
+
+// Machine is the state of the configuration tree. It is not safe for
+// concurrent use.
+type Machine struct {
+	options  options
+	clock    int64 // greatest time seen, Unix milliseconds
+	revision int64
+	// floor is the revision up to which tombstones may have been removed. A
+	// difference from below it would miss deletions.
+	floor int64
+	// versionFloor is the greatest version of a removed tombstone. A path
+	// that is created anew starts above it, so that a condition on a version
+	// read before the deletion cannot hold again.
+	versionFloor int64
+	entries      *btree.BTreeG[*Entry] // by path; no tombstones
+	tombstones   map[string]*Entry
+	byRevision   *btree.BTreeG[*Entry] // by revision and path; with tombstones
+	deletions    *btree.BTreeG[*Entry] // tombstones by revision and path
+	outcomes     outcomes
+}
+
+type options struct {
+	maxTombstones int
+	maxOutcomes   int
+}
+
+// Option sets an optional part of a Machine. All replicas must use the same
+// options.
+type Option func(*options)
+
+// WithTombstones is the number of deleted paths that differences can still
+// name. A reader from before the oldest gets the whole tree.
+func WithTombstones(count int) Option {
+	return func(o *options) { o.maxTombstones = count }
+}
+
+// WithOutcomes is the number of change ids whose outcome is kept, latest
+// first.
+func WithOutcomes(count int) Option {
+	return func(o *options) { o.maxOutcomes = count }
+}
+
+// New returns an empty tree.
+func New(opts ...Option) *Machine {
+	o := options{maxTombstones: 8_192, maxOutcomes: 32_768}
+	for _, set := range opts {
+		set(&o)
+	}
+	return newMachine(o)
+}
+
+func newMachine(o options) *Machine {
+	noLocks := btree.Options{NoLocks: true}
+	return &Machine{
+		options:    o,
+		entries:    btree.NewBTreeGOptions(func(a, b *Entry) bool { return a.Path < b.Path }, noLocks),
+		tombstones: make(map[string]*Entry),
+		byRevision: btree.NewBTreeGOptions(earlier, noLocks),
+		deletions:  btree.NewBTreeGOptions(earlier, noLocks),
+		outcomes:   newOutcomes(),
+	}
+}
+
+func earlier(a, b *Entry) bool {
+	if a.Revision != b.Revision {
+		return a.Revision < b.Revision
+	}
+	return a.Path < b.Path
+}
+
+// Revision counts the changes that were applied.
+func (m *Machine) Revision() int64 { return m.revision }
+
+// Apply carries out a Command in JSON and returns its Outcome in JSON.
+// Malformed input is refused and changes nothing.
+func (m *Machine) Apply(unixMillis int64, command []byte) []byte {
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return encode(m.refuse(verdict.BadRequest, err.Error()))
+	}
+	if c.Change == nil {
+		return encode(m.refuse(verdict.BadRequest, "command is empty"))
+	}
+	return encode(m.ApplyChange(unixMillis, *c.Change))
+}
+
+// ApplyChange is Apply without the JSON.
+func (m *Machine) ApplyChange(unixMillis int64, c Change) Outcome {
+	if err := c.check(); err != nil {
+		return m.refuse(verdict.BadRequest, err.Error())
+	}
+	if path, ok := c.outsideScope(); ok {
+		return m.refuse(verdict.Forbidden, fmt.Sprintf("path %q is outside /teams/%s/", path, c.Team))
+	}
+	m.clock = max(m.clock, unixMillis)
+	fingerprint := c.fingerprint()
+	if r := m.outcomes.get(c.ChangeID); r != nil {
+		if r.Fingerprint != fingerprint {
+			return m.refuse(ChangeIDReused, fmt.Sprintf("change-id %q was used for another change", c.ChangeID))
+		}
+		return r.Outcome
+	}
+	outcome := m.change(&c)
+	m.outcomes.add(record{c.ChangeID, fingerprint, outcome}, m.options.maxOutcomes)
+	return outcome
+}
+
+func (m *Machine) refuse(reason verdict.Reason, message string) Outcome {
+	return Outcome{Revision: m.revision, Reason: reason, Message: message}
+}
+
+func (m *Machine) change(c *Change) Outcome {
+	if conflicts := m.conflicts(c); len(conflicts) > 0 {
+		o := m.refuse(verdict.Conflict, fmt.Sprintf("%d of %d conditions failed", len(conflicts), len(c.Writes)))
+		o.Conflicts = conflicts
+		return o
+	}
+	m.revision++
+	for _, w := range c.Writes {
+		m.write(w, c.ChangeID)
+	}
+	m.compact()
+	return Outcome{Applied: true, Revision: m.revision}
+}
+
+// conflicts returns the current entries of the paths whose condition fails.
+func (m *Machine) conflicts(c *Change) []Entry {
+	var failed []Entry
+	for _, w := range c.Writes {
+		current, exists := m.current(w.Path)
+		held := w.IfVersion == AnyVersion || (exists && w.IfVersion == current.Version) || (!exists && w.IfVersion == 0)
+		if !held {
+			failed = append(failed, current)
+		}
+	}
+	return failed
+}
+
+// current returns the entry of a path, or its tombstone, or an empty entry.
+func (m *Machine) current(path string) (entry Entry, exists bool) {
+	if e, ok := m.entries.Get(&Entry{Path: path}); ok {
+		return *e, true
+	}
+	if e := m.tombstones[path]; e != nil {
+		return *e, false
+	}
+	return Entry{Path: path, Deleted: true}, false
+}
+
+// write replaces the entry of a path. Entries are never changed in place.
+func (m *Machine) write(w Write, changeID string) {
+	before, exists := m.current(w.Path)
+	if w.Delete && !exists {
+		return
+	}
+	if exists || before.Revision > 0 {
+		m.byRevision.Delete(&before)
+		m.deletions.Delete(&before)
+	}
+	after := &Entry{
+		Path: w.Path, Value: w.Value, Version: max(before.Version, m.firstVersion(before)) + 1,
+		Revision: m.revision, ChangeID: changeID, Deleted: w.Delete,
+	}
+	m.byRevision.Set(after)
+	if w.Delete {
+		after.Value = nil
+		m.entries.Delete(after)
+		m.tombstones[w.Path] = after
+		m.deletions.Set(after)
+		return
+	}
+	delete(m.tombstones, w.Path)
+	m.entries.Set(after)
+}
+
+// firstVersion returns the version below the first of a path without record.
+func (m *Machine) firstVersion(before Entry) int64 {
+	if before.Revision > 0 {
+		return 0
+	}
+	return m.versionFloor
+}
+
+// compact removes the oldest tombstones above the limit.
+func (m *Machine) compact() {
+	for m.deletions.Len() > m.options.maxTombstones {
+		e, _ := m.deletions.PopMin()
+		m.byRevision.Delete(e)
+		delete(m.tombstones, e.Path)
+		m.floor = e.Revision
+		m.versionFloor = max(m.versionFloor, e.Version)
+	}
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// Only a typed change with a malformed raw value gets here.
+		data, _ = json.Marshal(Outcome{Reason: verdict.BadRequest, Message: err.Error()})
+	}
+	return data
+}
--- /dev/null
+++ b/tree/machine_test.go
@@ -0,0 +1,78 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Guards against two operators that both win under the same version, and
+// against a resent change that is applied again.
+func TestConditionalChange(t *testing.T) {
+	m := New()
+	first := set("c1", "/models/a", `1`, 0)
+	assert.Assert(t, m.ApplyChange(1, first).Applied)
+	assert.Assert(t, m.ApplyChange(1, set("c2", "/models/a", `2`, 1)).Applied)
+	lost := m.ApplyChange(2, set("c3", "/models/a", `3`, 1))
+	assert.Equal(t, lost.Reason, verdict.Conflict)
+	assert.DeepEqual(t, lost.Conflicts, []Entry{{
+		Path: "/models/a", Value: json.RawMessage(`2`), Version: 2, Revision: 2, ChangeID: "c2",
+	}})
+	assert.DeepEqual(t, m.ApplyChange(3, first), Outcome{Applied: true, Revision: 1})
+	assert.DeepEqual(t, m.ApplyChange(3, set("c3", "/models/a", `3`, 1)), lost)
+	assert.Equal(t, m.ApplyChange(3, set("c3", "/models/a", `4`, 2)).Reason, ChangeIDReused)
+}
+
+// Guards against a team's credential that changes another team's settings.
+func TestTeamScope(t *testing.T) {
+	m := New()
+	c := set("c1", "/teams/ab/weight", `1`, AnyVersion)
+	c.Team = "a"
+	assert.Equal(t, m.ApplyChange(1, c).Reason, verdict.Forbidden)
+	c.Writes[0].Path = "/teams/a/weight"
+	assert.Assert(t, m.ApplyChange(1, c).Applied)
+}
+
+// Guards against a difference that misses a deletion.
+func TestDifference(t *testing.T) {
+	m := New(WithTombstones(1))
+	for _, p := range []string{"/a", "/b", "/c"} {
+		m.ApplyChange(1, set("set"+p, p, `1`, 0))
+	}
+	m.ApplyChange(1, remove("del/a", "/a"))
+	d := m.Difference(3)
+	assert.Equal(t, len(d.Entries), 1)
+	assert.Assert(t, d.Entries[0].Deleted && !d.Full)
+	m.ApplyChange(1, remove("del/b", "/b"))
+	assert.Assert(t, m.Difference(3).Full)
+	assert.Assert(t, !m.Difference(4).Full)
+	assert.Equal(t, len(m.Difference(3).Entries), 1)
+	// A version read before the deletion must not match the new path.
+	m.ApplyChange(1, set("again", "/a", `2`, 0))
+	assert.Assert(t, !m.ApplyChange(1, set("late", "/a", `3`, 1)).Applied)
+}
+
+// Guards against a snapshot that loses state.
+func TestSnapshotRestore(t *testing.T) {
+	m := New()
+	m.ApplyChange(1, set("c1", "/a", `1`, 0))
+	m.ApplyChange(1, remove("c2", "/a"))
+	var first, second bytes.Buffer
+	assert.NilError(t, m.Snapshot(&first))
+	n := New()
+	assert.NilError(t, n.Restore(bytes.NewReader(first.Bytes())))
+	assert.NilError(t, n.Snapshot(&second))
+	assert.Equal(t, first.String(), second.String())
+}
+
+func set(id, path, value string, ifVersion int64) Change {
+	return Change{ChangeID: id, Writes: []Write{{Path: path, Value: json.RawMessage(value), IfVersion: ifVersion}}}
+}
+
+func remove(id, path string) Change {
+	return Change{ChangeID: id, Writes: []Write{{Path: path, Delete: true, IfVersion: AnyVersion}}}
+}
--- /dev/null
+++ b/tree/outcome.go
@@ -0,0 +1,28 @@
+package tree
+
+// record is what is kept of a change id.
+type record struct {
+	ChangeID    string  `json:"change-id"`
+	Fingerprint uint64  `json:"fingerprint"`
+	Outcome     Outcome `json:"outcome"`
+}
+
+// outcomes keeps the latest records by change id.
+type outcomes struct {
+	byID  map[string]*record
+	order []*record // oldest first
+}
+
+func newOutcomes() outcomes { return outcomes{byID: make(map[string]*record)} }
+
+func (s *outcomes) get(id string) *record { return s.byID[id] }
+
+func (s *outcomes) add(r record, limit int) {
+	s.byID[r.ChangeID] = &r
+	s.order = append(s.order, &r)
+	for len(s.order) > limit {
+		delete(s.byID, s.order[0].ChangeID)
+		s.order[0] = nil
+		s.order = s.order[1:]
+	}
+}
--- /dev/null
+++ b/tree/query.go
@@ -0,0 +1,76 @@
+package tree
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Query answers a Query in JSON with a QueryResult in JSON.
+func (m *Machine) Query(query []byte) []byte {
+	var q Query
+	if err := json.Unmarshal(query, &q); err != nil {
+		return encode(QueryResult{Error: err.Error(), Revision: m.revision})
+	}
+	return encode(m.Answer(q))
+}
+
+// Answer is Query without the JSON.
+func (m *Machine) Answer(q Query) QueryResult {
+	r := QueryResult{Revision: m.revision}
+	switch {
+	case q.Get != nil:
+		if e, ok := m.current(q.Get.Path); ok {
+			r.Entries = []Entry{e}
+		}
+	case q.List != nil:
+		r.Entries = m.list(q.List)
+	case q.Difference != nil:
+		d := m.Difference(q.Difference.Since)
+		r.Difference = &d
+	case q.Outcome != nil:
+		if kept := m.outcomes.get(q.Outcome.ChangeID); kept != nil {
+			r.Outcome = &kept.Outcome
+		}
+	default:
+		r.Error = "query is empty"
+	}
+	return r
+}
+
+// Difference returns what changed after a revision, in order of revision and
+// path. A reader that cannot get a difference, because tombstones since its
+// revision were removed or its revision is not of this tree, gets all entries.
+func (m *Machine) Difference(since int64) Difference {
+	d := Difference{Revision: m.revision}
+	if since < m.floor || since > m.revision {
+		d.Full = true
+		m.entries.Scan(func(e *Entry) bool {
+			d.Entries = append(d.Entries, *e)
+			return true
+		})
+		return d
+	}
+	m.byRevision.Ascend(&Entry{Revision: since + 1}, func(e *Entry) bool {
+		d.Entries = append(d.Entries, *e)
+		return true
+	})
+	return d
+}
+
+func (m *Machine) list(q *ListQuery) []Entry {
+	var entries []Entry
+	below := strings.TrimSuffix(q.Prefix, "/") + "/"
+	if e, ok := m.current(q.Prefix); ok && q.Prefix > q.After {
+		entries = append(entries, e)
+	}
+	m.entries.Ascend(&Entry{Path: max(below, q.After)}, func(e *Entry) bool {
+		if !strings.HasPrefix(e.Path, below) || (q.Limit > 0 && len(entries) >= q.Limit) {
+			return false
+		}
+		if e.Path > q.After {
+			entries = append(entries, *e)
+		}
+		return true
+	})
+	return entries
+}
