Add the membership machine and the lease table

Entry hosts, backend servers, fencing numbers, crash suspects and differences are replicated; lease renewals and in-force confirmation live in the leader's Leases. Two incarnations of an entry host can be members at once, because the lease of the older one may still run when the newer joins. Suspects are part of the member difference, so that they need no second revision.

--- /dev/null
+++ b/membership/host.go
@@ -0,0 +1,69 @@
+package membership
+
+import "cmp"
+
+// hostID names one incarnation of an entry host. Two incarnations can be
+// members at once: the lease of the older may still run.
+type hostID struct {
+	host        string
+	incarnation string
+}
+
+func compareHosts(a, b hostID) int {
+	return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.incarnation, b.incarnation))
+}
+
+// host is the state of an entry host and its record in a snapshot.
+type host struct {
+	Host
+	// Joined is the revision at which the host last became a member.
+	Joined int64 `json:"joined"`
+	// Replaced means that a newer incarnation has joined.
+	Replaced bool `json:"replaced,omitempty"`
+}
+
+func (h *host) id() hostID { return hostID{h.Host.Host, h.Incarnation} }
+
+func (m *Machine) join(c *Join) Result {
+	id := hostID{c.Host, c.Incarnation}
+	h := m.hosts[id]
+	if h != nil && h.Replaced {
+		return m.refuse(StaleIncarnation, "host %q has a newer incarnation than %q", c.Host, c.Incarnation)
+	}
+	if h != nil && !h.Gone && h.Address == c.Address && h.DataCentre == c.DataCentre {
+		return h.result()
+	}
+	if h == nil {
+		h = &host{Host: Host{Host: c.Host, Incarnation: c.Incarnation, Gone: true}}
+		m.hosts[id] = h
+		m.replaceOthers(id)
+	}
+	h.Address, h.DataCentre = c.Address, c.DataCentre
+	returned := h.Gone
+	h.Gone = false
+	m.noteHost(h)
+	if returned {
+		h.Joined = h.Revision
+		m.liveHosts++
+	}
+	return h.result()
+}
+
+func (h *host) result() Result {
+	copied := h.Host
+	return Result{Host: &copied}
+}
+
+// replaceOthers marks the other incarnations of a host. They remain members
+// until their lease has run out.
+func (m *Machine) replaceOthers(id hostID) {
+	for other, h := range m.hosts {
+		if other.host == id.host && other != id {
+			h.Replaced = true
+		}
+	}
+}
+
+func (m *Machine) noteHost(h *host) {
+	h.Revision = m.note(h.Revision, item{host: h.id()}, h.Gone)
+}
--- /dev/null
+++ b/membership/lease.go
@@ -0,0 +1,183 @@
+package membership
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/tidwall/btree"
+)
+
+// Leases is the lease table in the memory of group 0's leader. Times are
+// durations on the leader's monotonic clock. It is not safe for concurrent
+// use, and needs the same synchronisation as its machine.
+//
+// The leader must answer a heartbeat only after a quorum has confirmed its
+// leadership since the heartbeat arrived. Otherwise a deposed leader could
+// renew a lease that its successor counts as run out.
+type Leases struct {
+	machine  *Machine
+	ttl      time.Duration
+	leases   map[Member]*lease
+	byExpiry *btree.BTreeG[*lease]
+	// synced is the member revision up to which members have a lease.
+	synced int64
+	// confirmed is the greatest configuration revision found in force.
+	confirmed int64
+}
+
+type lease struct {
+	member  Member
+	joined  int64 // revision at which the member joined; a later join is a new lease
+	until   time.Duration
+	applied int64 // configuration revision
+}
+
+// NewLeases returns an empty table for the members of machine. Call Extend
+// when leadership begins.
+func NewLeases(machine *Machine, ttl time.Duration) *Leases {
+	return &Leases{
+		machine: machine, ttl: ttl, leases: make(map[Member]*lease),
+		byExpiry: btree.NewBTreeGOptions(sooner, btree.Options{NoLocks: true}),
+	}
+}
+
+func sooner(a, b *lease) bool {
+	return cmp.Or(cmp.Compare(a.until, b.until), cmp.Compare(a.member.Kind, b.member.Kind),
+		cmp.Compare(a.member.ID, b.member.ID), cmp.Compare(a.member.Incarnation, b.member.Incarnation)) < 0
+}
+
+// Renew renews the lease of a member by a full TTL. It returns false for one
+// that is not a member, was replaced, or whose lease has run out: it has to
+// join or announce again once the expiry has been applied.
+func (s *Leases) Renew(now time.Duration, member Member) bool {
+	joined, ok := s.machine.joined(member)
+	if !ok || s.machine.isReplaced(member) {
+		return false
+	}
+	l := s.leases[member]
+	if l == nil || l.joined != joined {
+		s.set(&lease{member: member, joined: joined, until: now + s.ttl})
+		return true
+	}
+	if l.until <= now {
+		return false
+	}
+	s.move(l, now+s.ttl)
+	return true
+}
+
+// Applied notes the configuration revision that an entry host has reported.
+func (s *Leases) Applied(member Member, revision int64) {
+	if l := s.leases[member]; l != nil {
+		l.applied = max(l.applied, revision)
+	}
+}
+
+// Expired returns the members whose lease has run out, for an Expire command.
+// A member is returned until that command was applied.
+func (s *Leases) Expired(now time.Duration) []Member {
+	s.sync(now)
+	var members []Member
+	var stale []*lease
+	s.byExpiry.Scan(func(l *lease) bool {
+		if l.until > now {
+			return false
+		}
+		if joined, ok := s.machine.joined(l.member); ok && joined == l.joined {
+			members = append(members, l.member)
+		} else {
+			stale = append(stale, l)
+		}
+		return true
+	})
+	for _, l := range stale {
+		s.byExpiry.Delete(l)
+		delete(s.leases, l.member)
+	}
+	return members
+}
+
+// Extend gives every member a full TTL. A new leader does not know when the
+// leader before it renewed a lease last.
+func (s *Leases) Extend(now time.Duration) {
+	s.synced = 0
+	s.sync(now)
+	for _, l := range s.byExpiry.Items() {
+		s.move(l, max(l.until, now+s.ttl))
+	}
+}
+
+// InForce says whether every entry host has applied a configuration revision
+// or let its lease run out. If not, it returns the hosts that are waited for.
+// A revision that was in force once stays so: a host that joins later applies
+// the latest configuration before it accepts work.
+func (s *Leases) InForce(now time.Duration, revision int64) (ok bool, waiting []Member) {
+	if revision <= s.confirmed {
+		return true, nil
+	}
+	s.sync(now)
+	s.byExpiry.Ascend(&lease{until: now + 1}, func(l *lease) bool {
+		if l.member.Kind == HostMember && l.applied < revision {
+			waiting = append(waiting, l.member)
+		}
+		return true
+	})
+	if len(waiting) > 0 {
+		return false, waiting
+	}
+	s.confirmed = revision
+	return true, nil
+}
+
+// sync gives members that joined since the last call a lease.
+func (s *Leases) sync(now time.Duration) {
+	if s.synced == s.machine.revision {
+		return
+	}
+	s.machine.changed.Ascend(s.synced+1, func(_ int64, it item) bool {
+		member, ok := s.machine.member(it)
+		if !ok {
+			return true
+		}
+		joined, ok := s.machine.joined(member)
+		if l := s.leases[member]; ok && (l == nil || l.joined != joined) {
+			s.set(&lease{member: member, joined: joined, until: now + s.ttl})
+		}
+		return true
+	})
+	s.synced = s.machine.revision
+}
+
+func (s *Leases) set(l *lease) {
+	if before := s.leases[l.member]; before != nil {
+		s.byExpiry.Delete(before)
+		l.applied = before.applied
+	}
+	s.leases[l.member] = l
+	s.byExpiry.Set(l)
+}
+
+func (s *Leases) move(l *lease, until time.Duration) {
+	s.byExpiry.Delete(l)
+	l.until = until
+	s.byExpiry.Set(l)
+}
+
+// member returns the member that a record is about.
+func (m *Machine) member(it item) (member Member, ok bool) {
+	switch {
+	case it.server != "":
+		return Member{ServerMember, it.server, m.servers[it.server].Incarnation}, true
+	case it.host.host != "":
+		return Member{HostMember, it.host.host, it.host.incarnation}, true
+	}
+	return Member{}, false
+}
+
+func (m *Machine) isReplaced(member Member) bool {
+	if member.Kind != HostMember {
+		return false
+	}
+	h := m.hosts[hostID{member.ID, member.Incarnation}]
+	return h != nil && h.Replaced
+}
--- /dev/null
+++ b/membership/machine.go
@@ -0,0 +1,186 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/tidwall/btree"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Machine is the state of the members. It is not safe for concurrent use.
+type Machine struct {
+	options  options
+	clock    int64 // greatest time seen, Unix milliseconds
+	revision int64
+	// floor is the revision up to which removed records may be missing from
+	// differences.
+	floor     int64
+	fencing   int64
+	liveHosts int
+	servers   map[string]*server
+	hosts     map[hostID]*host
+	suspects  map[string]*suspect
+	grants    map[string]*grant
+	crashes   crashes
+	// changed has every record at the revision of its last change, and
+	// removed those that are gone.
+	changed *btree.Map[int64, item]
+	removed *btree.Map[int64, item]
+}
+
+// item names a record. Exactly one field is set.
+type item struct {
+	server  string
+	host    hostID
+	suspect string
+}
+
+type options struct {
+	maxRemoved       int
+	maxCrashes       int
+	suspectRetention int64 // milliseconds, as are all durations here
+	orderLifetime    int64
+	returnWindow     int64
+}
+
+// Option sets an optional part of a Machine. All replicas must use the same
+// options.
+type Option func(*options)
+
+// WithRemoved is the number of gone members and cleared suspects that
+// differences can still name, latest first.
+func WithRemoved(count int) Option {
+	return func(o *options) { o.maxRemoved = count }
+}
+
+// WithSuspects keeps crash reports for d, and at most count, latest first.
+func WithSuspects(d time.Duration, count int) Option {
+	return func(o *options) { o.suspectRetention, o.maxCrashes = d.Milliseconds(), count }
+}
+
+// WithOrderLifetime is the longest time from the sending of an order to a
+// server to its end, whether it succeeds or not.
+func WithOrderLifetime(d time.Duration) Option {
+	return func(o *options) { o.orderLifetime = d.Milliseconds() }
+}
+
+// WithReturnWindow is the time in which an expired server can come back under
+// the same incarnation. After it, its engine memory counts as lost.
+func WithReturnWindow(d time.Duration) Option {
+	return func(o *options) { o.returnWindow = d.Milliseconds() }
+}
+
+// New returns a machine without members.
+func New(opts ...Option) *Machine {
+	o := options{
+		maxRemoved:       8_192,
+		maxCrashes:       4_096,
+		suspectRetention: (24 * time.Hour).Milliseconds(),
+		orderLifetime:    (10 * time.Second).Milliseconds(),
+		returnWindow:     (10 * time.Minute).Milliseconds(),
+	}
+	for _, set := range opts {
+		set(&o)
+	}
+	return newMachine(o)
+}
+
+func newMachine(o options) *Machine {
+	return &Machine{
+		options:  o,
+		servers:  make(map[string]*server),
+		hosts:    make(map[hostID]*host),
+		suspects: make(map[string]*suspect),
+		grants:   make(map[string]*grant),
+		crashes:  newCrashes(),
+		changed:  new(btree.Map[int64, item]),
+		removed:  new(btree.Map[int64, item]),
+	}
+}
+
+// Revision counts the changes of members.
+func (m *Machine) Revision() int64 { return m.revision }
+
+// Apply carries out a Command in JSON and returns its Result in JSON.
+// Malformed input is refused and changes nothing.
+func (m *Machine) Apply(unixMillis int64, command []byte) []byte {
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return encode(m.refuse(verdict.BadRequest, "%s", err))
+	}
+	return encode(m.ApplyCommand(unixMillis, c))
+}
+
+// ApplyCommand is Apply without the JSON.
+func (m *Machine) ApplyCommand(unixMillis int64, c Command) Result {
+	if err := c.check(); err != nil {
+		return m.refuse(verdict.BadRequest, "%s", err)
+	}
+	m.clock = max(m.clock, min(unixMillis, maxUnixMillis))
+	m.expireCrashes()
+	r := m.apply(&c)
+	m.compact()
+	r.Revision = m.revision
+	return r
+}
+
+func (m *Machine) apply(c *Command) Result {
+	switch {
+	case c.Join != nil:
+		return m.join(c.Join)
+	case c.Announce != nil:
+		return m.announce(c.Announce)
+	case c.Expire != nil:
+		return m.expire(c.Expire)
+	case c.Acquire != nil:
+		return m.acquire(c.Acquire)
+	case c.Yield != nil:
+		return m.yield(c.Yield)
+	default:
+		return m.reportCrash(c.ReportCrash)
+	}
+}
+
+func (m *Machine) refuse(reason verdict.Reason, format string, args ...any) Result {
+	return Result{Revision: m.revision, Refusal: &Refusal{reason, fmt.Sprintf(format, args...)}}
+}
+
+// note gives a changed record the next revision, which it returns.
+func (m *Machine) note(before int64, it item, removed bool) int64 {
+	m.changed.Delete(before)
+	m.removed.Delete(before)
+	m.revision++
+	m.changed.Set(m.revision, it)
+	if removed {
+		m.removed.Set(m.revision, it)
+	}
+	return m.revision
+}
+
+// compact forgets the records that were removed first, above the limit.
+func (m *Machine) compact() {
+	for m.removed.Len() > m.options.maxRemoved {
+		revision, it, _ := m.removed.PopMin()
+		m.changed.Delete(revision)
+		m.floor = revision
+		switch {
+		case it.server != "":
+			delete(m.servers, it.server)
+		case it.suspect != "":
+			delete(m.suspects, it.suspect)
+		default:
+			delete(m.hosts, it.host)
+		}
+	}
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the types hold nothing that JSON cannot express
+	}
+	return data
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -67,4 +67,6 @@
 	Servers  []Server `json:"servers,omitempty"`
 	// Hosts is the number of entry hosts with a live lease.
 	Hosts int `json:"hosts"`
+	// Suspects are the fingerprints whose crash count changed.
+	Suspects []Suspect `json:"suspects,omitempty"`
 }
--- /dev/null
+++ b/membership/query.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// Query answers a Query in JSON with a QueryResult in JSON.
+func (m *Machine) Query(query []byte) []byte {
+	var q Query
+	if err := json.Unmarshal(query, &q); err != nil {
+		return encode(QueryResult{Error: err.Error(), Revision: m.revision})
+	}
+	return encode(m.Answer(q))
+}
+
+// Answer is Query without the JSON.
+func (m *Machine) Answer(q Query) QueryResult {
+	r := QueryResult{Revision: m.revision}
+	switch {
+	case q.Difference != nil:
+		d := m.Difference(q.Difference.Since)
+		r.Difference = &d
+	case q.Hosts != nil:
+		for _, id := range m.sortedHosts() {
+			r.Hosts = append(r.Hosts, m.hosts[id].Host)
+		}
+	case q.Suspect != nil:
+		if s := m.suspects[q.Suspect.Fingerprint]; s != nil && s.Crashes > 0 {
+			r.Suspects = []Suspect{s.Suspect}
+		}
+	case q.Suspects != nil:
+		r.Suspects = m.allSuspects()
+	case q.Alive != nil:
+		r.Alive = m.Alive(q.Alive.Server, q.Alive.Incarnation)
+	case q.Grant != nil:
+		if g := m.grants[q.Grant.Resource]; g != nil {
+			r.Grant = g.result().Grant
+		}
+	default:
+		r.Error = "query is empty"
+	}
+	return r
+}
+
+// Difference returns what changed after a member revision, in order of
+// revision. A reader that cannot get a difference, because records removed
+// since its revision were forgotten or its revision is not of this machine,
+// gets all servers and suspects.
+func (m *Machine) Difference(since int64) Difference {
+	d := Difference{Revision: m.revision, Hosts: m.liveHosts}
+	if since < m.floor || since > m.revision {
+		d.Full = true
+		since = 0
+	}
+	m.changed.Ascend(since+1, func(revision int64, it item) bool {
+		_, removed := m.removed.Get(revision)
+		if !d.Full || !removed {
+			d.add(m, it)
+		}
+		return true
+	})
+	return d
+}
+
+func (d *Difference) add(m *Machine, it item) {
+	switch {
+	case it.server != "":
+		d.Servers = append(d.Servers, m.servers[it.server].Server)
+	case it.suspect != "":
+		d.Suspects = append(d.Suspects, m.suspects[it.suspect].Suspect)
+	}
+}
+
+func (m *Machine) sortedHosts() []hostID {
+	return slices.SortedFunc(maps.Keys(m.hosts), compareHosts)
+}
+
+func (m *Machine) allSuspects() []Suspect {
+	var all []Suspect
+	for _, f := range slices.Sorted(maps.Keys(m.suspects)) {
+		if s := m.suspects[f]; s.Crashes > 0 {
+			all = append(all, s.Suspect)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/membership/suspect.go
@@ -0,0 +1,110 @@
+package membership
+
+import "slices"
+
+// incarnation is one life of a backend server.
+type incarnation struct {
+	Server      string `json:"server"`
+	Incarnation string `json:"incarnation"`
+}
+
+// crash is what all entry hosts have reported of one crash.
+type crash struct {
+	incarnation
+	At           int64    `json:"at"`           // first report, Unix milliseconds
+	Fingerprints []string `json:"fingerprints"` // sorted
+}
+
+// crashes keeps the latest crashes, oldest first.
+type crashes struct {
+	byServer map[incarnation]*crash
+	order    []*crash
+}
+
+func newCrashes() crashes { return crashes{byServer: make(map[incarnation]*crash)} }
+
+// suspect is the state of a fingerprint. The counts follow from crashes.
+type suspect struct {
+	Suspect
+	crashes []*crash
+}
+
+// reportCrash merges reports of several entry hosts, so that the order and
+// the number of reports do not matter.
+func (m *Machine) reportCrash(c *ReportCrash) Result {
+	if len(c.Fingerprints) == 0 {
+		return Result{}
+	}
+	id := incarnation{c.Server, c.ServerIncarnation}
+	k := m.crashes.byServer[id]
+	if k == nil {
+		k = &crash{incarnation: id, At: m.clock}
+		m.crashes.add(k)
+	}
+	var added []string
+	for _, f := range c.Fingerprints {
+		if i, found := slices.BinarySearch(k.Fingerprints, f); !found {
+			k.Fingerprints = slices.Insert(k.Fingerprints, i, f)
+			added = append(added, f)
+		}
+	}
+	for _, f := range added {
+		m.suspect(f).crashes = append(m.suspect(f).crashes, k)
+	}
+	if len(added) > 0 {
+		m.recount(k)
+	}
+	for len(m.crashes.order) > m.options.maxCrashes {
+		m.dropCrash()
+	}
+	return Result{}
+}
+
+func (m *Machine) suspect(fingerprint string) *suspect {
+	s := m.suspects[fingerprint]
+	if s == nil {
+		s = &suspect{Suspect: Suspect{Fingerprint: fingerprint}}
+		m.suspects[fingerprint] = s
+	}
+	return s
+}
+
+// recount updates the counts of all fingerprints of a crash.
+func (m *Machine) recount(k *crash) {
+	for _, f := range k.Fingerprints {
+		s := m.suspects[f]
+		before := s.Suspect
+		s.Crashes, s.Alone = len(s.crashes), 0
+		for _, c := range s.crashes {
+			if len(c.Fingerprints) == 1 {
+				s.Alone++
+			}
+		}
+		if s.Suspect != before {
+			s.Revision = m.note(s.Revision, item{suspect: f}, s.Crashes == 0)
+		}
+	}
+}
+
+// expireCrashes drops the crashes whose retention is over.
+func (m *Machine) expireCrashes() {
+	for len(m.crashes.order) > 0 && m.crashes.order[0].At+m.options.suspectRetention <= m.clock {
+		m.dropCrash()
+	}
+}
+
+func (m *Machine) dropCrash() {
+	k := m.crashes.order[0]
+	m.crashes.order = m.crashes.order[1:]
+	delete(m.crashes.byServer, k.incarnation)
+	for _, f := range k.Fingerprints {
+		s := m.suspects[f]
+		s.crashes = slices.DeleteFunc(s.crashes, func(c *crash) bool { return c == k })
+	}
+	m.recount(k)
+}
+
+func (c *crashes) add(k *crash) {
+	c.byServer[k.incarnation] = k
+	c.order = append(c.order, k)
+}
