--- /dev/null
+++ b/backend/exchange.go
@@ -0,0 +1,128 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	dialTimeout = time.Second
+	idleTimeout = 90 * time.Second
+	// maxIdlePerServer is above the slots of one server, so that a full server
+	// does not lose its connections whenever its queue empties.
+	maxIdlePerServer = 256
+	maxErrorBytes    = 64 << 10
+)
+
+// Dial opens a connection to a backend server.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns a transport that reuses connections. A nil dial means
+// TCP.
+func NewTransport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerServer,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Do sends a request and returns the response whatever its status. An error is
+// a *verdict.Error; its verdict is not-run only when no byte of the request
+// was written.
+//
+// The request must be a POST without an Idempotency-Key header, or safe to run
+// twice: the transport resends other requests after a broken connection.
+func Do(transport http.RoundTripper, r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		// The transport asks for another connection only when it wrote
+		// nothing to the previous one.
+		GetConn: func(string) { connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	resp, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		return resp, nil
+	}
+	v, message := verdict.MayHaveRun, "connection lost before a response"
+	if !connected.Load() {
+		v, message = verdict.NotRun, "cannot connect"
+	}
+	return nil, Failure(r.Context(), v, r.URL.Host, message, err)
+}
+
+// Failure returns an error of an exchange with the server at address. The
+// reason tells the end of the context from a fault of the server.
+func Failure(ctx context.Context, v verdict.Verdict, address, message string, cause error) *verdict.Error {
+	reason := verdict.ServerFailed
+	switch err := ctx.Err(); {
+	case errors.Is(err, context.DeadlineExceeded):
+		reason = verdict.Timeout
+	case err != nil:
+		reason = verdict.Cancelled
+	}
+	return verdict.New(v, reason, "server "+address+": "+message, verdict.WithCause(cause))
+}
+
+// CheckResponse returns nil for a 200 response of the given media type, and
+// otherwise a *verdict.Error. The verdict is not-run only when the server says
+// so in its verdict header.
+func CheckResponse(resp *http.Response, mediaType string) error {
+	if resp.StatusCode != http.StatusOK {
+		return Refusal(resp)
+	}
+	got, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if err != nil || got != mediaType {
+		return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server %s: content type %q: want %s",
+			resp.Request.URL.Host, resp.Header.Get("Content-Type"), mediaType)
+	}
+	return nil
+}
+
+// Refusal reads an error response.
+func Refusal(resp *http.Response) *verdict.Error {
+	address := resp.Request.URL.Host
+	var v verdict.Verdict
+	if v.UnmarshalText([]byte(resp.Header.Get(verdict.HeaderVerdict))) != nil {
+		v = verdict.MayHaveRun
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err == nil {
+		var e verdict.Error
+		if json.Unmarshal(body, &e) == nil {
+			return verdict.New(v, e.Reason(), fmt.Sprintf("server %s: %s", address, oneLine(e.Message())),
+				verdict.WithRetryAfter(e.RetryAfter()))
+		}
+	}
+	return verdict.Newf(v, verdict.ServerFailed, "server %s: status %d: %s", address, resp.StatusCode, oneLine(string(body)))
+}
+
+// oneLine shortens text of a server so that it fits on a log line.
+func oneLine(text string) string {
+	const maxBytes = 200
+	if len(text) > maxBytes {
+		text = text[:maxBytes]
+	}
+	if !utf8.ValidString(text) {
+		text = strings.ToValidUTF8(text, "\uFFFD")
+	}
+	return strings.Join(strings.Fields(text), " ")
+}
--- /dev/null
+++ b/engine/answer.go
@@ -0,0 +1,172 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"unicode/utf8"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// maxAhead is how many tokens after a missing one are dropped before the
+// answer is given up; resuming at the missing token is then sooner than
+// waiting for the end.
+const maxAhead = 16
+
+// Drop is an event that does not belong in the answer where it arrived.
+type Drop struct {
+	Address string
+	Call    backend.CallID // the call whose answer was read
+	EventID string         // id in the event
+	Offset  int            // offset in the event, or -1
+	Want    int            // offset that was expected
+}
+
+// answer checks and passes on the events of one streamed answer.
+type answer struct {
+	address   string
+	id        backend.CallID
+	idText    string
+	next      int // offset of the next token
+	maxTokens int // 0 means no bound
+	ahead     int
+	finish    Finish
+	finished  bool
+	metered   bool // usage has arrived
+	emit      func(Token) error
+	drop      func(Drop)
+}
+
+func newAnswer(address string, c Call, emit func(Token) error, drop func(Drop)) *answer {
+	return &answer{
+		address:   address,
+		id:        c.ID(),
+		idText:    c.ID().String(),
+		next:      c.ResumeFrom,
+		maxTokens: c.MaxTokens,
+		emit:      emit,
+		drop:      drop,
+	}
+}
+
+// read passes on events until [DONE].
+func (a *answer) read(ctx context.Context, events *eventReader) error {
+	for {
+		data, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return backend.Failure(ctx, verdict.MayHaveRun, a.address, "stream ended without [DONE]", nil)
+		}
+		if err != nil {
+			return backend.Failure(ctx, verdict.MayHaveRun, a.address, "stream broke", err)
+		}
+		if string(data) == "[DONE]" {
+			return a.done()
+		}
+		if err := a.event(data); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *answer) done() error {
+	switch {
+	case a.ahead > 0:
+		return a.failed("token %d is missing", a.next)
+	case !a.finished:
+		return a.failed("field \"finish_reason\" is missing from the answer")
+	case !a.metered:
+		return a.failed("field \"usage\" is missing from the answer")
+	case a.finish.Usage.OutputTokens != a.next:
+		return a.failed("answer has %d tokens: usage says %d", a.next, a.finish.Usage.OutputTokens)
+	}
+	return nil
+}
+
+func (a *answer) event(data []byte) error {
+	if !utf8.Valid(data) {
+		return a.failed("event is not UTF-8")
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "server "+a.address+": event is not valid JSON", verdict.WithCause(err))
+	}
+	if c.Error != nil {
+		return a.errorEvent(data)
+	}
+	if c.ID != a.idText {
+		a.dropped(c)
+		return nil
+	}
+	if c.Usage != nil {
+		a.finish.Usage, a.metered = c.Usage.usage(), true
+	}
+	if len(c.Choices) == 0 {
+		return nil
+	}
+	return a.choice(c)
+}
+
+func (a *answer) choice(c chunk) error {
+	first := c.Choices[0]
+	switch {
+	case c.Offset != nil:
+		if err := a.token(c, first.Delta.Content); err != nil {
+			return err
+		}
+	case first.Delta.Content != "":
+		return a.failed("field \"offset\" is missing from a token")
+	}
+	if first.FinishReason != nil && *first.FinishReason != "" {
+		a.finish.Reason, a.finished = *first.FinishReason, true
+	}
+	return nil
+}
+
+func (a *answer) token(c chunk, text string) error {
+	offset := *c.Offset
+	if offset != a.next {
+		a.dropped(c)
+		if offset > a.next {
+			a.ahead++
+		}
+		if a.ahead > maxAhead {
+			return a.failed("token %d is missing", a.next)
+		}
+		return nil
+	}
+	if a.maxTokens > 0 && a.next >= a.maxTokens {
+		return a.failed("answer is longer than max_tokens %d", a.maxTokens)
+	}
+	a.next++
+	a.ahead = 0
+	if err := a.emit(Token{Offset: offset, Text: text}); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "reader of the answer is gone", verdict.WithCause(err))
+	}
+	return nil
+}
+
+func (a *answer) dropped(c chunk) {
+	d := Drop{Address: a.address, Call: a.id, EventID: c.ID, Offset: -1, Want: a.next}
+	if c.Offset != nil {
+		d.Offset = *c.Offset
+	}
+	a.drop(d)
+}
+
+// errorEvent returns the error that the engine sent as the last event. The
+// response has begun, so the call may have run whatever the event says.
+func (a *answer) errorEvent(data []byte) error {
+	var e verdict.Error
+	if err := json.Unmarshal(data, &e); err != nil {
+		return a.failed("error event cannot be read: %v", err)
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "server "+a.address+": "+e.Error(),
+		verdict.WithRetryAfter(e.RetryAfter()))
+}
+
+func (a *answer) failed(format string, args ...any) error {
+	return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server "+a.address+": "+format, args...)
+}
--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/standin"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func testSettings() StandInSettings {
+	return StandInSettings{
+		Settings: standin.Settings{
+			Server: "e-1", Incarnation: "i-1", DataCentre: "dc-1",
+			Listen: "127.0.0.1:1", RenewalMilliseconds: 500, FaultSwitches: true,
+		},
+		Models:      []membership.Model{{Name: "m", Version: "1", Adapters: []string{"coats"}}},
+		Slots:       4,
+		CacheTokens: 10_000,
+		Fencing:     true,
+	}
+}
+
+func testCall() Call {
+	return Call{
+		Program: "p-1", Call: 1, Attempt: 1, Model: "m", MaxTokens: 100,
+		Messages: []ledger.Message{{Role: "user", Content: "measure the whippet"}},
+	}
+}
+
+// serve returns the address of a handler and a client for it.
+func serve(t testing.TB, h http.Handler, opts ...Option) (string, *Client) {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	c := NewClient(opts...)
+	t.Cleanup(c.Close)
+	return s.Listener.Addr().String(), c
+}
+
+func newStandIn(t testing.TB, s StandInSettings) *StandIn {
+	e, err := NewStandIn(s)
+	assert.NilError(t, err)
+	return e
+}
+
+type collector struct{ tokens []Token }
+
+func (c *collector) emit(t Token) error {
+	c.tokens = append(c.tokens, t)
+	return nil
+}
+
+func (c *collector) text() string {
+	var b strings.Builder
+	for _, t := range c.tokens {
+		b.WriteString(t.Text)
+	}
+	return b.String()
+}
+
+// Guards against an answer that depends on more than model and messages, which
+// could not be resumed on another server.
+func TestStreamGivesTheSameAnswerOnEveryServer(t *testing.T) {
+	var texts []string
+	for range 2 {
+		address, c := serve(t, newStandIn(t, testSettings()))
+		var got collector
+		finish, err := c.Stream(t.Context(), address, testCall(), got.emit)
+		assert.NilError(t, err)
+		assert.Equal(t, finish.Reason, "stop")
+		assert.Equal(t, finish.Usage.OutputTokens, len(got.tokens))
+		assert.Assert(t, finish.Usage.PromptTokens > 0)
+		texts = append(texts, got.text())
+	}
+	assert.Equal(t, texts[0], texts[1])
+	assert.Assert(t, texts[0] != "")
+}
+
+// Guards against a failure reported as not run when the engine may have run
+// the call, and against the reverse where the call can be sent elsewhere.
+func TestStreamVerdicts(t *testing.T) {
+	text := func(contentType, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	const sse = "text/event-stream"
+	const first = `data: {"id":"p-1/1/1","offset":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+	const end = `data: {"id":"p-1/1/1","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":1}}` + "\n\n"
+	refuse := func(v verdict.Verdict) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			verdict.New(v, verdict.Overloaded, "batch is full").Write(w)
+		}
+	}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		verdict verdict.Verdict
+		reason  verdict.Reason
+		message string
+	}{
+		{"refused", refuse(verdict.NotRun), verdict.NotRun, verdict.Overloaded, "batch is full"},
+		{"refused after running", refuse(verdict.MayHaveRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
+		{"status without verdict", func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "oops\nagain", http.StatusInternalServerError)
+		}, verdict.MayHaveRun, verdict.ServerFailed, "status 500: oops again"},
+		{"wrong content type", text("text/html", "<p>"), verdict.MayHaveRun, verdict.ServerFailed, `content type "text/html": want text/event-stream`},
+		{"empty", text(sse, ""), verdict.MayHaveRun, verdict.ServerFailed, "stream ended without [DONE]"},
+		{"cut", text(sse, first), verdict.MayHaveRun, verdict.ServerFailed, "stream ended without [DONE]"},
+		{"cut before [DONE]", text(sse, first+end), verdict.MayHaveRun, verdict.ServerFailed, "stream ended without [DONE]"},
+		{"no finish reason", text(sse, first+"data: [DONE]\n\n"), verdict.MayHaveRun, verdict.ServerFailed, `field "finish_reason" is missing`},
+		{"token missing at the end", text(sse, end+"data: [DONE]\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "answer has 0 tokens: usage says 1"},
+		{"bad JSON", text(sse, "data: {\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "event is not valid JSON"},
+		{"not UTF-8", text(sse, "data: {\"id\":\"\xff\"}\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "event is not UTF-8"},
+		{"event too large", text(sse, "data: "+strings.Repeat("x", 5000)+"\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "event is too large"},
+		{"answer too long", text(sse, first+strings.Replace(first, `"offset":0`, `"offset":1`, 1)), verdict.MayHaveRun, verdict.ServerFailed, "answer is longer than max_tokens 1"},
+		{"token without offset", text(sse, strings.Replace(first, `"offset":0,`, "", 1)), verdict.MayHaveRun, verdict.ServerFailed, `field "offset" is missing`},
+		{"error event", text(sse, first+`data: {"error":{"message":"boom","verdict":"not-run"}}`+"\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "boom"},
+		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, verdict.MayHaveRun, verdict.ServerFailed, "connection lost before a response"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, c := serve(t, tt.handler, WithMaxEventBytes(4096))
+			call := testCall()
+			call.MaxTokens = 1
+			_, err := c.Stream(t.Context(), address, call, func(Token) error { return nil })
+			checkVerdict(t, err, tt.verdict, tt.reason, tt.message)
+		})
+	}
+}
+
+func checkVerdict(t *testing.T, err error, v verdict.Verdict, reason verdict.Reason, message string) {
+	t.Helper()
+	var e *verdict.Error
+	assert.Assert(t, errors.As(err, &e), "%v", err)
+	assert.Equal(t, e.Verdict(), v, "%v", err)
+	assert.Equal(t, e.Reason(), reason, "%v", err)
+	assert.ErrorContains(t, err, message)
+	assert.Assert(t, !strings.Contains(err.Error(), "\n"), "%v", err)
+}
+
+// Guards against a call that is given up although nothing reached a server.
+func TestStreamNotConnectedIsNotRun(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	address := s.Listener.Addr().String()
+	s.Close()
+	c := NewClient()
+	defer c.Close()
+	_, err := c.Stream(t.Context(), address, testCall(), nil)
+	checkVerdict(t, err, verdict.NotRun, verdict.ServerFailed, "cannot connect")
+}
+
+// Guards against tokens of another answer that get into this one, and against
+// an answer that is given up because of them.
+func TestStreamDropsCrossedEvents(t *testing.T) {
+	settings := testSettings()
+	settings.Faults.CrossedAnswers = true
+	var drops []Drop
+	address, c := serve(t, newStandIn(t, settings), WithDrops(func(d Drop) { drops = append(drops, d) }))
+	var got collector
+	_, err := c.Stream(t.Context(), address, testCall(), got.emit)
+	assert.NilError(t, err)
+	assert.Equal(t, len(drops), len(got.tokens))
+	assert.Assert(t, !strings.Contains(got.text(), "crossed"))
+	assert.Equal(t, drops[0].EventID, "crossed/1/1")
+	assert.Equal(t, drops[0].Call, testCall().ID())
+}
+
+// Guards against a connection per call.
+func TestStreamReusesConnections(t *testing.T) {
+	e := newStandIn(t, testSettings())
+	connections := map[string]bool{}
+	address, c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connections[r.RemoteAddr] = true
+		e.ServeHTTP(w, r)
+	}))
+	for range 5 {
+		_, err := c.Stream(t.Context(), address, testCall(), func(Token) error { return nil })
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(connections), 1)
+}
+
+// Guards against an engine that goes on computing for a reader that is gone.
+func TestStreamEndsOnTheEngineWithItsContext(t *testing.T) {
+	settings := testSettings()
+	settings.DecodeMicroseconds = 1000
+	settings.AnswerTokens = 1_000_000
+	e := newStandIn(t, settings)
+	returned := make(chan struct{})
+	address, c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(returned)
+		e.ServeHTTP(w, r)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	call := testCall()
+	call.MaxTokens = 0
+	_, err := c.Stream(ctx, address, call, func(Token) error {
+		cancel()
+		return nil
+	})
+	checkVerdict(t, err, verdict.MayHaveRun, verdict.Cancelled, "stream broke")
+	<-returned
+}
--- /dev/null
+++ b/engine/resume_test.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+var errCut = errors.New("cut")
+
+// Guards against tokens that are lost or doubled when an answer is cut at any
+// token, by either side, and resumed on any server.
+func TestResumedAnswerHasEachTokenOnce(t *testing.T) {
+	var bytesLeft atomic.Int64
+	var addresses []string
+	var c *Client
+	for range 3 {
+		e := newStandIn(t, testSettings())
+		address, client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			e.ServeHTTP(&cutWriter{ResponseWriter: w, left: &bytesLeft}, r)
+		}))
+		addresses, c = append(addresses, address), client
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		call := testCall()
+		call.Messages = []ledger.Message{{Role: "user", Content: rapid.String().Draw(t, "content")}}
+		var got collector
+		for call.Attempt = 1; ; call.Attempt++ {
+			address := rapid.SampledFrom(addresses).Draw(t, "server")
+			keep := rapid.IntRange(0, 40).Draw(t, "keep")
+			bytesLeft.Store(rapid.Int64Range(0, 8000).Draw(t, "bytes"))
+			if call.Attempt > 20 {
+				keep = 1000
+				bytesLeft.Store(1 << 20)
+			}
+			call.ResumeFrom, call.ResumeText = len(got.tokens), got.text()
+			finish, err := c.Stream(t.Context(), address, call, func(token Token) error {
+				if keep == 0 {
+					return errCut
+				}
+				keep--
+				return got.emit(token)
+			})
+			if err == nil {
+				assert.Equal(t, finish.Usage.OutputTokens, len(got.tokens))
+				break
+			}
+			assert.Assert(t, errors.Is(err, errCut) || verdict.From(err).Reason() == verdict.ServerFailed, "%v", err)
+		}
+		want := newStandInAnswer(call.Model, call.Messages, 0)
+		assert.Equal(t, got.text(), want.text(want.length))
+		for i, token := range got.tokens {
+			assert.Equal(t, token.Offset, i)
+		}
+	})
+}
+
+// cutWriter breaks the connection after a number of bytes.
+type cutWriter struct {
+	http.ResponseWriter
+	left *atomic.Int64
+}
+
+func (w *cutWriter) Write(p []byte) (int, error) {
+	left := w.left.Add(int64(-len(p)))
+	if left < 0 {
+		_, _ = w.ResponseWriter.Write(p[:max(0, int64(len(p))+left)])
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *cutWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/engine/sse.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+var errEventTooLarge = errors.New("event is too large")
+
+// eventReader reads server-sent events. Only the data field is used.
+type eventReader struct {
+	r        *bufio.Reader
+	maxBytes int
+	line     []byte
+	data     []byte
+}
+
+func newEventReader(r io.Reader, maxBytes int) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), maxBytes: maxBytes}
+}
+
+// next returns the data of the next event. The slice is valid until the next
+// call. It returns io.EOF at the end of the stream; an event that is not ended
+// by an empty line is not returned.
+func (e *eventReader) next() ([]byte, error) {
+	e.data = e.data[:0]
+	seen := false
+	for {
+		line, err := e.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if seen {
+				return e.data, nil
+			}
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if string(name) != "data" {
+			continue
+		}
+		if seen {
+			e.data = append(e.data, '\n')
+		}
+		seen = true
+		e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
+		if len(e.data) > e.maxBytes {
+			return nil, fmt.Errorf("%w: more than %d bytes", errEventTooLarge, e.maxBytes)
+		}
+	}
+}
+
+// readLine returns a line without its end.
+func (e *eventReader) readLine() ([]byte, error) {
+	e.line = e.line[:0]
+	for {
+		part, err := e.r.ReadSlice('\n')
+		e.line = append(e.line, part...)
+		if len(e.line) > e.maxBytes+len("data: \r\n") {
+			return nil, fmt.Errorf("%w: more than %d bytes", errEventTooLarge, e.maxBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return bytes.TrimSuffix(bytes.TrimSuffix(e.line, []byte("\n")), []byte("\r")), nil
+	}
+}
--- /dev/null
+++ b/engine/standin.go
@@ -0,0 +1,205 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/standin"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// StandIn is a model engine that answers the protocol with made-up text and
+// takes the time that its settings give. It is an http.Handler.
+type StandIn struct {
+	settings StandInSettings
+	faults   *standin.Switchboard
+	handler  http.Handler
+	current  atomic.Pointer[incarnation]
+}
+
+// incarnation is the state that a crash loses.
+type incarnation struct {
+	id     string
+	slots  *slots
+	cache  *prefixCache
+	events *cacheLog
+	load   *loadHistory
+
+	mu      sync.Mutex
+	running map[string]*runningCall // by call id
+	models  []membership.Model
+	fencing int64 // highest number seen in an order
+	role    string
+}
+
+type runningCall struct{ cancel context.CancelFunc }
+
+// NewStandIn returns a stand-in engine. It returns an error when the settings
+// are not valid.
+func NewStandIn(s StandInSettings) (*StandIn, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	e := &StandIn{settings: s}
+	first := s.Incarnation
+	if first == "" {
+		first = standin.NewIncarnation()
+	}
+	e.current.Store(newIncarnation(first, s))
+	e.faults = standin.NewSwitchboard(s.Faults, func() {
+		e.current.Store(newIncarnation(standin.NewIncarnation(), s))
+	})
+	e.handler = e.faults.Wrap(e.routes(), s.FaultSwitches)
+	return e, nil
+}
+
+func newIncarnation(id string, s StandInSettings) *incarnation {
+	events := newCacheLog(time.Duration(s.EventDelayMilliseconds)*time.Millisecond, s.EventLossPerThousand)
+	i := &incarnation{
+		id:      id,
+		slots:   newSlots(s.Slots),
+		cache:   newPrefixCache(s.CacheTokens, events),
+		events:  events,
+		running: map[string]*runningCall{},
+		models:  slices.Clone(s.Models),
+	}
+	idle := Load{Incarnation: id, Slots: s.Slots, CacheCapacity: s.CacheTokens}
+	i.load = newLoadHistory(time.Duration(s.LoadLagMilliseconds)*time.Millisecond, idle)
+	return i
+}
+
+func (e *StandIn) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", e.serveCompletion).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cancel", e.serveCancel).Methods(http.MethodPost)
+	r.HandleFunc("/load", e.serveLoad).Methods(http.MethodGet)
+	r.HandleFunc("/cache-events", e.serveCacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/cache/pin", e.servePin).Methods(http.MethodPost)
+	r.HandleFunc("/cache/release", e.serveRelease).Methods(http.MethodPost)
+	r.HandleFunc("/cache/export", e.serveExport).Methods(http.MethodPost)
+	r.HandleFunc("/cache/import", e.serveImport).Methods(http.MethodPost)
+	r.HandleFunc("/orders", e.serveOrder).Methods(http.MethodPost)
+	return r
+}
+
+// ServeHTTP answers a request of the engine protocol.
+func (e *StandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.handler.ServeHTTP(w, r) }
+
+// Faults returns the fault switches.
+func (e *StandIn) Faults() *standin.Switchboard { return e.faults }
+
+// Programs returns the programs that hold memory, in order.
+func (e *StandIn) Programs() []string { return e.current.Load().cache.programs() }
+
+// Announcement returns what the engine announces.
+func (e *StandIn) Announcement() membership.Announcement {
+	i, s := e.current.Load(), e.settings
+	address := s.Address
+	if address == "" {
+		address = s.Listen
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return membership.Announcement{
+		Server:      s.Server,
+		Incarnation: i.id,
+		Address:     address,
+		DataCentre:  s.DataCentre,
+		Kind:        membership.Engine,
+		Models:      slices.Clone(i.models),
+		Slots:       s.Slots,
+		CacheTokens: s.CacheTokens,
+		Fencing:     s.Fencing,
+	}
+}
+
+func (e *StandIn) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Call string `json:"call"`
+	}
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	i := e.current.Load()
+	i.mu.Lock()
+	c, ok := i.running[body.Call]
+	i.mu.Unlock()
+	if ok {
+		c.cancel()
+	}
+	standin.WriteJSON(w, map[string]bool{"cancelled": ok})
+}
+
+func (e *StandIn) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, e.current.Load().load.report())
+}
+
+func (e *StandIn) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		verdict.Newf(verdict.NotRun, verdict.BadRequest, "parameter \"from\": %q: want a number", r.URL.Query().Get("from")).Write(w)
+		return
+	}
+	i := e.current.Load()
+	events, next := i.events.page(from)
+	standin.WriteJSON(w, CacheEvents{Incarnation: i.id, Events: events, Next: next})
+}
+
+// start registers a call, replacing one with the same id whose reader is gone.
+func (i *incarnation) start(id string, cancel context.CancelFunc) *runningCall {
+	c := &runningCall{cancel: cancel}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if old, ok := i.running[id]; ok {
+		old.cancel()
+	}
+	i.running[id] = c
+	return c
+}
+
+func (i *incarnation) stop(id string, c *runningCall) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.running[id] == c {
+		delete(i.running, id)
+	}
+}
+
+func (i *incarnation) recordLoad(s StandInSettings) {
+	running, queued := i.slots.counts()
+	i.load.record(Load{
+		Incarnation:   i.id,
+		Slots:         s.Slots,
+		Running:       running,
+		Queued:        queued,
+		CacheTokens:   i.cache.tokens(),
+		CacheCapacity: s.CacheTokens,
+	})
+}
+
+func (i *incarnation) hasModel(r request) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.ContainsFunc(i.models, func(m membership.Model) bool {
+		return m.Name == r.Model &&
+			(r.ModelVersion == "" || r.ModelVersion == m.Version) &&
+			(r.Adapter == "" || slices.Contains(m.Adapters, r.Adapter))
+	})
+}
+
+func readCallID(w http.ResponseWriter, r *http.Request) (backend.CallID, bool) {
+	id, err := backend.ParseCallID(r.Header.Get(backend.HeaderCall))
+	if err != nil {
+		verdict.New(verdict.NotRun, verdict.BadRequest, "header "+backend.HeaderCall, verdict.WithCause(err)).Write(w)
+	}
+	return id, err == nil
+}
--- /dev/null
+++ b/engine/standin_cache.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"container/list"
+	"encoding/binary"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+)
+
+// block is one message of a cached prefix. The hash covers the model and all
+// messages up to this one.
+type block struct {
+	Hash   uint64 `json:"hash"`
+	Tokens int64  `json:"tokens"`
+}
+
+func prefixBlocks(model string, messages []ledger.Message) []block {
+	blocks := make([]block, 0, len(messages))
+	hash := xxhash.Sum64String(model)
+	for _, m := range messages {
+		text := binary.LittleEndian.AppendUint64(nil, hash)
+		text = append(text, m.Role+"\x00"+m.Content...)
+		hash = xxhash.Sum64(text)
+		blocks = append(blocks, block{Hash: hash, Tokens: messageTokens(m)})
+	}
+	return blocks
+}
+
+func blockTokens(blocks []block) int64 {
+	var n int64
+	for _, b := range blocks {
+		n += b.Tokens
+	}
+	return n
+}
+
+// cacheEntry is the cached prefix of one program.
+type cacheEntry struct {
+	program  string
+	blocks   []block
+	tokens   int64
+	calls    int  // calls that run on it
+	pinned   bool // kept until released
+	released bool // to be dropped with the last call
+	recent   *list.Element
+}
+
+// prefixCache is the prefix cache of a stand-in engine. The least recently
+// used prefix that is neither pinned nor in use is evicted first.
+type prefixCache struct {
+	mu       sync.Mutex
+	capacity int64
+	used     int64
+	entries  map[string]*cacheEntry
+	recent   *list.List // of *cacheEntry, most recent first
+	events   *cacheLog
+}
+
+func newPrefixCache(capacity int64, events *cacheLog) *prefixCache {
+	return &prefixCache{capacity: capacity, entries: map[string]*cacheEntry{}, recent: list.New(), events: events}
+}
+
+// begin returns how many tokens of the prompt are cached, and keeps the entry
+// of the program until end.
+func (c *prefixCache) begin(program string, prompt []block) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entry(program)
+	e.calls++
+	c.recent.MoveToFront(e.recent)
+	return blockTokens(prompt[:commonPrefix(e.blocks, prompt)])
+}
+
+func (c *prefixCache) entry(program string) *cacheEntry {
+	e, ok := c.entries[program]
+	if !ok {
+		e = &cacheEntry{program: program}
+		e.recent = c.recent.PushFront(e)
+		c.entries[program] = e
+	}
+	return e
+}
+
+func commonPrefix(a, b []block) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+// end ends a call and caches its conversation as far as there is room.
+func (c *prefixCache) end(program string, conversation []block) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entries[program]
+	e.calls--
+	if e.released {
+		c.dropIdle(e, "released")
+		return
+	}
+	c.store(e, conversation, "stored")
+}
+
+// store replaces the blocks of an entry.
+func (c *prefixCache) store(e *cacheEntry, blocks []block, kind string) {
+	c.used -= e.tokens
+	e.blocks, e.tokens = nil, 0
+	need := blockTokens(blocks)
+	c.evict(c.capacity-need, e)
+	for _, b := range blocks {
+		if c.used+b.Tokens > c.capacity {
+			break
+		}
+		e.blocks = append(e.blocks, b)
+		e.tokens += b.Tokens
+		c.used += b.Tokens
+	}
+	c.events.add(kind, e.program, e.tokens)
+	if len(e.blocks) == 0 {
+		c.dropIdle(e, "")
+	}
+}
+
+// evict frees memory until at most limit tokens are in use.
+func (c *prefixCache) evict(limit int64, keep *cacheEntry) {
+	for at := c.recent.Back(); at != nil && c.used > limit; {
+		e := at.Value.(*cacheEntry)
+		at = at.Prev()
+		if e != keep && e.calls == 0 && !e.pinned {
+			c.remove(e)
+			c.events.add("evicted", e.program, 0)
+		}
+	}
+}
+
+// dropIdle removes an entry that no call uses.
+func (c *prefixCache) dropIdle(e *cacheEntry, kind string) {
+	if e.calls > 0 || e.pinned {
+		return
+	}
+	c.remove(e)
+	if kind != "" {
+		c.events.add(kind, e.program, 0)
+	}
+}
+
+func (c *prefixCache) remove(e *cacheEntry) {
+	c.used -= e.tokens
+	c.recent.Remove(e.recent)
+	delete(c.entries, e.program)
+}
+
+// pin keeps the prefix of a program until it is released.
+func (c *prefixCache) pin(program string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[program]
+	if ok {
+		e.pinned = true
+	}
+	return ok
+}
+
+// release drops the prefix of a program, once its last call has ended. It
+// returns the tokens that the program held.
+func (c *prefixCache) release(program string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[program]
+	if !ok {
+		return 0
+	}
+	held := e.tokens
+	e.pinned, e.released = false, true
+	c.dropIdle(e, "released")
+	return held
+}
+
+func (c *prefixCache) export(program string) ([]block, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.entries[program]
+	if !ok || len(e.blocks) == 0 {
+		return nil, false
+	}
+	return slices.Clone(e.blocks), true
+}
+
+// load stores an exported prefix and returns how many tokens there was room
+// for.
+func (c *prefixCache) load(program string, blocks []block) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entry(program)
+	c.store(e, blocks, "imported")
+	return e.tokens
+}
+
+func (c *prefixCache) tokens() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
+// programs returns the programs that hold memory.
+func (c *prefixCache) programs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for name, e := range c.entries {
+		if e.tokens > 0 || e.pinned {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/engine/standin_reports.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	maxLoggedEvents = 4096
+	maxPageEvents   = 1000
+)
+
+// cacheLog keeps cache events until they are old enough to be published.
+type cacheLog struct {
+	mu     sync.Mutex
+	delay  time.Duration
+	loss   int // of 1,000 events
+	random *rand.Rand
+	last   int64
+	events []loggedEvent
+}
+
+type loggedEvent struct {
+	CacheEvent
+	at time.Time
+}
+
+func newCacheLog(delay time.Duration, lossPerThousand int) *cacheLog {
+	return &cacheLog{delay: delay, loss: lossPerThousand, random: rand.New(rand.NewPCG(1, 2))}
+}
+
+func (l *cacheLog) add(kind, program string, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last++
+	if l.random.IntN(1000) < l.loss {
+		return
+	}
+	if len(l.events) == maxLoggedEvents {
+		l.events = append(l.events[:0], l.events[maxLoggedEvents/2:]...)
+	}
+	e := CacheEvent{Sequence: l.last, Kind: kind, Program: program, Tokens: tokens}
+	l.events = append(l.events, loggedEvent{CacheEvent: e, at: time.Now()})
+}
+
+// page returns published events from a sequence number on.
+func (l *cacheLog) page(from int64) ([]CacheEvent, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	events, next := []CacheEvent{}, from
+	for _, e := range l.events {
+		if len(events) == maxPageEvents || time.Since(e.at) < l.delay {
+			break
+		}
+		if e.Sequence >= from {
+			events = append(events, e.CacheEvent)
+			next = e.Sequence + 1
+		}
+	}
+	return events, next
+}
+
+// loadHistory answers what the load was some time ago.
+type loadHistory struct {
+	mu     sync.Mutex
+	lag    time.Duration
+	states []pastLoad // oldest first
+}
+
+type pastLoad struct {
+	Load
+	at time.Time
+}
+
+func newLoadHistory(lag time.Duration, idle Load) *loadHistory {
+	return &loadHistory{lag: lag, states: []pastLoad{{Load: idle, at: time.Now()}}}
+}
+
+func (h *loadHistory) record(l Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forget()
+	h.states = append(h.states, pastLoad{Load: l, at: time.Now()})
+}
+
+func (h *loadHistory) report() Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forget()
+	return h.states[0].Load
+}
+
+// forget drops states that a later state had replaced before the lag began.
+func (h *loadHistory) forget() {
+	cutoff := time.Now().Add(-h.lag)
+	n := 0
+	for n+1 < len(h.states) && !h.states[n+1].at.After(cutoff) {
+		n++
+	}
+	h.states = append(h.states[:0], h.states[n:]...)
+}
--- /dev/null
+++ b/engine/standin_settings.go
@@ -0,0 +1,67 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/standin"
+)
+
+// StandInSettings are the settings of a stand-in engine.
+type StandInSettings struct {
+	standin.Settings
+	Models []membership.Model `json:"models"`
+	// Slots is the number of calls that run at once.
+	Slots int `json:"slots"`
+	// PrefillMicroseconds is the time for one prompt token that is not cached.
+	PrefillMicroseconds int64 `json:"prefill-microseconds"`
+	// DecodeMicroseconds is the time for one token of the answer.
+	DecodeMicroseconds int64 `json:"decode-microseconds"`
+	// AnswerTokens is the length of answers; 0 derives it from the messages.
+	AnswerTokens int `json:"answer-tokens,omitempty"`
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens int64 `json:"cache-tokens"`
+	// Fencing refuses orders with an old fencing number; without it they are
+	// obeyed.
+	Fencing bool `json:"fencing"`
+	// EventDelayMilliseconds is the age at which cache events are published.
+	EventDelayMilliseconds int64 `json:"event-delay-milliseconds,omitempty"`
+	// EventLossPerThousand is how many of 1,000 cache events are lost.
+	EventLossPerThousand int `json:"event-loss-per-thousand,omitempty"`
+	// LoadLagMilliseconds is the age of load reports.
+	LoadLagMilliseconds int64 `json:"load-lag-milliseconds,omitempty"`
+}
+
+// Check returns an error that names the field, its value and what is allowed.
+func (s StandInSettings) Check() error {
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	if len(s.Models) == 0 {
+		return fmt.Errorf("field \"models\": empty: want at least one model")
+	}
+	for i, m := range s.Models {
+		if m.Name == "" {
+			return fmt.Errorf("field \"models[%d].name\": empty: want a model name", i)
+		}
+	}
+	return standin.CheckRanges([]standin.Range{
+		{Field: "slots", Value: int64(s.Slots), Min: 1, Max: 100_000},
+		{Field: "prefill-microseconds", Value: s.PrefillMicroseconds, Min: 0, Max: 1_000_000},
+		{Field: "decode-microseconds", Value: s.DecodeMicroseconds, Min: 0, Max: 60_000_000},
+		{Field: "answer-tokens", Value: int64(s.AnswerTokens), Min: 0, Max: 1_000_000},
+		{Field: "cache-tokens", Value: s.CacheTokens, Min: 0, Max: 1 << 40},
+		{Field: "event-delay-milliseconds", Value: s.EventDelayMilliseconds, Min: 0, Max: 3_600_000},
+		{Field: "event-loss-per-thousand", Value: int64(s.EventLossPerThousand), Min: 0, Max: 1000},
+		{Field: "load-lag-milliseconds", Value: s.LoadLagMilliseconds, Min: 0, Max: 3_600_000},
+	})
+}
+
+func (s StandInSettings) prefill() time.Duration {
+	return time.Duration(s.PrefillMicroseconds) * time.Microsecond
+}
+
+func (s StandInSettings) decode() time.Duration {
+	return time.Duration(s.DecodeMicroseconds) * time.Microsecond
+}
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -2,17 +2,31 @@
 // stand-in that answers it.
 package engine
 
-import "github.com/sycamoreline/sycamoreline/ledger"
+import (
+	"encoding/json"
+	"maps"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/ledger"
+)
+
+// Headers of a model call.
+const (
+	HeaderPriority   = "Sycamoreline-Priority" // smaller is sooner
+	HeaderResumeFrom = "Sycamoreline-Resume-From"
+)
 
 // Call is a model call as an engine receives it.
 type Call struct {
-	Program   string
-	Call      int
-	Attempt   int
-	Model     string
-	Version   string
-	Adapter   string
-	Messages  []ledger.Message
+	Program  string
+	Call     int
+	Attempt  int
+	Model    string
+	Version  string
+	Adapter  string
+	Messages []ledger.Message
+	// MaxTokens bounds the whole answer, with the tokens before ResumeFrom. 0
+	// leaves the bound to the engine.
 	MaxTokens int
 	Priority  int
 	// ResumeFrom is the number of tokens that the caller already has.
@@ -23,6 +37,11 @@
 	Extra map[string]any
 }
 
+// ID returns the id that the engine repeats in every event of the answer.
+func (c Call) ID() backend.CallID {
+	return backend.CallID{Program: c.Program, Call: c.Call, Attempt: c.Attempt}
+}
+
 // Token is one streamed token with its offset in the answer.
 type Token struct {
 	Offset int
@@ -41,3 +60,88 @@
 	Reason string // OpenAI finish_reason
 	Usage  Usage
 }
+
+// request is the body of POST /v1/chat/completions as an engine reads it. The
+// names with hyphens are additions to the OpenAI format.
+type request struct {
+	Model        string           `json:"model"`
+	ModelVersion string           `json:"model-version"`
+	Adapter      string           `json:"adapter"`
+	Messages     []ledger.Message `json:"messages"`
+	MaxTokens    int              `json:"max_tokens"`
+	ResumeText   string           `json:"resume-text"`
+	Stream       bool             `json:"stream"`
+}
+
+// body returns the request body of a call. Fields of the call take precedence
+// over fields of the same name in Extra.
+func (c Call) body() ([]byte, error) {
+	fields := make(map[string]any, len(c.Extra)+8)
+	maps.Copy(fields, c.Extra)
+	fields["model"] = c.Model
+	fields["messages"] = c.Messages
+	fields["stream"] = true
+	fields["stream_options"] = map[string]bool{"include_usage": true}
+	optional := map[string]string{"model-version": c.Version, "adapter": c.Adapter, "resume-text": c.ResumeText}
+	for name, value := range optional {
+		delete(fields, name)
+		if value != "" {
+			fields[name] = value
+		}
+	}
+	if c.MaxTokens > 0 {
+		fields["max_tokens"] = c.MaxTokens
+	}
+	return json.Marshal(fields)
+}
+
+// chunk is one event of a streamed answer. ID is the text form of the call id.
+// Offset is set when the first choice holds a token; the text of a token may
+// be empty, since an engine can split a character over two tokens.
+type chunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Model   string          `json:"model"`
+	Offset  *int            `json:"offset,omitempty"`
+	Choices []choice        `json:"choices"`
+	Usage   *wireUsage      `json:"usage,omitempty"`
+	Error   json.RawMessage `json:"error,omitempty"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type wireUsage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+func (u Usage) wire() *wireUsage {
+	return &wireUsage{
+		PromptTokens:     u.PromptTokens,
+		CompletionTokens: u.OutputTokens,
+		TotalTokens:      u.PromptTokens + u.OutputTokens,
+		PromptDetails:    promptDetails{CachedTokens: u.CachedTokens},
+	}
+}
+
+func (u *wireUsage) usage() Usage {
+	return Usage{
+		PromptTokens: u.PromptTokens,
+		CachedTokens: u.PromptDetails.CachedTokens,
+		OutputTokens: u.CompletionTokens,
+	}
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,108 @@
+// Package service speaks the protocol towards plain tool services, and has the
+// stand-in that answers it.
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"net/url"
+	"unicode/utf8"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const defaultMaxBodyBytes = 4 << 20
+
+// Client makes calls to plain services. It is safe for concurrent use.
+type Client struct {
+	transport    *http.Transport
+	maxBodyBytes int64
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithDial replaces TCP.
+func WithDial(d backend.Dial) Option {
+	return func(c *Client) { c.transport = backend.NewTransport(d) }
+}
+
+// WithMaxBodyBytes bounds the body of a response. The default is 4 MiB.
+func WithMaxBodyBytes(n int64) Option {
+	return func(c *Client) { c.maxBodyBytes = n }
+}
+
+// NewClient returns a client.
+func NewClient(opts ...Option) *Client {
+	c := &Client{transport: backend.NewTransport(nil), maxBodyBytes: defaultMaxBodyBytes}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Close closes idle connections. Calls in progress end with their contexts.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Call runs an operation of the service at address (host:port) with a JSON
+// body, at most once, and returns the status and JSON body of the response. A
+// response of the service is no error, whatever its status.
+//
+// Errors are *verdict.Error. The verdict is not-run only when nothing reached
+// the service or the service refused the call.
+func (c *Client) Call(ctx context.Context, address, operation string, id backend.CallID, body []byte) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+url.PathEscape(operation), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, verdict.New(verdict.NotRun, verdict.BadRequest, "tool call cannot be written", verdict.WithCause(err))
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(backend.HeaderCall, id.String())
+	resp, err := backend.Do(c.transport, r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(verdict.HeaderVerdict) != "" {
+		return 0, nil, backend.Refusal(resp)
+	}
+	answer, err := c.read(resp, id)
+	if err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode, answer, nil
+}
+
+// read returns the body of a response to the call, once it is known to be
+// whole and to belong to the call.
+func (c *Client) read(resp *http.Response, id backend.CallID) ([]byte, error) {
+	address, ctx := resp.Request.URL.Host, resp.Request.Context()
+	if got := resp.Header.Get(backend.HeaderCall); got != id.String() {
+		return nil, failed(address, "response is for call %q: want %q", got, id.String())
+	}
+	if t, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type")); err != nil || t != "application/json" {
+		return nil, failed(address, "content type %q: want application/json", resp.Header.Get("Content-Type"))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, c.maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, failed(address, "response is longer than %d bytes", c.maxBodyBytes)
+	case err != nil:
+		return nil, backend.Failure(ctx, verdict.MayHaveRun, address, "response broke", err)
+	case !utf8.Valid(body):
+		return nil, failed(address, "response is not UTF-8")
+	case !json.Valid(body):
+		return nil, failed(address, "response is not valid JSON")
+	}
+	return body, nil
+}
+
+func failed(address, format string, args ...any) error {
+	return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server "+address+": "+format, args...)
+}
--- /dev/null
+++ b/service/standin.go
@@ -0,0 +1,167 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/standin"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// RunsPath reads the Runs of a stand-in service.
+const RunsPath = "/stand-in/runs"
+
+// StandIn is a plain service with made-up results that counts how often each
+// call ran. It is an http.Handler.
+type StandIn struct {
+	settings    StandInSettings
+	operations  []membership.Operation
+	faults      *standin.Switchboard
+	handler     http.Handler
+	slots       chan struct{}
+	incarnation atomic.Pointer[string]
+	runs        runs
+
+	mu       sync.Mutex
+	previous *result // of the call before, for crossed answers
+}
+
+type result struct {
+	id   backend.CallID
+	body []byte
+}
+
+// NewStandIn returns a stand-in service. It returns an error when the settings
+// are not valid.
+func NewStandIn(s StandInSettings) (*StandIn, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	t := &StandIn{
+		settings:   s,
+		operations: s.operations(),
+		slots:      make(chan struct{}, s.Slots),
+		runs:       runs{counts: map[runKey]int{}},
+	}
+	first := s.Incarnation
+	if first == "" {
+		first = standin.NewIncarnation()
+	}
+	t.incarnation.Store(&first)
+	t.faults = standin.NewSwitchboard(s.Faults, func() {
+		next := standin.NewIncarnation()
+		t.incarnation.Store(&next)
+	})
+	t.handler = t.faults.Wrap(t.routes(), s.FaultSwitches)
+	return t, nil
+}
+
+func (t *StandIn) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(RunsPath, t.serveRuns).Methods(http.MethodGet)
+	r.HandleFunc("/{operation}", t.serveOperation).Methods(http.MethodPost)
+	return r
+}
+
+// ServeHTTP answers a request of the service protocol.
+func (t *StandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.handler.ServeHTTP(w, r) }
+
+// Faults returns the fault switches.
+func (t *StandIn) Faults() *standin.Switchboard { return t.faults }
+
+// Runs returns how often each call ran, in order of operation and call.
+func (t *StandIn) Runs() []Run { return t.runs.list() }
+
+// Announcement returns what the service announces.
+func (t *StandIn) Announcement() membership.Announcement {
+	s := t.settings
+	address := s.Address
+	if address == "" {
+		address = s.Listen
+	}
+	return membership.Announcement{
+		Server:      s.Server,
+		Incarnation: *t.incarnation.Load(),
+		Address:     address,
+		DataCentre:  s.DataCentre,
+		Kind:        membership.Service,
+		ServiceName: s.Service,
+		Operations:  slices.Clone(t.operations),
+		Slots:       s.Slots,
+	}
+}
+
+func (t *StandIn) serveOperation(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["operation"]
+	id, err := backend.ParseCallID(r.Header.Get(backend.HeaderCall))
+	if err != nil {
+		verdict.New(verdict.NotRun, verdict.BadRequest, "header "+backend.HeaderCall, verdict.WithCause(err)).Write(w)
+		return
+	}
+	i := slices.IndexFunc(t.operations, func(o membership.Operation) bool { return o.Name == name })
+	if i < 0 {
+		verdict.Newf(verdict.NotRun, verdict.UnknownService, "operation %q: want some of %s", name, operationNames()).Write(w)
+		return
+	}
+	body, ok := standin.ReadBody(w, r)
+	if !ok {
+		return
+	}
+	if !json.Valid(body) {
+		verdict.New(verdict.NotRun, verdict.BadRequest, "request body is not valid JSON").Write(w)
+		return
+	}
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+		t.run(w, r, t.operations[i], id, body)
+	default:
+		verdict.Newf(verdict.NotRun, verdict.Overloaded, "all %d slots are in use", t.settings.Slots).Write(w)
+	}
+}
+
+// run carries out an operation. The run is counted first, so that a crash or a
+// lost response never hides one.
+func (t *StandIn) run(w http.ResponseWriter, r *http.Request, o membership.Operation, id backend.CallID, body []byte) {
+	serial := t.runs.add(o.Name, id)
+	t.faults.CrashOn(string(body))
+	t.faults.HangIfSet(r.Context())
+	if t.faults.Wait(r.Context(), t.settings.operationTime()) != nil {
+		return
+	}
+	answer := result{id: id, body: operationResult(o, body, serial)}
+	t.mu.Lock()
+	previous := t.previous
+	t.previous = &answer
+	t.mu.Unlock()
+	f := t.faults.Faults()
+	if f.CrossedAnswers && previous != nil {
+		answer = *previous
+	}
+	t.write(w, answer, f.HalfAnswer)
+}
+
+func (t *StandIn) write(w http.ResponseWriter, a result, half bool) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Header().Set(backend.HeaderCall, a.id.String())
+	body := a.body
+	if half {
+		body = body[:len(body)/2]
+	}
+	_, _ = w.Write(body)
+}
+
+func (t *StandIn) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, struct {
+		Runs []Run `json:"runs"`
+	}{t.Runs()})
+}
--- /dev/null
+++ b/standin/announcer.go
@@ -0,0 +1,123 @@
+// Package standin holds what the stand-ins of backend servers share:
+// announcement to entry hosts, fault injection, and the HTTP server around
+// both.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/membership"
+)
+
+// leaveTimeout bounds the last announcement of a server.
+const leaveTimeout = 2 * time.Second
+
+// Announcer renews the announcement of a backend server at entry hosts.
+type Announcer struct {
+	announcement func() membership.Announcement
+	every        time.Duration
+	paused       func() bool
+	onError      func(host string, err error)
+	transport    *http.Transport
+	stop         chan struct{}
+	done         sync.WaitGroup
+}
+
+// AnnouncerOption configures an Announcer.
+type AnnouncerOption func(*Announcer)
+
+// WithAnnounceDial replaces TCP.
+func WithAnnounceDial(d backend.Dial) AnnouncerOption {
+	return func(a *Announcer) { a.transport = backend.NewTransport(d) }
+}
+
+// WithPause leaves out renewals while paused returns true.
+func WithPause(paused func() bool) AnnouncerOption {
+	return func(a *Announcer) { a.paused = paused }
+}
+
+// WithAnnounceErrors reports announcements that an entry host did not accept.
+func WithAnnounceErrors(report func(host string, err error)) AnnouncerOption {
+	return func(a *Announcer) { a.onError = report }
+}
+
+// NewAnnouncer starts to post the announcement to every entry host (host:port)
+// now and at every interval.
+func NewAnnouncer(hosts []string, every time.Duration, announcement func() membership.Announcement, opts ...AnnouncerOption) *Announcer {
+	a := &Announcer{
+		announcement: announcement,
+		every:        every,
+		paused:       func() bool { return false },
+		onError:      func(string, error) {},
+		transport:    backend.NewTransport(nil),
+		stop:         make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	for _, h := range hosts {
+		a.done.Go(func() { a.run(h) })
+	}
+	return a
+}
+
+// Close announces to every entry host that the server is leaving, and waits.
+func (a *Announcer) Close() {
+	close(a.stop)
+	a.done.Wait()
+	a.transport.CloseIdleConnections()
+}
+
+func (a *Announcer) run(host string) {
+	ticker := time.NewTicker(a.every)
+	defer ticker.Stop()
+	for {
+		if !a.paused() {
+			a.post(host, a.announcement(), a.every)
+		}
+		select {
+		case <-ticker.C:
+		case <-a.stop:
+			leaving := a.announcement()
+			leaving.Leaving = true
+			a.post(host, leaving, leaveTimeout)
+			return
+		}
+	}
+}
+
+func (a *Announcer) post(host string, m membership.Announcement, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := a.send(ctx, host, m); err != nil {
+		a.onError(host, err)
+	}
+}
+
+func (a *Announcer) send(ctx context.Context, host string, m membership.Announcement) error {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("write announcement: %w", err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/servers", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("entry host %q: %w", host, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := backend.Do(a.transport, r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return backend.Refusal(resp)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const maxBodyBytes = 64 << 20
+
+// ReadBody reads a request body. When it cannot, it answers the request and
+// returns false.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		return body, true
+	}
+	reason := verdict.BadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		reason = verdict.TooLarge
+	}
+	verdict.New(verdict.NotRun, reason, "request body cannot be read", verdict.WithCause(err)).Write(w)
+	return nil, false
+}
+
+// ReadJSON reads a JSON request body into v. When it cannot, it answers the
+// request and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, ok := ReadBody(w, r)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		verdict.New(verdict.NotRun, verdict.BadRequest, "request body is not valid JSON", verdict.WithCause(err)).Write(w)
+		return false
+	}
+	return true
+}
+
+// WriteJSON answers a request with a JSON body.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
