settings: add strict reading of settings files

Operators mistype keys, and encoding/json ignores unknown keys, accepts keys in any case and keeps the last of two equal keys. The new package strictjson walks the text next to the Go type and reports the first fault with line, column, field, value and what is allowed. It is apart from settings because the caller and operator APIs read requests the same way.

--- /dev/null
+++ b/settings/control.go
@@ -0,0 +1,52 @@
+package settings
+
+import "github.com/sycamoreline/sycamoreline/strictjson"
+
+// Control is the settings of a control host.
+type Control struct {
+	ID                string        `json:"id"`
+	DataCentre        string        `json:"data-centre"`
+	Listen            string        `json:"listen"`
+	ControlHosts      []ControlHost `json:"control-hosts"` // this host included
+	GroupCount        int           `json:"group-count"`   // program groups, without group 0
+	DataFolder        string        `json:"data-folder"`
+	ExpectData        bool          `json:"expect-data"` // refuse to start with an empty data folder
+	DeploymentKeyFile string        `json:"deployment-key-file"`
+	LeaseTTL          Duration      `json:"lease-ttl"`
+	LogLevel          string        `json:"log-level"`
+	TLS
+}
+
+func (c Control) withDefaults() Control {
+	c.LeaseTTL = Duration(c.LeaseTTL.Or(DefaultLeaseTTL))
+	c.GroupCount = or(c.GroupCount, DefaultGroupCount)
+	c.LogLevel = or(c.LogLevel, DefaultLogLevel)
+	return c
+}
+
+// Check fills in defaults and says what is wrong, if anything.
+func (c *Control) Check() error {
+	*c = c.withDefaults()
+	return first(
+		checkID("id", c.ID),
+		checkID("data-centre", c.DataCentre),
+		checkAddress("listen", c.Listen),
+		checkControlHosts(c.ControlHosts),
+		c.checkSelf(),
+		checkRange("group-count", c.GroupCount, 1, 1024),
+		checkFile("data-folder", c.DataFolder),
+		checkFile("deployment-key-file", c.DeploymentKeyFile),
+		checkLeaseTTL(c.LeaseTTL),
+		checkLogLevel(c.LogLevel),
+		c.checkFiles(),
+	)
+}
+
+func (c *Control) checkSelf() error {
+	for _, h := range c.ControlHosts {
+		if h.ID == c.ID {
+			return nil
+		}
+	}
+	return strictjson.Invalid("id", c.ID, `want the id of one of "control-hosts"`)
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
+
+// Defaults of settings that may be left out.
+const (
+	DefaultLeaseTTL         = 1500 * time.Millisecond
+	DefaultMaxTokens        = 512
+	DefaultBodyBytes  int64 = 8 << 20
+	DefaultDrainDelay       = 2 * time.Second
+	DefaultGroupCount       = 4
+	DefaultLogLevel         = "info"
+)
+
+// Entry is the settings of an entry host.
+type Entry struct {
+	ID                string        `json:"id"`
+	DataCentre        string        `json:"data-centre"`
+	Listen            string        `json:"listen"`          // callers and backend servers
+	OperatorListen    string        `json:"operator-listen"` // operators, health and metrics
+	ControlHosts      []ControlHost `json:"control-hosts"`
+	GroupCount        int           `json:"group-count"` // program groups, without group 0
+	DeploymentKeyFile string        `json:"deployment-key-file"`
+	CredentialsFile   string        `json:"credentials-file"`
+	LeaseTTL          Duration      `json:"lease-ttl"`
+	DrainDelay        Duration      `json:"drain-delay"` // time for the balancer to notice
+	LogLevel          string        `json:"log-level"`
+	DefaultMaxTokens  int           `json:"default-max-tokens"`
+	MaxBodyBytes      int64         `json:"max-body-bytes"`
+	TLS
+}
+
+// withDefaults fills in what the file left out.
+func (e Entry) withDefaults() Entry {
+	e.LeaseTTL = Duration(e.LeaseTTL.Or(DefaultLeaseTTL))
+	e.DrainDelay = Duration(e.DrainDelay.Or(DefaultDrainDelay))
+	e.GroupCount = or(e.GroupCount, DefaultGroupCount)
+	e.DefaultMaxTokens = or(e.DefaultMaxTokens, DefaultMaxTokens)
+	e.MaxBodyBytes = or(e.MaxBodyBytes, DefaultBodyBytes)
+	e.LogLevel = or(e.LogLevel, DefaultLogLevel)
+	return e
+}
+
+// Check fills in defaults and says what is wrong, if anything.
+func (e *Entry) Check() error {
+	*e = e.withDefaults()
+	return first(
+		checkID("id", e.ID),
+		checkID("data-centre", e.DataCentre),
+		checkAddress("listen", e.Listen),
+		checkAddress("operator-listen", e.OperatorListen),
+		e.checkListen(),
+		checkControlHosts(e.ControlHosts),
+		checkRange("group-count", e.GroupCount, 1, 1024),
+		checkFile("deployment-key-file", e.DeploymentKeyFile),
+		checkFile("credentials-file", e.CredentialsFile),
+		checkLeaseTTL(e.LeaseTTL),
+		checkLogLevel(e.LogLevel),
+		checkRange("default-max-tokens", e.DefaultMaxTokens, 1, 1<<20),
+		checkRange("max-body-bytes", e.MaxBodyBytes, 1<<10, 1<<30),
+		e.checkFiles(),
+	)
+}
+
+func (e *Entry) checkListen() error {
+	if e.Listen == e.OperatorListen {
+		return strictjson.Invalid("operator-listen", e.OperatorListen, `want an address other than that of "listen"`)
+	}
+	return nil
+}
+
+func checkLeaseTTL(ttl Duration) error {
+	if ttl.D() < 100*time.Millisecond || ttl.D() > time.Minute {
+		return strictjson.Invalid("lease-ttl", ttl.String(), "want 100ms to 1m")
+	}
+	return nil
+}
+
+func or[T comparable](value, def T) T {
+	var zero T
+	if value == zero {
+		return def
+	}
+	return value
+}
--- /dev/null
+++ b/strictjson/decode.go
@@ -0,0 +1,78 @@
+// Package strictjson decodes JSON and rejects whatever it does not know:
+// unknown and repeated keys, wrong types, invalid UTF-8, and data after the
+// value. Each error names the position, the field, the value and what is
+// allowed.
+package strictjson
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"unicode/utf8"
+)
+
+// Checker is implemented by types with rules that their field types do not
+// express. Check returns an error made by Invalid, or nil.
+type Checker interface {
+	Check() error
+}
+
+// Decode reads one JSON value into a T. The source names the text in errors.
+// If T implements Checker, its rules are applied last. Every error is an
+// *Error.
+func Decode[T any](source string, data []byte) (T, error) {
+	var value T
+	checker, checks := any(&value).(Checker)
+	w := newWalker(source, data)
+	if checks {
+		w.offsets = map[string]int64{}
+	}
+	if err := w.all(reflect.TypeFor[T]()); err != nil {
+		return value, err
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		return value, &Error{Position: positionAt(source, data, 0), Allowed: err.Error()}
+	}
+	if checks {
+		return value, w.locate(checker.Check())
+	}
+	return value, nil
+}
+
+func (w *walker) all(t reflect.Type) error {
+	if at := invalidUTF8(w.data); at >= 0 {
+		return w.fail(int64(at), "", "", "the text must be valid UTF-8")
+	}
+	if err := w.value(t, ""); err != nil {
+		return err
+	}
+	return w.end()
+}
+
+func invalidUTF8(data []byte) int {
+	if utf8.Valid(data) {
+		return -1
+	}
+	for i := 0; i < len(data); {
+		r, n := utf8.DecodeRune(data[i:])
+		if r == utf8.RuneError && n == 1 {
+			return i
+		}
+		i += n
+	}
+	return -1
+}
+
+// locate adds the position of the field to an error of Check.
+func (w *walker) locate(err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if !errors.As(err, &e) {
+		return &Error{Position: positionAt(w.source, w.data, 0), Allowed: err.Error()}
+	}
+	located := *e
+	located.Position = positionAt(w.source, w.data, w.offsets[e.Field])
+	return &located
+}
