--- /dev/null
+++ b/credential/store.go
@@ -0,0 +1,187 @@
+package credential
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io/fs"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
+
+// reloadInterval is how often the file is looked at for a change.
+const reloadInterval = time.Second
+
+// Store holds the credentials of one file and reads it again when it changes.
+// A file that turns invalid leaves the last valid credentials in force.
+type Store struct {
+	path     string
+	now      func() time.Time
+	onReload func(error)
+
+	mu      sync.RWMutex
+	holders []holder
+	known   map[[sha256.Size]byte]Identity // argon2id credentials found before
+	checked time.Time
+	stamp   stamp
+
+	slow sync.Mutex // one argon2id check at a time bounds their memory
+}
+
+type holder struct {
+	identity Identity
+	hash     matcher
+}
+
+// stamp tells one state of a file from the next.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Option sets an optional part of a Store.
+type Option func(*Store)
+
+// WithClock replaces time.Now.
+func WithClock(now func() time.Time) Option { return func(s *Store) { s.now = now } }
+
+// WithReloadHook is told of each reload of a changed file: nil, or what is
+// wrong with the file.
+func WithReloadHook(f func(error)) Option { return func(s *Store) { s.onReload = f } }
+
+// Open reads a credentials file.
+func Open(path string, opts ...Option) (*Store, error) {
+	s := &Store{path: path, now: time.Now, onReload: func(error) {}}
+	for _, o := range opts {
+		o(s)
+	}
+	s.checked = s.now()
+	s.stamp, _ = readStamp(path)
+	if err := s.load(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Find returns the holder of a credential.
+func (s *Store) Find(credential string) (Identity, bool) {
+	s.refresh()
+	if credential == "" {
+		return Identity{}, false
+	}
+	sum := sha256.Sum256([]byte(credential))
+	s.mu.RLock()
+	holders := s.holders
+	identity, ok := s.known[sum]
+	s.mu.RUnlock()
+	if ok {
+		return identity, true
+	}
+	if identity, ok := findFast(holders, credential); ok {
+		return identity, true
+	}
+	return s.findSlow(holders, credential, sum)
+}
+
+// findFast compares with every SHA-256 hash, so that the time taken does not
+// depend on which one matches.
+func findFast(holders []holder, credential string) (Identity, bool) {
+	var found Identity
+	var ok bool
+	for _, h := range holders {
+		if _, fast := h.hash.(sha256Hash); fast && h.hash.matches(credential) {
+			found, ok = h.identity, true
+		}
+	}
+	return found, ok
+}
+
+func (s *Store) findSlow(holders []holder, credential string, sum [sha256.Size]byte) (Identity, bool) {
+	s.slow.Lock()
+	defer s.slow.Unlock()
+	for _, h := range holders {
+		if _, fast := h.hash.(sha256Hash); !fast && h.hash.matches(credential) {
+			s.remember(holders, sum, h.identity)
+			return h.identity, true
+		}
+	}
+	return Identity{}, false
+}
+
+// remember spares later calls the argon2id check. Results found with holders
+// that a reload has replaced meanwhile are dropped.
+func (s *Store) remember(holders []holder, sum [sha256.Size]byte, identity Identity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(holders) > 0 && len(s.holders) > 0 && &holders[0] == &s.holders[0] {
+		s.known[sum] = identity
+	}
+}
+
+func (s *Store) refresh() {
+	now := s.now()
+	s.mu.Lock()
+	if now.Sub(s.checked) < reloadInterval {
+		s.mu.Unlock()
+		return
+	}
+	s.checked = now
+	current, err := readStamp(s.path)
+	changed := err == nil && current != s.stamp
+	if changed {
+		s.stamp = current
+	}
+	s.mu.Unlock()
+	if changed {
+		s.onReload(s.load())
+	}
+}
+
+func (s *Store) load() error {
+	data, err := os.ReadFile(s.path)
+	if err != nil {
+		var p *fs.PathError
+		if errors.As(err, &p) {
+			err = p.Err
+		}
+		return &strictjson.Error{
+			Position: strictjson.Position{Source: s.path},
+			Allowed:  "cannot read the file: " + err.Error(),
+		}
+	}
+	holders, err := parse(s.path, data)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holders = holders
+	s.known = map[[sha256.Size]byte]Identity{}
+	return nil
+}
+
+func parse(path string, data []byte) ([]holder, error) {
+	f, err := strictjson.Decode[file](path, data)
+	if err != nil {
+		return nil, err
+	}
+	holders := make([]holder, 0, len(f.Credentials))
+	for _, e := range f.Credentials {
+		hash, err := e.matcher()
+		if err != nil {
+			return nil, err
+		}
+		holders = append(holders, holder{identity: e.identity(), hash: hash})
+	}
+	return holders, nil
+}
+
+func readStamp(path string) (stamp, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return stamp{}, err
+	}
+	return stamp{modified: info.ModTime(), size: info.Size()}, nil
+}
