--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,122 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/engine"
+)
+
+// answerID is the same for every delivery of an answer.
+func answerID(c dispatch.ModelCall) string {
+	return derive("chatcmpl-", c.Program, c.Key)
+}
+
+func setCall(w http.ResponseWriter, call int) {
+	w.Header().Set(HeaderCall, strconv.Itoa(call))
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func newUsage(u engine.Usage) usage {
+	out := usage{
+		PromptTokens:     u.PromptTokens,
+		CompletionTokens: u.OutputTokens,
+		TotalTokens:      u.PromptTokens + u.OutputTokens,
+	}
+	out.Details.CachedTokens = u.CachedTokens
+	return out
+}
+
+type choice struct {
+	Index        int           `json:"index"`
+	Message      choiceMessage `json:"message"`
+	FinishReason string        `json:"finish_reason"`
+}
+
+type choiceMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionBody struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   usage    `json:"usage"`
+}
+
+// completion is a whole answer in the OpenAI format.
+func completion(id string, a dispatch.ModelAnswer) completionBody {
+	return completionBody{
+		ID:      id,
+		Object:  "chat.completion",
+		Created: a.Created,
+		Model:   a.Model,
+		Choices: []choice{{
+			Message:      choiceMessage{Role: "assistant", Content: a.Text},
+			FinishReason: a.FinishReason,
+		}},
+		Usage: newUsage(a.Usage),
+	}
+}
+
+// chunkHead is what all chunks of a stream begin with, written once per
+// stream because it is the greater part of each chunk.
+type chunkHead struct {
+	id    string
+	bytes []byte
+}
+
+func newChunkHead(id, model string, created int64) chunkHead {
+	b := append([]byte(`data: {"id":"`), id...)
+	b = append(b, `","object":"chat.completion.chunk","created":`...)
+	b = strconv.AppendInt(b, created, 10)
+	b = append(b, `,"model":`...)
+	b = appendString(b, model)
+	return chunkHead{id: id, bytes: b}
+}
+
+func (h chunkHead) appendText(b []byte, text string, first bool) []byte {
+	b = append(b, h.bytes...)
+	b = append(b, `,"choices":[{"index":0,"delta":{`...)
+	if first {
+		b = append(b, `"role":"assistant",`...)
+	}
+	b = append(b, `"content":`...)
+	b = appendString(b, text)
+	return append(b, "},\"finish_reason\":null}]}\n\n"...)
+}
+
+func (h chunkHead) appendFinish(b []byte, reason string) []byte {
+	b = append(b, h.bytes...)
+	b = append(b, `,"choices":[{"index":0,"delta":{},"finish_reason":`...)
+	b = appendString(b, reason)
+	return append(b, "}]}\n\n"...)
+}
+
+func (h chunkHead) appendUsage(b []byte, u engine.Usage) []byte {
+	// A struct of numbers can always be written.
+	data, _ := json.Marshal(newUsage(u))
+	b = append(b, h.bytes...)
+	b = append(b, `,"choices":[],"usage":`...)
+	b = append(b, data...)
+	return append(b, "}\n\n"...)
+}
+
+func appendString(b []byte, s string) []byte {
+	// A string can always be written.
+	data, _ := json.Marshal(s)
+	return append(b, data...)
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,147 @@
+// Package caller is the HTTP API for callers: chat completions in the OpenAI
+// format, and programs with their calls. It reads and checks requests, hands
+// them to a Dispatcher, and writes answers, streams and errors.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/credential"
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/ledger"
+)
+
+// Dispatcher carries out what callers ask for. Errors are verdict errors; any
+// other error counts as may-have-run.
+type Dispatcher interface {
+	OpenProgram(ctx context.Context, c ledger.OpenProgram) (ledger.ProgramState, error)
+	// Model makes a model call. A nil sink means that the answer is wanted
+	// whole. The sink of a call whose answer is already recorded receives no
+	// tokens.
+	Model(ctx context.Context, c dispatch.ModelCall, s dispatch.Sink) (dispatch.ModelAnswer, error)
+	Tool(ctx context.Context, c dispatch.ToolCall) (dispatch.ToolAnswer, error)
+	EndProgram(ctx context.Context, c ledger.EndProgram) (ledger.ProgramState, error)
+	Program(ctx context.Context, team, program string) (ledger.ProgramState, error)
+	History(ctx context.Context, team, program string, from, limit int) ([]ledger.Message, error)
+}
+
+// Authenticator finds the holder of a credential.
+type Authenticator interface {
+	Find(credential string) (credential.Identity, bool)
+}
+
+// Gate refuses new programs while the host drains.
+type Gate interface {
+	// Enter returns nil and counts a request in, or refuses it. Requests of
+	// programs that are already open are let in for as long as possible.
+	Enter(newProgram bool) error
+	Leave()
+}
+
+const (
+	defaultMaxTokens    = 512
+	defaultBodyBytes    = 8 << 20
+	defaultBodyTimeout  = 30 * time.Second
+	defaultWriteTimeout = 30 * time.Second
+	// defaultDeadline bounds programs that name no deadline.
+	defaultDeadline = time.Hour
+	// singleDeadline bounds the program around a single call.
+	singleDeadline = 10 * time.Minute
+	// endTimeout bounds the ending of a single call's program, which goes on
+	// after the caller has left.
+	endTimeout = 5 * time.Second
+	// framingTokens bounds what an engine adds around a message.
+	framingTokens = 64
+)
+
+type api struct {
+	dispatcher   Dispatcher
+	auth         Authenticator
+	gate         Gate
+	log          *zap.Logger
+	now          func() time.Time
+	newID        func() string
+	maxTokens    int
+	bodyBytes    int64
+	bodyTimeout  time.Duration
+	writeTimeout time.Duration
+}
+
+// Option sets an optional part of the API.
+type Option func(*api)
+
+// WithAuthenticator sets who is let in. Without it, every request is refused.
+func WithAuthenticator(a Authenticator) Option { return func(p *api) { p.auth = a } }
+
+// WithGate sets what refuses requests while the host drains.
+func WithGate(g Gate) Option { return func(p *api) { p.gate = g } }
+
+// WithLogger sets the log.
+func WithLogger(l *zap.Logger) Option { return func(p *api) { p.log = l } }
+
+// WithClock replaces time.Now.
+func WithClock(now func() time.Time) Option { return func(p *api) { p.now = now } }
+
+// WithIDs replaces the source of request ids and generated keys.
+func WithIDs(newID func() string) Option { return func(p *api) { p.newID = newID } }
+
+// WithDefaultMaxTokens bounds answers whose request names no bound.
+func WithDefaultMaxTokens(n int) Option { return func(p *api) { p.maxTokens = n } }
+
+// WithMaxBodyBytes bounds the size of request bodies.
+func WithMaxBodyBytes(n int64) Option { return func(p *api) { p.bodyBytes = n } }
+
+// WithBodyTimeout bounds the time a caller takes to send its body.
+func WithBodyTimeout(d time.Duration) Option { return func(p *api) { p.bodyTimeout = d } }
+
+// WithWriteTimeout bounds the time a caller takes to accept one write.
+func WithWriteTimeout(d time.Duration) Option { return func(p *api) { p.writeTimeout = d } }
+
+// New returns the HTTP API over a Dispatcher.
+func New(d Dispatcher, opts ...Option) http.Handler {
+	p := &api{
+		dispatcher:   d,
+		auth:         nobody{},
+		gate:         openGate{},
+		log:          zap.NewNop(),
+		now:          time.Now,
+		newID:        randomID,
+		maxTokens:    defaultMaxTokens,
+		bodyBytes:    defaultBodyBytes,
+		bodyTimeout:  defaultBodyTimeout,
+		writeTimeout: defaultWriteTimeout,
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p.router()
+}
+
+func (p *api) router() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.Handle("/v1/chat/completions", p.handle(p.chat)).Methods(http.MethodPost)
+	r.Handle("/v1/programs", p.handle(p.open)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}", p.handle(p.status)).Methods(http.MethodGet)
+	r.Handle("/v1/programs/{program}/history", p.handle(p.history)).Methods(http.MethodGet)
+	r.Handle("/v1/programs/{program}/calls", p.handle(p.modelCall)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/programs", p.handle(p.openSub)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/end", p.handle(p.end)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/tools/{service}/{operation}", p.handle(p.tool)).Methods(http.MethodPost)
+	r.NotFoundHandler = p.handle(notFound)
+	r.MethodNotAllowedHandler = p.handle(wrongMethod)
+	return r
+}
+
+type nobody struct{}
+
+func (nobody) Find(string) (credential.Identity, bool) { return credential.Identity{}, false }
+
+type openGate struct{}
+
+func (openGate) Enter(bool) error { return nil }
+func (openGate) Leave()           {}
--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,234 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Client calls entry hosts as a caller. Requests are resent under the same
+// idempotency key, to the next entry host, until they are answered or refused
+// for good.
+type Client struct {
+	entries    []string
+	credential string
+	http       *http.Client
+	attempts   int
+	wait       func(context.Context, time.Duration) error
+}
+
+// ClientOption sets an optional part of a Client.
+type ClientOption func(*Client)
+
+// WithHTTPClient replaces http.DefaultClient.
+func WithHTTPClient(c *http.Client) ClientOption { return func(p *Client) { p.http = c } }
+
+// WithAttempts bounds how often a request is sent.
+func WithAttempts(n int) ClientOption { return func(p *Client) { p.attempts = n } }
+
+// WithWait replaces the wait between two attempts.
+func WithWait(wait func(context.Context, time.Duration) error) ClientOption {
+	return func(p *Client) { p.wait = wait }
+}
+
+const (
+	defaultAttempts = 20
+	// defaultResendWait is the wait when the refusal has no hint.
+	defaultResendWait = 200 * time.Millisecond
+)
+
+// NewClient returns a client of the entry hosts with these base URLs.
+func NewClient(entries []string, credential string, opts ...ClientOption) *Client {
+	c := &Client{
+		entries:    entries,
+		credential: credential,
+		http:       http.DefaultClient,
+		attempts:   defaultAttempts,
+		wait:       waitFor,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+func waitFor(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Open opens a program, or a sub-program if parent is not empty.
+func (c *Client) Open(ctx context.Context, key, parent string, body any) (ledger.ProgramState, error) {
+	path := "/v1/programs"
+	if parent != "" {
+		path += "/" + parent + "/programs"
+	}
+	return sendJSON[ledger.ProgramState](ctx, c, outgoing{path: path, key: key, body: body})
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, program string, status ledger.ProgramStatus) (ledger.ProgramState, error) {
+	body := struct {
+		Status ledger.ProgramStatus `json:"status"`
+	}{status}
+	return sendJSON[ledger.ProgramState](ctx, c, outgoing{path: "/v1/programs/" + program + "/end", body: body})
+}
+
+// Model makes a model call of a program and returns its whole answer. If the
+// body asks for a stream, the stream is read to its end.
+func (c *Client) Model(ctx context.Context, program, key string, body any) (dispatch.ModelAnswer, error) {
+	var answer dispatch.ModelAnswer
+	err := c.send(ctx, outgoing{path: "/v1/programs/" + program + "/calls", key: key, body: body},
+		func(r *http.Response) error {
+			var err error
+			answer, err = readAnswer(r)
+			return err
+		})
+	return answer, err
+}
+
+// Tool makes a tool call of a program. A nil idempotent leaves it to the
+// service's announcement.
+func (c *Client) Tool(ctx context.Context, program, key, service, operation string, idempotent *bool, body any) (dispatch.ToolAnswer, error) {
+	o := outgoing{path: "/v1/programs/" + program + "/tools/" + service + "/" + operation, key: key, body: body}
+	if idempotent != nil {
+		o.header = http.Header{HeaderIdempotent: {strconv.FormatBool(*idempotent)}}
+	}
+	var answer dispatch.ToolAnswer
+	err := c.send(ctx, o, func(r *http.Response) error {
+		data, err := io.ReadAll(r.Body)
+		answer = dispatch.ToolAnswer{Call: callNumber(r), Status: r.StatusCode, Body: data}
+		return err
+	})
+	return answer, err
+}
+
+// outgoing is a request that can be sent more than once.
+type outgoing struct {
+	path   string
+	key    string
+	header http.Header
+	body   any
+}
+
+func sendJSON[T any](ctx context.Context, c *Client, o outgoing) (T, error) {
+	var answer T
+	err := c.send(ctx, o, func(r *http.Response) error {
+		return json.NewDecoder(r.Body).Decode(&answer)
+	})
+	return answer, err
+}
+
+// send sends a request until it is answered or refused for good.
+func (c *Client) send(ctx context.Context, o outgoing, read func(*http.Response) error) error {
+	body, err := json.Marshal(o.body)
+	if err != nil {
+		return err
+	}
+	for attempt := range c.attempts {
+		err = c.sendOnce(ctx, c.entries[attempt%len(c.entries)], o, body, read)
+		wait, again := resendAfter(err)
+		if !again || attempt == c.attempts-1 {
+			break
+		}
+		if waitErr := c.wait(ctx, wait); waitErr != nil {
+			break
+		}
+	}
+	return err
+}
+
+func (c *Client) sendOnce(ctx context.Context, entry string, o outgoing, body []byte, read func(*http.Response) error) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimSuffix(entry, "/")+o.path, bytes.NewReader(body))
+	if err != nil {
+		return notRun(verdict.BadRequest, "entry %q: %s", entry, err)
+	}
+	for name, values := range o.header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Authorization", "Bearer "+c.credential)
+	r.Header.Set("Content-Type", "application/json")
+	if o.key != "" {
+		r.Header.Set(HeaderKey, o.key)
+	}
+	answer, err := c.http.Do(r)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	defer answer.Body.Close()
+	if isRefusal(answer) {
+		return readRefusal(answer)
+	}
+	if err := read(answer); err != nil {
+		return broken(ctx, err)
+	}
+	return nil
+}
+
+// isRefusal tells an error of Sycamoreline from an error that a service
+// returned as its answer.
+func isRefusal(r *http.Response) bool {
+	return r.StatusCode >= http.StatusBadRequest && (r.Header.Get(verdict.HeaderReason) != "" || r.Header.Get(HeaderCall) == "")
+}
+
+func readRefusal(r *http.Response) error {
+	data, err := io.ReadAll(r.Body)
+	var e verdict.Error
+	if err == nil && json.Unmarshal(data, &e) == nil {
+		return &e
+	}
+	return verdict.Newf(verdict.MayHaveRun, verdict.Internal, "the entry host answered with status %d and no error body", r.StatusCode)
+}
+
+// broken is a connection that failed before the answer was complete. The
+// request may have run, and its key makes it safe to send it again.
+func broken(ctx context.Context, err error) error {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return err
+	}
+	reason := verdict.ServerFailed
+	if ctx.Err() != nil {
+		reason = verdict.Cancelled
+	}
+	return verdict.New(verdict.MayHaveRun, reason, "the connection to the entry host failed", verdict.WithCause(err))
+}
+
+// resendAfter says whether a request that failed should be sent again, and
+// after what time.
+func resendAfter(err error) (time.Duration, bool) {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return 0, false
+	}
+	if e.RetryAfter() > 0 {
+		return e.RetryAfter(), true
+	}
+	switch e.Reason() {
+	case verdict.ServerFailed, verdict.Overloaded, verdict.NoServer, verdict.LeaseExpired,
+		verdict.Draining, verdict.ControlUnavailable, verdict.CallInProgress:
+		return defaultResendWait, true
+	}
+	return 0, false
+}
+
+func callNumber(r *http.Response) int {
+	n, _ := strconv.Atoi(r.Header.Get(HeaderCall))
+	return n
+}
--- /dev/null
+++ b/caller/message.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
+
+var roles = []string{"system", "developer", "user", "assistant", "tool"}
+
+// message is a message in the OpenAI format. Only text is supported: what
+// the history cannot keep is rejected, so that nothing is lost unnoticed.
+type message struct {
+	ledger.Message
+	fault *strictjson.Error // first fault, with a field relative to the message
+}
+
+// UnmarshalJSON reads a message and records what is wrong with it.
+func (m *message) UnmarshalJSON(data []byte) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		m.fail("", string(data), "want an object with role and content")
+		return nil
+	}
+	for name, value := range fields {
+		switch name {
+		case "role":
+			m.readRole(value)
+		case "content":
+			m.readContent(value)
+		default:
+			// Clients repeat answers of an engine with fields such as
+			// "refusal" set to null.
+			if !isNull(value) {
+				m.fail(name, string(value), "want only role and content")
+			}
+		}
+	}
+	for _, name := range []string{"role", "content"} {
+		if fields[name] == nil {
+			m.fail(name, "", "the field is missing")
+		}
+	}
+	return nil
+}
+
+func (m *message) fail(field, value, allowed string) {
+	if m.fault == nil {
+		m.fault = &strictjson.Error{Field: field, Value: value, Allowed: allowed}
+	}
+}
+
+func (m *message) readRole(value json.RawMessage) {
+	if json.Unmarshal(value, &m.Role) != nil || !slices.Contains(roles, m.Role) {
+		m.fail("role", string(value), "want one of "+strings.Join(roles, ", "))
+	}
+}
+
+// readContent reads a string, or a list of parts that are all text.
+func (m *message) readContent(value json.RawMessage) {
+	if !isNull(value) && json.Unmarshal(value, &m.Content) == nil {
+		return
+	}
+	var parts []struct {
+		Type string  `json:"type"`
+		Text *string `json:"text"`
+	}
+	if isNull(value) || json.Unmarshal(value, &parts) != nil {
+		m.fail("content", string(value), "want a string or a list of text parts")
+		return
+	}
+	var text strings.Builder
+	for i, part := range parts {
+		if part.Type != "text" || part.Text == nil {
+			m.fail(fmt.Sprintf("content[%d]", i), part.Type, `want a part of type "text"`)
+			return
+		}
+		text.WriteString(*part.Text)
+	}
+	m.Content = text.String()
+}
+
+func isNull(value json.RawMessage) bool {
+	return bytes.Equal(bytes.TrimSpace(value), []byte("null"))
+}
+
+// historyOf returns the messages without their wire form.
+func historyOf(messages []message) ([]ledger.Message, error) {
+	if len(messages) == 0 {
+		return nil, strictjson.Invalid("messages", "[]", "want at least one message")
+	}
+	out := make([]ledger.Message, len(messages))
+	for i, m := range messages {
+		if m.fault != nil {
+			return nil, m.faultAt(i)
+		}
+		out[i] = m.Message
+	}
+	return out, nil
+}
+
+func (m *message) faultAt(i int) error {
+	e := *m.fault
+	prefix := fmt.Sprintf("messages[%d]", i)
+	if e.Field != "" {
+		prefix += "."
+	}
+	e.Field = prefix + e.Field
+	return &e
+}
--- /dev/null
+++ b/caller/model.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// modelCall is a model call in the program API: the body has only the new
+// messages.
+func (p *api) modelCall(w http.ResponseWriter, r *request) error {
+	program, err := r.program()
+	if err != nil {
+		return err
+	}
+	key, err := r.key()
+	if err != nil {
+		return err
+	}
+	data, err := p.body(w, r)
+	if err != nil {
+		return err
+	}
+	b, err := decodeCall(data)
+	if err != nil {
+		return err
+	}
+	if err := p.enter(false, false); err != nil {
+		return err
+	}
+	defer p.gate.Leave()
+	return p.answer(w, r, &b, p.identify(b.call(), r, program, key))
+}
+
+// chat is a chat completion, within a program or alone.
+func (p *api) chat(w http.ResponseWriter, r *request) error {
+	program := r.Header.Get(HeaderProgram)
+	if program != "" && !programPattern.MatchString(program) {
+		return invalidHeader(HeaderProgram, program, programAllowed)
+	}
+	key, err := r.optionalKey()
+	if err != nil {
+		return err
+	}
+	if program != "" && key == "" {
+		_, err := r.key()
+		return err
+	}
+	data, err := p.body(w, r)
+	if err != nil {
+		return err
+	}
+	b, err := decodeChat(data)
+	if err != nil {
+		return err
+	}
+	if err := p.enter(program == "", key == ""); err != nil {
+		return err
+	}
+	defer p.gate.Leave()
+	if program == "" {
+		return p.single(w, r, &b, key)
+	}
+	call := p.identify(b.call(), r, program, key)
+	call.WholeConversation = true
+	return p.answer(w, r, &b, call)
+}
+
+func (p *api) identify(c dispatch.ModelCall, r *request, program, key string) dispatch.ModelCall {
+	c.RequestID, c.Program, c.Team, c.Key = r.id, program, r.team, key
+	if c.MaxTokens == 0 {
+		c.MaxTokens = p.maxTokens
+	}
+	return c
+}
+
+// single opens and ends a program of one call around a chat completion. Its
+// id is derived from team and key, so that a resend to any host finds it.
+func (p *api) single(w http.ResponseWriter, r *request, b *modelBody, key string) error {
+	resendable := key != ""
+	if !resendable {
+		key = "k-" + p.newID()
+	}
+	call := p.identify(b.call(), r, derive("c-", r.team, key), key)
+	call.FirstSend = !resendable
+	_, err := p.dispatcher.OpenProgram(r.Context(), ledger.OpenProgram{
+		Program:  call.Program,
+		Team:     r.team,
+		Class:    ledger.Standard,
+		Budget:   ledger.Budget{Tokens: singleBudget(call), Calls: 1},
+		Deadline: p.now().Add(singleDeadline).UnixMilli(),
+		Key:      key,
+	})
+	if err != nil {
+		return refusal(err, call.FirstSend)
+	}
+	err = p.answer(w, r, b, call)
+	p.endSingle(r, call, resendable, err)
+	return err
+}
+
+// endSingle ends the program of a single call. A call that was refused or
+// whose outcome is open stays, so that a resend of its key can still run it
+// or learn the outcome; its deadline ends it otherwise.
+func (p *api) endSingle(r *request, call dispatch.ModelCall, resendable bool, callErr error) {
+	status := ledger.ProgramDone
+	if callErr != nil {
+		if resendable && verdict.Of(callErr) != verdict.Ran {
+			return
+		}
+		status = ledger.ProgramFailed
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), endTimeout)
+	defer cancel()
+	_, err := p.dispatcher.EndProgram(ctx, ledger.EndProgram{Program: call.Program, Team: call.Team, Status: status})
+	if err != nil {
+		p.log.Warn("single call: end program", zap.String("program", call.Program), zap.Error(err))
+	}
+}
+
+// singleBudget is at least the worst cost of a call: a token has one byte or
+// more, and each message costs a few tokens of framing.
+func singleBudget(c dispatch.ModelCall) int64 {
+	budget := int64(c.MaxTokens) + framingTokens
+	for _, m := range c.Messages {
+		budget += int64(len(m.Role)+len(m.Content)) + framingTokens
+	}
+	return budget
+}
+
+// answer makes the call and writes its answer, whole or as a stream. It
+// returns the error of the call even after it has written it to a stream.
+func (p *api) answer(w http.ResponseWriter, r *request, b *modelBody, call dispatch.ModelCall) error {
+	w.Header().Set(HeaderProgram, call.Program)
+	if b.stream {
+		return p.answerStream(w, r, b, call)
+	}
+	answer, err := p.dispatcher.Model(r.Context(), call, nil)
+	if err != nil {
+		return err
+	}
+	setCall(w, answer.Call)
+	return writeJSON(w, http.StatusOK, completion(answerID(call), answer))
+}
--- /dev/null
+++ b/caller/program.go
@@ -0,0 +1,260 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/strictjson"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const maxDeadlineSeconds = 30 * 24 * 3600
+
+// openBody is the body of a request that opens a program.
+type openBody struct {
+	Program         string        `json:"program,omitempty"`
+	Team            string        `json:"team,omitempty"`
+	Class           ledger.Class  `json:"class,omitempty"`
+	Budget          ledger.Budget `json:"budget"`
+	DeadlineSeconds *float64      `json:"deadline-seconds,omitempty"`
+	Parent          string        `json:"parent,omitempty"`
+}
+
+// Check rejects values that no program can have.
+func (b *openBody) Check() error {
+	switch {
+	case b.Program != "" && !programPattern.MatchString(b.Program):
+		return strictjson.Invalid("program", b.Program, programAllowed)
+	case b.Parent != "" && !programPattern.MatchString(b.Parent):
+		return strictjson.Invalid("parent", b.Parent, programAllowed)
+	case b.Budget.Tokens < 1:
+		return strictjson.Invalid("budget.tokens", b.Budget.Tokens, "want 1 or more")
+	case b.Budget.Calls < 1:
+		return strictjson.Invalid("budget.calls", b.Budget.Calls, "want 1 or more")
+	}
+	switch b.Class {
+	case "", ledger.Interactive, ledger.Standard, ledger.Batch:
+	default:
+		return strictjson.Invalid("class", string(b.Class), "want interactive, standard or batch")
+	}
+	if d := b.DeadlineSeconds; d != nil && (*d <= 0 || *d > maxDeadlineSeconds) {
+		return strictjson.Invalid("deadline-seconds", *d, fmt.Sprintf("want more than 0 and at most %d", maxDeadlineSeconds))
+	}
+	return nil
+}
+
+func (p *api) open(w http.ResponseWriter, r *request) error {
+	return p.openProgram(w, r, "")
+}
+
+func (p *api) openSub(w http.ResponseWriter, r *request) error {
+	parent, err := r.program()
+	if err != nil {
+		return err
+	}
+	return p.openProgram(w, r, parent)
+}
+
+func (p *api) openProgram(w http.ResponseWriter, r *request, parent string) error {
+	key, err := r.key()
+	if err != nil {
+		return err
+	}
+	data, err := p.body(w, r)
+	if err != nil {
+		return err
+	}
+	b, err := decode[openBody](data)
+	if err != nil {
+		return err
+	}
+	if b.Team != "" && b.Team != r.team {
+		return notRun(verdict.Forbidden, "field \"team\": value %q: the credential belongs to team %q", shorten(b.Team), r.team)
+	}
+	if parent != "" && b.Parent != "" && b.Parent != parent {
+		return invalid("parent", b.Parent, "want the program of the path or nothing")
+	}
+	if parent == "" {
+		parent = b.Parent
+	}
+	command, err := p.openCommand(r, key, parent, b)
+	if err != nil {
+		return err
+	}
+	if err := p.gate.Enter(parent == ""); err != nil {
+		return err
+	}
+	defer p.gate.Leave()
+	state, err := p.dispatcher.OpenProgram(r.Context(), command)
+	if err != nil {
+		return err
+	}
+	return writeProgram(w, http.StatusCreated, state)
+}
+
+// openCommand fills in what the caller left out. Without an id of its own, a
+// program gets one derived from team and key, so that a resend finds it.
+func (p *api) openCommand(r *request, key, parent string, b openBody) (ledger.OpenProgram, error) {
+	command := ledger.OpenProgram{
+		Program: b.Program, Team: r.team, Class: b.Class, Budget: b.Budget, Parent: parent, Key: key,
+	}
+	if command.Program == "" {
+		command.Program = derive("p-", r.team, parent, key)
+	}
+	if b.DeadlineSeconds != nil {
+		command.Deadline = p.now().Add(time.Duration(*b.DeadlineSeconds * float64(time.Second))).UnixMilli()
+	}
+	if parent != "" && (command.Class == "" || command.Deadline == 0) {
+		if err := p.inherit(r, &command); err != nil {
+			return command, err
+		}
+	}
+	if command.Class == "" {
+		command.Class = ledger.Standard
+	}
+	if command.Deadline == 0 {
+		command.Deadline = p.now().Add(defaultDeadline).UnixMilli()
+	}
+	return command, nil
+}
+
+// inherit takes class and deadline from the parent.
+func (p *api) inherit(r *request, command *ledger.OpenProgram) error {
+	parent, err := p.dispatcher.Program(r.Context(), r.team, command.Parent)
+	if err != nil {
+		return err
+	}
+	if command.Class == "" {
+		command.Class = parent.Class
+	}
+	if command.Deadline == 0 {
+		command.Deadline = parent.Deadline
+	}
+	return nil
+}
+
+func (p *api) status(w http.ResponseWriter, r *request) error {
+	program, err := r.program()
+	if err != nil {
+		return err
+	}
+	state, err := p.dispatcher.Program(r.Context(), r.team, program)
+	if err != nil {
+		return err
+	}
+	return writeProgram(w, http.StatusOK, state)
+}
+
+// endBody is the optional body of a request that ends a program.
+type endBody struct {
+	Status ledger.ProgramStatus `json:"status"`
+	Reason string               `json:"reason"`
+}
+
+// Check rejects statuses that a caller cannot give a program.
+func (b *endBody) Check() error {
+	switch b.Status {
+	case "", ledger.ProgramDone, ledger.ProgramFailed:
+		return nil
+	}
+	return strictjson.Invalid("status", string(b.Status), "want ended or failed")
+}
+
+func (p *api) end(w http.ResponseWriter, r *request) error {
+	program, err := r.program()
+	if err != nil {
+		return err
+	}
+	data, err := p.body(w, r)
+	if err != nil {
+		return err
+	}
+	b := endBody{}
+	if len(data) > 0 {
+		if b, err = decode[endBody](data); err != nil {
+			return err
+		}
+	}
+	if b.Status == "" {
+		b.Status = ledger.ProgramDone
+	}
+	if err := p.gate.Enter(false); err != nil {
+		return err
+	}
+	defer p.gate.Leave()
+	state, err := p.dispatcher.EndProgram(r.Context(), ledger.EndProgram{
+		Program: program, Team: r.team, Status: b.Status, Reason: b.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	return writeProgram(w, http.StatusOK, state)
+}
+
+const (
+	defaultHistoryLimit = 100
+	maxHistoryLimit     = 1000
+)
+
+func (p *api) history(w http.ResponseWriter, r *request) error {
+	program, err := r.program()
+	if err != nil {
+		return err
+	}
+	from, err := r.number("from", 0, 0, 1<<31-1)
+	if err != nil {
+		return err
+	}
+	limit, err := r.number("limit", defaultHistoryLimit, 1, maxHistoryLimit)
+	if err != nil {
+		return err
+	}
+	messages, err := p.dispatcher.History(r.Context(), r.team, program, from, limit)
+	if err != nil {
+		return err
+	}
+	if messages == nil {
+		messages = []ledger.Message{}
+	}
+	w.Header().Set(HeaderProgram, program)
+	return writeJSON(w, http.StatusOK, struct {
+		Program  string           `json:"program"`
+		From     int              `json:"from"`
+		Next     int              `json:"next"`
+		Messages []ledger.Message `json:"messages"`
+	}{program, from, from + len(messages), messages})
+}
+
+// number returns a query parameter.
+func (r *request) number(name string, def, least, most int) (int, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return def, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < least || n > most {
+		return 0, invalid(name, shorten(text), fmt.Sprintf("want a whole number from %d to %d", least, most))
+	}
+	return n, nil
+}
+
+func writeProgram(w http.ResponseWriter, status int, state ledger.ProgramState) error {
+	w.Header().Set(HeaderProgram, state.Program)
+	return writeJSON(w, status, state)
+}
+
+// writeJSON writes an answer. It fails only if nothing has been written.
+func writeJSON(w http.ResponseWriter, status int, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+	return nil
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,185 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/sycamoreline/sycamoreline/credential"
+	"github.com/sycamoreline/sycamoreline/strictjson"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Header names of requests and answers.
+const (
+	HeaderProgram    = "Sycamoreline-Program"
+	HeaderCall       = "Sycamoreline-Call"
+	HeaderIdempotent = "Sycamoreline-Idempotent"
+	HeaderKey        = "Idempotency-Key"
+)
+
+// request is a request whose sender is known.
+type request struct {
+	*http.Request
+	id   string
+	team string
+}
+
+// handler answers a request. An error that it returns is written as the
+// answer, unless it is marked as written.
+type handler func(w http.ResponseWriter, r *request) error
+
+func (p *api) handle(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req := &request{Request: r, id: p.requestID(r)}
+		w.Header().Set(verdict.HeaderRequestID, req.id)
+		err := p.authenticate(req)
+		if err == nil {
+			err = h(w, req)
+		}
+		var done written
+		if err != nil && !errors.As(err, &done) {
+			verdict.From(err).WithRequestID(req.id).Write(w)
+		}
+	})
+}
+
+func (p *api) authenticate(r *request) error {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return notRun(verdict.Unauthorised, `header "Authorization": want "Bearer <credential>"`)
+	}
+	identity, ok := p.auth.Find(strings.TrimSpace(token))
+	if !ok {
+		return notRun(verdict.Unauthorised, `header "Authorization": the credential is not known`)
+	}
+	if identity.Scope != credential.Caller {
+		return notRun(verdict.Forbidden, "the credential has the scope %s; want caller", identity.Scope)
+	}
+	r.team = identity.Team
+	return nil
+}
+
+func notRun(reason verdict.Reason, format string, args ...any) error {
+	return verdict.Newf(verdict.NotRun, reason, format, args...)
+}
+
+func badRequest(err error) error {
+	return verdict.New(verdict.NotRun, verdict.BadRequest, err.Error())
+}
+
+func invalid(field string, value any, allowed string) error {
+	return badRequest(strictjson.Invalid(field, value, allowed))
+}
+
+func invalidHeader(name, value, allowed string) error {
+	return notRun(verdict.BadRequest, "header %q: value %q: %s", name, shorten(value), allowed)
+}
+
+// maxEchoBytes bounds how much of a wrong value an error repeats.
+const maxEchoBytes = 60
+
+func shorten(s string) string {
+	if len(s) <= maxEchoBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxEchoBytes], "") + "..."
+}
+
+var (
+	keyPattern     = regexp.MustCompile(`^[\x21-\x7e]{1,128}$`)
+	programPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+)
+
+const (
+	keyAllowed     = "want 1 to 128 visible ASCII characters"
+	programAllowed = `want 1 to 128 letters, digits and ".", "_", ":", "-", with a letter or digit first`
+	nameAllowed    = `want 1 to 128 letters, digits and ".", "_", "-", with a letter or digit first`
+)
+
+// key returns the idempotency key, which must be present.
+func (r *request) key() (string, error) {
+	key, err := r.optionalKey()
+	if err == nil && key == "" {
+		err = notRun(verdict.BadRequest, "header %q is missing: %s", HeaderKey, keyAllowed)
+	}
+	return key, err
+}
+
+func (r *request) optionalKey() (string, error) {
+	key := r.Header.Get(HeaderKey)
+	if key != "" && !keyPattern.MatchString(key) {
+		return "", invalidHeader(HeaderKey, key, keyAllowed)
+	}
+	return key, nil
+}
+
+// program returns the program id of the path.
+func (r *request) program() (string, error) {
+	id := mux.Vars(r.Request)["program"]
+	if !programPattern.MatchString(id) {
+		return "", invalid("program", id, programAllowed)
+	}
+	return id, nil
+}
+
+// name returns another variable of the path.
+func (r *request) name(variable string) (string, error) {
+	value := mux.Vars(r.Request)[variable]
+	if !namePattern.MatchString(value) {
+		return "", invalid(variable, value, nameAllowed)
+	}
+	return value, nil
+}
+
+// body reads the whole body within the limits of size and time.
+func (p *api) body(w http.ResponseWriter, r *request) ([]byte, error) {
+	if r.ContentLength > p.bodyBytes {
+		return nil, p.tooLarge(fmt.Sprintf("%d bytes", r.ContentLength))
+	}
+	control := http.NewResponseController(w)
+	// Recorders in tests have no deadlines, which does no harm.
+	_ = control.SetReadDeadline(p.now().Add(p.bodyTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.bodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return data, nil
+	case errors.As(err, &tooLarge):
+		return nil, p.tooLarge("more than the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, notRun(verdict.Timeout, "the request body took longer than %s", p.bodyTimeout)
+	default:
+		return nil, notRun(verdict.BadRequest, "the request body ends too early: %s", err)
+	}
+}
+
+func (p *api) tooLarge(size string) error {
+	return notRun(verdict.TooLarge, "the request body has %s: at most %d bytes are allowed", size, p.bodyBytes)
+}
+
+// decode reads a body strictly into a T.
+func decode[T any](data []byte) (T, error) {
+	value, err := strictjson.Decode[T]("body", data)
+	if err != nil {
+		return value, badRequest(err)
+	}
+	return value, nil
+}
+
+func notFound(_ http.ResponseWriter, r *request) error {
+	return notRun(verdict.BadRequest, "path %q: no such resource", shorten(r.URL.Path))
+}
+
+func wrongMethod(_ http.ResponseWriter, r *request) error {
+	return notRun(verdict.BadRequest, "method %q is not allowed on path %q", shorten(r.Method), shorten(r.URL.Path))
+}
--- /dev/null
+++ b/caller/tool.go
@@ -0,0 +1,85 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// tool is a routed call of a plain service.
+func (p *api) tool(w http.ResponseWriter, r *request) error {
+	call, err := p.decodeTool(w, r)
+	if err != nil {
+		return err
+	}
+	if err := p.enter(false, false); err != nil {
+		return err
+	}
+	defer p.gate.Leave()
+	answer, err := p.dispatcher.Tool(r.Context(), call)
+	if err != nil {
+		return err
+	}
+	return writeTool(w, call.Program, answer)
+}
+
+func (p *api) decodeTool(w http.ResponseWriter, r *request) (dispatch.ToolCall, error) {
+	call := dispatch.ToolCall{RequestID: r.id, Team: r.team}
+	var err error
+	if call.Program, err = r.program(); err != nil {
+		return call, err
+	}
+	if call.Service, err = r.name("service"); err != nil {
+		return call, err
+	}
+	if call.Operation, err = r.name("operation"); err != nil {
+		return call, err
+	}
+	if call.Key, err = r.key(); err != nil {
+		return call, err
+	}
+	if call.Idempotent, err = r.idempotent(); err != nil {
+		return call, err
+	}
+	data, err := p.body(w, r)
+	if err != nil {
+		return call, err
+	}
+	if len(data) == 0 {
+		data = []byte("{}")
+	}
+	if call.Body, err = decode[json.RawMessage](data); err != nil {
+		return call, err
+	}
+	call.Fingerprint = hash("tool", call.Service, call.Operation, string(data))
+	return call, nil
+}
+
+// idempotent returns nil if the service's announcement is to decide.
+func (r *request) idempotent() (*bool, error) {
+	text := r.Header.Get(HeaderIdempotent)
+	switch text {
+	case "":
+		return nil, nil
+	case "true", "false":
+		value := text == "true"
+		return &value, nil
+	}
+	return nil, invalidHeader(HeaderIdempotent, text, "want true or false")
+}
+
+// writeTool passes on the status and body of the service. The verdict tells
+// an error of the service from a refusal of Sycamoreline.
+func writeTool(w http.ResponseWriter, program string, answer dispatch.ToolAnswer) error {
+	h := w.Header()
+	h.Set(HeaderProgram, program)
+	h.Set(HeaderCall, strconv.Itoa(answer.Call))
+	h.Set(verdict.HeaderVerdict, verdict.Ran.String())
+	h.Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	return nil
+}
