--- /dev/null
+++ b/cmd/sycamoreline/main.go
@@ -0,0 +1,27 @@
+// Command sycamoreline runs the roles of Sycamoreline and the tools of its
+// callers and operators.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "sycamoreline")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.CommandsCommand(), "")
+	for _, c := range commands(os.Stdout, os.Stderr) {
+		commander.Register(c.command, c.group)
+	}
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
--- /dev/null
+++ b/cmd/sycamoreline/run.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/sycamoreline/sycamoreline/caller"
+)
+
+type runCommand struct {
+	output
+	entries    string
+	credential string
+	key        string
+	json       bool
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run a program file as a caller" }
+func (*runCommand) Usage() string {
+	return `sycamoreline run -entry URL[,URL...] -credential FILE [-key KEY] [-json] PROGRAM.json
+
+Opens the program, runs its steps in order and ends it, printing each step and
+its answer. Requests that fail are resent under the same idempotency key, to
+the next entry host. A run that is repeated with the same -key continues where
+it stopped.
+
+Example:
+  sycamoreline run -entry http://127.0.0.1:7201 \
+    -credential examples/local/caller.credential examples/local/program.json
+
+Flags:
+`
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.entries, "entry", "", "base URLs of the entry hosts, separated by commas")
+	f.StringVar(&c.credential, "credential", "", "file with the caller's credential")
+	f.StringVar(&c.key, "key", "", "prefix of the idempotency keys (default: random)")
+	f.BoolVar(&c.json, "json", false, "print one JSON object per line")
+}
+
+func (c *runCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 || c.entries == "" || c.credential == "" {
+		return c.usage("run: want -entry, -credential and one program file; see sycamoreline help run")
+	}
+	program, err := caller.ReadProgram(f.Arg(0))
+	if err != nil {
+		return c.usage("%s", err)
+	}
+	token, err := readToken(c.credential)
+	if err != nil {
+		return c.usage("run: %s", err)
+	}
+	if c.key == "" {
+		c.key = "run-" + rand.Text()
+	}
+	client := caller.NewClient(strings.Split(c.entries, ","), token)
+	if err := caller.NewRunner(client, c.key, c.report).Run(ctx, program); err != nil {
+		return c.failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// readToken reads a credential, which is the first line of its file.
+func readToken(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	token, _, _ := strings.Cut(string(data), "\n")
+	if token = strings.TrimSpace(token); token == "" {
+		return "", fmt.Errorf("%s: want a credential on the first line", path)
+	}
+	return token, nil
+}
+
+func (c *runCommand) report(e caller.Event) {
+	if c.json {
+		// Events consist of strings and numbers and can always be written.
+		data, _ := json.Marshal(e)
+		fmt.Fprintln(c.out, string(data))
+		return
+	}
+	printEvent(c.out, e)
+}
