--- a/control/client.go
+++ b/control/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	methodAnnounce  = "announce"
 	methodReplica   = "replica-message"
 	methodPresence  = "presence"
+	methodTakeOver  = "take-over"
+	methodInForce   = "in-force"
 	methodStatus    = "status"
 
 	// ConfigGroup is the log group of configuration, leases and fencing
@@ -81,8 +84,11 @@
 // GroupOf returns the log group of a program.
 func (c *Client) GroupOf(program string) int { return groupOf(program, c.groups) }
 
+// groupOf hashes the id up to the first "~", so that a sub-program is in the
+// group of its parent, whose budget it uses.
 func groupOf(program string, programGroups int) int {
-	return 1 + int(xxhash.Sum64String(program)%uint64(programGroups))
+	root, _, _ := strings.Cut(program, "~")
+	return 1 + int(xxhash.Sum64String(root)%uint64(programGroups))
 }
 
 type groupRequest struct {
--- /dev/null
+++ b/control/host.go
@@ -0,0 +1,281 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	// maintenanceInterval is the time between two looks at leases and timers.
+	maintenanceInterval = 50 * time.Millisecond
+	// proposeTimeout bounds commands that the host itself proposes.
+	proposeTimeout = 5 * time.Second
+)
+
+// HostConfig is what a control host needs.
+type HostConfig struct {
+	ID            string
+	Hosts         []Address // all control hosts, this one included
+	ProgramGroups int
+	DataFolder    string
+	LeaseTTL      time.Duration
+	Key           Key
+	ServerTLS     *tls.Config // nil for none
+	ClientTLS     *tls.Config // nil for none
+	Engines       Releaser
+}
+
+// Releaser asks engines to release the memory of ended programs.
+type Releaser interface {
+	Release(ctx context.Context, address, incarnation, program string) error
+}
+
+// Host is a control host: one replica of every log group, and the leases that
+// the leader of the configuration group grants.
+type Host struct {
+	config    HostConfig
+	logger    *zap.Logger
+	server    *Server
+	transport *transport
+	groups    []*replica.Group // by group number
+	members   *configMachine
+	programs  []*programMachine // by group number less 1
+	started   time.Time
+	presence  *presence
+
+	mu        sync.Mutex
+	leases    *membership.Leases
+	leaseTerm uint64 // term for which the leases were extended
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// StartHost starts a control host that accepts connections on the listener.
+func StartHost(c HostConfig, listener net.Listener, logger *zap.Logger, opts ...replica.Option) (*Host, error) {
+	h := &Host{
+		config:   c,
+		logger:   logger,
+		members:  newConfigMachine(),
+		started:  time.Now(),
+		presence: newPresence(c.LeaseTTL),
+	}
+	h.leases = membership.NewLeases(h.members.members, c.LeaseTTL)
+	h.transport = newTransport(h.peers())
+	if err := h.openGroups(append(opts, replica.WithLogger(logger))); err != nil {
+		return nil, errors.Join(err, h.closeGroups())
+	}
+	serverOpts := []ServerOption{WithServerLogger(logger)}
+	if c.ServerTLS != nil {
+		serverOpts = append(serverOpts, WithServerTLS(c.ServerTLS))
+	}
+	h.server = NewServer(c.Key, serverOpts...)
+	h.register()
+	h.server.Serve(listener)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.wait.Add(2)
+	go h.every(ctx, maintenanceInterval, h.maintainLeases)
+	go h.every(ctx, maintenanceInterval, h.maintainPrograms)
+	if c.Engines != nil {
+		h.wait.Add(1)
+		go h.every(ctx, releaseInterval, h.release)
+	}
+	return h, nil
+}
+
+func (h *Host) peers() []*Peer {
+	var peers []*Peer
+	for _, a := range h.config.Hosts {
+		if a.ID != h.config.ID {
+			peers = append(peers, newPeer(a.ID, a.Address, h.config.ID, h.config.Key, h.config.ClientTLS))
+		}
+	}
+	return peers
+}
+
+func (h *Host) openGroups(opts []replica.Option) error {
+	ids := make([]string, 0, len(h.config.Hosts))
+	for _, a := range h.config.Hosts {
+		ids = append(ids, a.ID)
+	}
+	for n := range h.config.ProgramGroups + 1 {
+		var machine replica.Machine = h.members
+		if n != ConfigGroup {
+			m := newProgramMachine()
+			h.programs = append(h.programs, m)
+			machine = m
+		}
+		dir := filepath.Join(h.config.DataFolder, "group-"+strconv.Itoa(n))
+		g, err := replica.Open(replica.Config{ID: h.config.ID, Peers: ids, Dir: dir}, machine,
+			groupTransport{t: h.transport, group: n}, opts...)
+		if err != nil {
+			return fmt.Errorf("log group %d: %w", n, err)
+		}
+		h.groups = append(h.groups, g)
+	}
+	return nil
+}
+
+// Close hands leadership over, stops and waits.
+func (h *Host) Close() error {
+	h.cancel()
+	h.wait.Wait()
+	err := h.closeGroups()
+	h.server.Close()
+	return err
+}
+
+// closeGroups closes all groups at once, since each may wait for another
+// replica to take over. The transport must outlive them.
+func (h *Host) closeGroups() error {
+	errs := make([]error, len(h.groups))
+	var wait sync.WaitGroup
+	for i, g := range h.groups {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			errs[i] = g.Close()
+		}()
+	}
+	wait.Wait()
+	h.transport.close()
+	return errors.Join(errs...)
+}
+
+// Failed returns a channel that is closed when a log group has stopped on its
+// own, for example after a failed write to disk.
+func (h *Host) Failed() <-chan struct{} {
+	failed := make(chan struct{})
+	var once sync.Once
+	for _, g := range h.groups {
+		go func() {
+			<-g.Done()
+			once.Do(func() { close(failed) })
+		}()
+	}
+	return failed
+}
+
+// Err returns why log groups have stopped, or nil.
+func (h *Host) Err() error {
+	errs := make([]error, 0, len(h.groups))
+	for _, g := range h.groups {
+		select {
+		case <-g.Done():
+			errs = append(errs, g.Err())
+		default:
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (h *Host) register() {
+	Handle(h.server, methodReplica, h.replicaMessage)
+	Handle(h.server, methodPropose, h.propose)
+	Handle(h.server, methodTakeOver, h.takeOver)
+	Handle(h.server, methodQuery, h.query)
+	Handle(h.server, methodHeartbeat, h.heartbeat)
+	Handle(h.server, methodPresence, h.present)
+	Handle(h.server, methodAnnounce, h.announce)
+	Handle(h.server, methodInForce, h.inForce)
+	Handle(h.server, methodStatus, h.status)
+}
+
+func (h *Host) replicaMessage(_ context.Context, _ string, m replicaMessage) (any, error) {
+	if m.Group < 0 || m.Group >= len(h.groups) {
+		return nil, verdict.Newf(verdict.NotRun, verdict.BadRequest, "no log group %d", m.Group)
+	}
+	h.groups[m.Group].Deliver(m.Message)
+	return nil, nil
+}
+
+// leading returns the group if this host leads it.
+func (h *Host) leading(group int) (*replica.Group, error) {
+	if group < 0 || group >= len(h.groups) {
+		return nil, verdict.Newf(verdict.NotRun, verdict.BadRequest,
+			"group: %d does not exist; want 0 to %d", group, len(h.groups)-1)
+	}
+	g := h.groups[group]
+	if _, ok := g.Leading(); !ok {
+		leader, _ := g.Leader()
+		return nil, &notLeaderError{leader: leader}
+	}
+	return g, nil
+}
+
+func (h *Host) propose(ctx context.Context, _ string, r groupRequest) (json.RawMessage, error) {
+	g, err := h.leading(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	return g.Propose(ctx, r.Body)
+}
+
+// takeOver lets a call be taken over only when its host has not been heard of
+// for the time of a lease.
+func (h *Host) takeOver(ctx context.Context, _ string, r takeOverRequest) (json.RawMessage, error) {
+	g, err := h.leading(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	if h.presence.alive(time.Now(), r.OldHost, r.OldIncarnation) {
+		return nil, verdict.Newf(verdict.MayHaveRun, verdict.CallInProgress,
+			"call %d runs on host %s", r.TakeOver.Call, r.OldHost)
+	}
+	return g.Propose(ctx, encode(ledger.Command{TakeOver: &r.TakeOver}))
+}
+
+func (h *Host) query(ctx context.Context, _ string, r groupRequest) (json.RawMessage, error) {
+	g, err := h.leading(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.Read(ctx); err != nil {
+		return nil, err
+	}
+	if r.Group == ConfigGroup {
+		return h.members.query(r.Body)
+	}
+	return h.programs[r.Group-1].query(r.Body), nil
+}
+
+// every runs f at an interval until the host is closed.
+func (h *Host) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	defer h.wait.Done()
+	for pause(ctx, interval) {
+		f(ctx)
+	}
+}
+
+// maintainPrograms proposes a tick in every led program group that has
+// something due.
+func (h *Host) maintainPrograms(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for i, m := range h.programs {
+		g := h.groups[i+1]
+		if _, ok := g.Leading(); !ok || !m.due(time.Now().UnixMilli()) {
+			continue
+		}
+		if _, err := g.Propose(ctx, encode(ledger.Command{Tick: &ledger.Tick{}})); err != nil {
+			h.logger.Debug("tick failed", zap.Int("group", i+1), zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/control/hostlease.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// configQuery asks the configuration group. Exactly one field is set.
+type configQuery struct {
+	Tree   *tree.Query       `json:"tree,omitempty"`
+	Member *membership.Query `json:"member,omitempty"`
+}
+
+func (m *configMachine) query(query []byte) (json.RawMessage, error) {
+	var q configQuery
+	if err := json.Unmarshal(query, &q); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "query cannot be read", verdict.WithCause(err))
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	switch {
+	case q.Tree != nil:
+		return encode(m.tree.Answer(*q.Tree)), nil
+	case q.Member != nil:
+		return encode(m.members.Answer(*q.Member)), nil
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "query is empty")
+	}
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// confirmLeases returns once this host is known to lead the configuration
+// group and its lease table covers every lease that an earlier leader may
+// have granted.
+func (h *Host) confirmLeases(ctx context.Context) error {
+	g, err := h.leading(ConfigGroup)
+	if err != nil {
+		return err
+	}
+	if err := g.Read(ctx); err != nil {
+		return err
+	}
+	return h.extendLeases()
+}
+
+// extendLeases extends all leases once in each term that this host leads.
+// The caller has confirmed leadership by a read.
+func (h *Host) extendLeases() error {
+	term, ok := h.groups[ConfigGroup].Leading()
+	if !ok {
+		return &notLeaderError{}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leaseTerm == term {
+		return nil
+	}
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	h.leases.Extend(h.now())
+	h.leaseTerm = term
+	return nil
+}
+
+// maintainLeases proposes the expiry of members whose lease has run out.
+func (h *Host) maintainLeases(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, ok := h.groups[ConfigGroup].Leading(); !ok {
+		return
+	}
+	if !h.hasLeases() {
+		if err := h.confirmLeases(ctx); err != nil {
+			return
+		}
+	}
+	expired := h.expired()
+	if len(expired) == 0 {
+		return
+	}
+	h.logger.Info("leases have run out", zap.Any("members", expired))
+	c := membership.Command{Expire: &membership.Expire{Members: expired}}
+	if _, err := h.groups[ConfigGroup].Propose(ctx, encode(configCommand{Member: &c})); err != nil {
+		h.logger.Info("expiry not recorded", zap.Error(err))
+	}
+}
+
+// hasLeases says whether the lease table belongs to the current term.
+func (h *Host) hasLeases() bool {
+	term, ok := h.groups[ConfigGroup].Leading()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return ok && h.leaseTerm == term
+}
+
+func (h *Host) expired() []membership.Member {
+	if !h.hasLeases() {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	return h.leases.Expired(h.now())
+}
+
+// renew renews a member's lease. It returns false for one that must join
+// first.
+func (h *Host) renew(m membership.Member) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	return h.leases.Renew(h.now(), m)
+}
+
+// proposeMember commits a membership command.
+func (h *Host) proposeMember(ctx context.Context, c membership.Command) error {
+	data, err := h.groups[ConfigGroup].Propose(ctx, encode(configCommand{Member: &c}))
+	if err != nil {
+		return err
+	}
+	var r membership.Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return err
+	}
+	if r.Refusal != nil {
+		return verdict.New(verdict.NotRun, r.Refusal.Reason, r.Refusal.Message)
+	}
+	return nil
+}
+
+func (h *Host) heartbeat(ctx context.Context, _ string, r heartbeatRequest) (heartbeatResponse, error) {
+	if err := h.confirmLeases(ctx); err != nil {
+		return heartbeatResponse{}, err
+	}
+	m := membership.Member{Kind: membership.HostMember, ID: r.Host.Host, Incarnation: r.Host.Incarnation}
+	if r.Leaving {
+		return heartbeatResponse{}, h.proposeMember(ctx, membership.Command{Expire: &membership.Expire{Members: []membership.Member{m}}})
+	}
+	if !h.renew(m) {
+		join := membership.Join{Host: r.Host.Host, Incarnation: r.Host.Incarnation, Address: r.Host.Address, DataCentre: r.Host.DataCentre}
+		if err := h.proposeMember(ctx, membership.Command{Join: &join}); err != nil {
+			return heartbeatResponse{}, err
+		}
+		if !h.renew(m) {
+			return heartbeatResponse{}, errExpiring()
+		}
+	}
+	return h.brief(m, r), nil
+}
+
+// errExpiring asks a member whose lease has run out to come back once the
+// expiry is recorded.
+func errExpiring() error {
+	return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the expiry of the old lease is being recorded",
+		verdict.WithRetryAfter(maintenanceInterval))
+}
+
+// brief returns everything that the host has not applied yet.
+func (h *Host) brief(m membership.Member, r heartbeatRequest) heartbeatResponse {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	h.leases.Applied(m, r.AppliedRevision)
+	return heartbeatResponse{
+		TTL:     h.config.LeaseTTL.Milliseconds(),
+		Config:  h.members.tree.Difference(r.AppliedRevision),
+		Members: h.members.members.Difference(r.MemberRevision),
+	}
+}
+
+func (h *Host) present(_ context.Context, _ string, r presenceRequest) (any, error) {
+	h.presence.note(time.Now(), r)
+	return nil, nil
+}
+
+// announceResponse grants a backend server its lease.
+type announceResponse struct {
+	TTL int64 `json:"ttl"` // milliseconds
+}
+
+func (h *Host) announce(ctx context.Context, _ string, a membership.Announcement) (announceResponse, error) {
+	if err := h.confirmLeases(ctx); err != nil {
+		return announceResponse{}, err
+	}
+	granted := announceResponse{TTL: h.config.LeaseTTL.Milliseconds()}
+	m := membership.Member{Kind: membership.ServerMember, ID: a.Server, Incarnation: a.Incarnation}
+	if h.isCurrent(a) && h.renew(m) {
+		return granted, nil
+	}
+	if err := h.proposeMember(ctx, membership.Command{Announce: &a}); err != nil {
+		return announceResponse{}, err
+	}
+	h.logger.Info("server announced", zap.String("server", a.Server), zap.String("incarnation", a.Incarnation),
+		zap.String("address", a.Address), zap.Bool("leaving", a.Leaving))
+	if !h.renew(m) {
+		return announceResponse{}, errExpiring()
+	}
+	return granted, nil
+}
+
+func (h *Host) isCurrent(a membership.Announcement) bool {
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	return h.members.members.IsCurrent(a)
+}
+
+// inForceRequest asks whether a configuration revision is in force on every
+// entry host.
+type inForceRequest struct {
+	Revision int64 `json:"revision"`
+}
+
+// InForce says whether a configuration revision is in force everywhere, and
+// which hosts are waited for.
+type InForce struct {
+	InForce bool                `json:"in-force"`
+	Waiting []membership.Member `json:"waiting,omitempty"`
+}
+
+func (h *Host) inForce(ctx context.Context, _ string, r inForceRequest) (InForce, error) {
+	if err := h.confirmLeases(ctx); err != nil {
+		return InForce{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.members.mu.RLock()
+	defer h.members.mu.RUnlock()
+	ok, waiting := h.leases.InForce(h.now(), r.Revision)
+	return InForce{InForce: ok, Waiting: waiting}, nil
+}
--- a/control/programs.go
+++ b/control/programs.go
@@ -91,9 +91,29 @@
 	return p.call(ctx, c.Program, ledger.Command{SettleCall: &c})
 }
 
-// TakeOver asks for the next attempt of a call whose host may be gone.
-func (p *Programs) TakeOver(ctx context.Context, c ledger.TakeOver) (ledger.CallState, error) {
-	return p.call(ctx, c.Program, ledger.Command{TakeOver: &c})
+// takeOverRequest asks for a take-over from a host that may be gone.
+type takeOverRequest struct {
+	Group          int             `json:"group"`
+	OldHost        string          `json:"old-host"`
+	OldIncarnation string          `json:"old-incarnation"`
+	TakeOver       ledger.TakeOver `json:"take-over"`
+}
+
+// TakeOver asks for the next attempt of a call. It is refused with the reason
+// call-in-progress while the control hosts hear of the call's present host.
+func (p *Programs) TakeOver(ctx context.Context, present ledger.CallState, c ledger.TakeOver) (ledger.CallState, error) {
+	group := p.client.GroupOf(c.Program)
+	request := takeOverRequest{
+		Group: group, OldHost: present.Host, OldIncarnation: present.HostIncarnation, TakeOver: c,
+	}
+	var r ledger.Result
+	if err := p.client.callLeader(ctx, methodTakeOver, group, request, &r); err != nil {
+		return ledger.CallState{}, err
+	}
+	if r.Call == nil {
+		return ledger.CallState{}, refusalError(r.Refusal)
+	}
+	return *r.Call, refusalError(r.Refusal)
 }
 
 // Program returns a program's state.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/ledger"
@@ -24,7 +27,8 @@
 	OpenCall(ctx context.Context, c ledger.OpenCall) (ledger.CallState, error)
 	MarkSent(ctx context.Context, c ledger.MarkSent) (ledger.CallState, error)
 	SettleCall(ctx context.Context, c ledger.SettleCall) (ledger.CallState, error)
-	TakeOver(ctx context.Context, c ledger.TakeOver) (ledger.CallState, error)
+	// TakeOver takes a call over from the host that the present state names.
+	TakeOver(ctx context.Context, present ledger.CallState, c ledger.TakeOver) (ledger.CallState, error)
 	Program(ctx context.Context, q ledger.ProgramQuery) (ledger.ProgramState, error)
 	Call(ctx context.Context, q ledger.CallQuery) (ledger.CallState, error)
 	History(ctx context.Context, q ledger.HistoryQuery) ([]ledger.Message, error)
@@ -37,14 +41,7 @@
 
 // Services makes calls of plain services.
 type Services interface {
-	Call(ctx context.Context, address, operation string, id ServiceCall, body []byte) (status int, answer []byte, err error)
-}
-
-// ServiceCall names one send of a tool call.
-type ServiceCall struct {
-	Program string
-	Call    int
-	Attempt int
+	Call(ctx context.Context, address, operation string, id backend.CallID, body []byte) (status int, answer []byte, err error)
 }
 
 // Timeouts of a call where nothing else is set.
@@ -72,11 +69,19 @@
 	metrics     tally.Scope
 	histories   *histories
 
+	requests atomic.Uint64
+
 	mu     sync.Mutex
 	closed bool
 	wait   sync.WaitGroup
 }
 
+// newRequest names one open or take-over, so that a repeated proposal whose
+// first answer was lost still gets the grant.
+func (d *Dispatcher) newRequest() string {
+	return strconv.FormatUint(d.requests.Add(1), 36)
+}
+
 // Option sets an optional part of a Dispatcher.
 type Option func(*Dispatcher)
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -118,7 +118,8 @@
 func (x *execution) doTakeOver(work context.Context) action {
 	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
 	defer cancel()
-	s, err := x.d.ledger.TakeOver(ctx, ledger.TakeOver{
+	s, err := x.d.ledger.TakeOver(ctx, x.c.state, ledger.TakeOver{
+		Request:         x.open.Request,
 		Program:         x.open.Program,
 		Call:            x.c.state.Call,
 		Attempt:         x.c.state.Attempt,
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -72,7 +72,7 @@
 			Program: m.Program, Team: m.Team, Key: m.Key, Fingerprint: m.Fingerprint,
 			Kind: ledger.ModelCall, Name: m.Model, Idempotent: true,
 			WorstTokens: int64(promptTokens + m.MaxTokens),
-			Host:        d.host, HostIncarnation: d.incarnation,
+			Host:        d.host, HostIncarnation: d.incarnation, Request: d.newRequest(),
 			Timeout:  defaultModelTimeout.Milliseconds(),
 			Messages: fresh,
 		},
@@ -99,7 +99,7 @@
 	if lookupErr == nil {
 		return nil, nil
 	}
-	if verdict.From(lookupErr).Reason() == verdict.UnknownCall {
+	if verdict.From(lookupErr).Reason() == ledger.UnknownKey {
 		v := verdict.From(err)
 		return nil, verdict.New(verdict.NotRun, v.Reason(), v.Message())
 	}
--- a/dispatch/tool.go
+++ b/dispatch/tool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -48,7 +49,7 @@
 		open: ledger.OpenCall{
 			Program: t.Program, Team: t.Team, Key: t.Key, Fingerprint: t.Fingerprint,
 			Kind: ledger.ToolCall, Name: name, Idempotent: idempotent,
-			Host: d.host, HostIncarnation: d.incarnation,
+			Host: d.host, HostIncarnation: d.incarnation, Request: d.newRequest(),
 			Timeout: timeout.Milliseconds(),
 		},
 		request: schedule.Request{
@@ -67,7 +68,7 @@
 }
 
 func (s *toolSender) send(ctx context.Context, a attempt) (sendResult, error) {
-	id := ServiceCall{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
+	id := backend.CallID{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
 	status, body, err := s.d.services.Call(ctx, a.server.Address, s.request.Operation, id, s.request.Body)
 	if err != nil {
 		return sendResult{}, err
--- a/replica/group.go
+++ b/replica/group.go
@@ -86,17 +86,18 @@
 	saved    *queue[disk.SnapshotInfo]
 	waiters  waiters
 
-	leader  atomic.Pointer[Ref]
-	closing chan struct{} // Close was called
-	stop    chan struct{} // the goroutines must end
-	done    chan struct{} // they have ended
-	stopped sync.Once
-	closed  sync.Once
-	failure error // set before stop is closed
-	busy    int   // writes under way; owned by the loop
-	reading map[uint64][]*request
-	readID  uint64
-	workers sync.WaitGroup
+	leader   atomic.Pointer[Ref]
+	leadTerm atomic.Uint64 // 0 when this replica does not lead
+	closing  chan struct{} // Close was called
+	stop     chan struct{} // the goroutines must end
+	done     chan struct{} // they have ended
+	stopped  sync.Once
+	closed   sync.Once
+	failure  error // set before stop is closed
+	busy     int   // writes under way; owned by the loop
+	reading  map[uint64][]*request
+	readID   uint64
+	workers  sync.WaitGroup
 }
 
 // maxInbox bounds the messages that wait; more are dropped, as on a network.
--- /dev/null
+++ b/replica/leadership.go
@@ -0,0 +1,18 @@
+package replica
+
+// Leading returns the term in which this replica leads the group, and false
+// if it does not lead. A later term means that another replica may have led
+// in between.
+func (g *Group) Leading() (term uint64, ok bool) {
+	term = g.leadTerm.Load()
+	return term, term != 0
+}
+
+// noteTerm publishes the term in which this replica leads.
+func (g *Group) noteTerm() {
+	term := uint64(0)
+	if g.node.Role() == Leader {
+		term = g.node.Term()
+	}
+	g.leadTerm.Store(term)
+}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -153,6 +153,7 @@
 // noteLeader publishes the leader, and answers the proposals whose outcome
 // became unknown when this replica stopped leading.
 func (g *Group) noteLeader() {
+	g.noteTerm()
 	leader, _ := g.node.Leader()
 	before := g.leader.Load()
 	if before != nil && *before == leader {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -55,7 +55,6 @@
 	Unauthorised         Reason = "unauthorised"
 	UnknownTeam          Reason = "unknown-team"
 	UnknownProgram       Reason = "unknown-program"
-	UnknownCall          Reason = "unknown-call"
 	UnknownModel         Reason = "unknown-model"
 	UnknownService       Reason = "unknown-service"
 	ProgramExists        Reason = "program-exists"
--- a/verdict/wire.go
+++ b/verdict/wire.go
@@ -91,7 +91,6 @@
 	UnknownTeam:          http.StatusNotFound,
 	UnknownProgram:       http.StatusNotFound,
 	UnknownModel:         http.StatusNotFound,
-	UnknownCall:          http.StatusNotFound,
 	UnknownService:       http.StatusNotFound,
 	ProgramExists:        http.StatusConflict,
 	ProgramEnded:         http.StatusConflict,
