--- a/caller/program.go
+++ b/caller/program.go
@@ -27,7 +27,7 @@
 // Check rejects values that no program can have.
 func (b *openBody) Check() error {
 	switch {
-	case b.Program != "" && !programPattern.MatchString(b.Program):
+	case b.Program != "" && !rootPattern.MatchString(b.Program):
 		return strictjson.Invalid("program", b.Program, programAllowed)
 	case b.Parent != "" && !programPattern.MatchString(b.Parent):
 		return strictjson.Invalid("parent", b.Parent, programAllowed)
@@ -105,6 +105,14 @@
 	if command.Program == "" {
 		command.Program = derive("p-", r.team, parent, key)
 	}
+	if parent != "" {
+		// Programs are assigned to log groups by the id up to the first "~", and
+		// a sub-program must be in its parent's group.
+		command.Program = parent + "~" + command.Program
+		if !programPattern.MatchString(command.Program) {
+			return command, invalid("program", command.Program, "want at most 256 characters with the parent's id")
+		}
+	}
 	if b.DeadlineSeconds != nil {
 		command.Deadline = p.now().Add(time.Duration(*b.DeadlineSeconds * float64(time.Second))).UnixMilli()
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -95,7 +95,8 @@
 
 var (
 	keyPattern     = regexp.MustCompile(`^[\x21-\x7e]{1,128}$`)
-	programPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+	programPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:~-]{0,255}$`)
+	rootPattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
 	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
 )
 
--- a/cmd/sycamoreline/commands.go
+++ b/cmd/sycamoreline/commands.go
@@ -5,10 +5,12 @@
 	"io"
 
 	"github.com/google/subcommands"
+	"go.uber.org/zap"
 )
 
 // Groups of the list of commands.
 const (
+	groupRole     = "roles"
 	groupCaller   = "for callers"
 	groupOperator = "for operators"
 )
@@ -23,6 +25,10 @@
 func commands(out, errs io.Writer) []registration {
 	o := output{out: out, errs: errs}
 	return []registration{
+		{&entryCommand{output: o}, groupRole},
+		{&controlCommand{output: o}, groupRole},
+		{&standInEngineCommand{output: o}, groupRole},
+		{&standInServiceCommand{output: o}, groupRole},
 		{&runCommand{output: o}, groupCaller},
 		{&checkCommand{output: o}, groupOperator},
 		{&versionCommand{output: o}, groupOperator},
@@ -35,6 +41,11 @@
 	errs io.Writer
 }
 
+// logger returns a constructor of loggers that write to the error output.
+func (o output) logger(level string) func(role, id string) (*zap.Logger, error) {
+	return func(role, id string) (*zap.Logger, error) { return newLogger(o.errs, level, role, id) }
+}
+
 // usage reports invalid usage or settings, with exit code 2.
 func (o output) usage(format string, args ...any) subcommands.ExitStatus {
 	fmt.Fprintf(o.errs, format+"\n", args...)
--- /dev/null
+++ b/cmd/sycamoreline/control.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/settings"
+)
+
+// controlModule is the role of a control host.
+func controlModule(s settings.Control, listen listenFunc, newLog func(role, id string) (*zap.Logger, error)) fx.Option {
+	return fx.Module("control "+s.ID, fx.Invoke(func(life fx.Lifecycle, stop fx.Shutdowner) error {
+		logger, err := newLog("control", s.ID)
+		if err != nil {
+			return err
+		}
+		key, err := control.ReadKey(s.DeploymentKeyFile)
+		if err != nil {
+			return err
+		}
+		var host *control.Host
+		life.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				listener, err := listen(s.Listen)
+				if err != nil {
+					return err
+				}
+				host, err = control.StartHost(control.HostConfig{
+					ID: s.ID, Hosts: controlAddresses(s.ControlHosts), ProgramGroups: s.GroupCount,
+					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key,
+				}, listener, logger)
+				if err != nil {
+					return err
+				}
+				go stopOnFailure(host, stop, logger)
+				logger.Info("control host started", zap.String("listen", s.Listen))
+				return nil
+			},
+			OnStop: func(context.Context) error {
+				return host.Close()
+			},
+		})
+		return nil
+	}))
+}
+
+// stopOnFailure ends the process when a log group has stopped, since a
+// replica that cannot write must not go on.
+func stopOnFailure(host *control.Host, stop fx.Shutdowner, logger *zap.Logger) {
+	<-host.Failed()
+	if err := host.Err(); err != nil {
+		logger.Error("log group stopped", zap.Error(err))
+		_ = stop.Shutdown(fx.ExitCode(int(subcommands.ExitFailure)))
+	}
+}
+
+func controlAddresses(hosts []settings.ControlHost) []control.Address {
+	addresses := make([]control.Address, 0, len(hosts))
+	for _, h := range hosts {
+		addresses = append(addresses, control.Address{ID: h.ID, Address: h.Address})
+	}
+	return addresses
+}
+
+type controlCommand struct {
+	output
+	path string
+}
+
+func (*controlCommand) Name() string     { return "control" }
+func (*controlCommand) Synopsis() string { return "run a control host" }
+func (*controlCommand) Usage() string {
+	return `sycamoreline control -settings FILE
+
+Runs a control host until it is interrupted. Logs go to standard error.
+
+Example:
+  sycamoreline control -settings examples/local/control-1.json
+
+Flags:
+`
+}
+
+func (c *controlCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file")
+}
+
+func (c *controlCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Read[settings.Control](c.path)
+	if err != nil {
+		return c.usage("%s", err)
+	}
+	return runRole(ctx, c.output, controlModule(s, listenTCP, c.logger(s.LogLevel)))
+}
--- /dev/null
+++ b/cmd/sycamoreline/entry.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"flag"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/board"
+	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/credential"
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/service"
+	"github.com/sycamoreline/sycamoreline/settings"
+)
+
+const metricsInterval = time.Second
+
+// entryModule is the role of an entry host. Its parts are private to it, so
+// that several entry hosts can share one app.
+func entryModule(s settings.Entry, listen listenFunc, newLog func(role, id string) (*zap.Logger, error)) fx.Option {
+	return fx.Module("entry "+s.ID,
+		fx.Provide(
+			func() (*zap.Logger, error) { return newLog("entry", s.ID) },
+			func() (*credential.Store, error) { return credential.Open(s.CredentialsFile) },
+			func(life fx.Lifecycle) (*control.Client, error) { return newControlClient(life, s) },
+			func() dispatch.Clock { return monotonicClock() },
+			board.New,
+			newMetrics,
+			newEngineClient,
+			newServiceClient,
+			func(life fx.Lifecycle, p dispatchParts) *dispatch.Dispatcher { return newDispatcher(life, s, p) },
+			fx.Private,
+		),
+		fx.Invoke(func(life fx.Lifecycle, p entryParts) error { return startEntry(life, s, listen, p) }),
+	)
+}
+
+func monotonicClock() dispatch.Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+func newControlClient(life fx.Lifecycle, s settings.Entry) (*control.Client, error) {
+	key, err := control.ReadKey(s.DeploymentKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	c := control.NewClient(s.ID, key, controlAddresses(s.ControlHosts), s.GroupCount)
+	life.Append(fx.StopHook(c.Close))
+	return c, nil
+}
+
+func newEngineClient(life fx.Lifecycle, logger *zap.Logger) *engine.Client {
+	c := engine.NewClient(engine.WithDrops(func(d engine.Drop) {
+		logger.Warn("answer event dropped", zap.Any("event", d))
+	}))
+	life.Append(fx.StopHook(c.Close))
+	return c
+}
+
+func newServiceClient(life fx.Lifecycle) *service.Client {
+	c := service.NewClient()
+	life.Append(fx.StopHook(c.Close))
+	return c
+}
+
+// metrics are the metrics of one entry host and their page.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+func newMetrics(life fx.Lifecycle) metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "sycamoreline", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
+		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
+	}, metricsInterval)
+	life.Append(fx.StopHook(closer.Close))
+	return metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+}
+
+type dispatchParts struct {
+	fx.In
+	Logger   *zap.Logger
+	Client   *control.Client
+	Clock    dispatch.Clock
+	Board    *board.Board
+	Metrics  metrics
+	Engines  *engine.Client
+	Services *service.Client
+}
+
+func newDispatcher(life fx.Lifecycle, s settings.Entry, p dispatchParts) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.Parts{
+		Host: s.ID, Incarnation: rand.Text(),
+		Ledger: control.NewPrograms(p.Client), Engines: p.Engines, Services: p.Services,
+		Board: p.Board, Clock: p.Clock, Seed: uint64(time.Now().UnixNano()),
+	}, dispatch.WithLogger(p.Logger), dispatch.WithMetrics(p.Metrics.scope))
+	life.Append(fx.StopHook(d.Close))
+	return d
+}
+
+type entryParts struct {
+	fx.In
+	Logger      *zap.Logger
+	Client      *control.Client
+	Credentials *credential.Store
+	Clock       dispatch.Clock
+	Board       *board.Board
+	Dispatcher  *dispatch.Dispatcher
+	Metrics     metrics
+}
+
+func startEntry(life fx.Lifecycle, s settings.Entry, listen listenFunc, p entryParts) error {
+	callers, err := listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(s.OperatorListen)
+	if err != nil {
+		callers.Close()
+		return err
+	}
+	keepLease(life, s, callers, p)
+	serveHTTP(life, p.Logger, operators, operatorHandler(p))
+	serveHTTP(life, p.Logger, callers, callerHandler(s, p))
+	p.Logger.Info("entry host starting", zap.String("listen", s.Listen), zap.String("operator-listen", s.OperatorListen))
+	return nil
+}
+
+// keepLease renews the lease from start to stop. The port opens before the
+// first lease, and refuses work until then.
+func keepLease(life fx.Lifecycle, s settings.Entry, listener net.Listener, p entryParts) {
+	var keeper *control.LeaseKeeper
+	host := membership.Host{
+		Host: s.ID, Incarnation: p.Dispatcher.Incarnation(),
+		Address: listener.Addr().String(), DataCentre: s.DataCentre,
+	}
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			keeper = control.NewLeaseKeeper(p.Client, host, p.Board, p.Clock, s.LeaseTTL.D()/3, p.Logger)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			keeper.Close()
+			return nil
+		},
+	})
+}
+
+func callerHandler(s settings.Entry, p entryParts) http.Handler {
+	r := http.NewServeMux()
+	r.Handle(backend.PathAnnounce, backend.AnnounceHandler(p.Client))
+	r.Handle("/", caller.New(p.Dispatcher,
+		caller.WithAuthenticator(p.Credentials),
+		caller.WithLogger(p.Logger),
+		caller.WithDefaultMaxTokens(s.DefaultMaxTokens),
+		caller.WithMaxBodyBytes(s.MaxBodyBytes),
+	))
+	return r
+}
+
+func operatorHandler(p entryParts) http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", p.Metrics.handler).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.Board.LeaseLive(p.Clock()) {
+			http.Error(w, "no lease", http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	return r
+}
+
+type entryCommand struct {
+	output
+	path string
+}
+
+func (*entryCommand) Name() string     { return "entry" }
+func (*entryCommand) Synopsis() string { return "run an entry host" }
+func (*entryCommand) Usage() string {
+	return `sycamoreline entry -settings FILE
+
+Runs an entry host until it is interrupted. Logs go to standard error.
+
+Example:
+  sycamoreline entry -settings examples/local/entry-1.json
+
+Flags:
+`
+}
+
+func (c *entryCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file")
+}
+
+func (c *entryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Read[settings.Entry](c.path)
+	if err != nil {
+		return c.usage("%s", err)
+	}
+	return runRole(ctx, c.output, entryModule(s, listenTCP, c.logger(s.LogLevel)))
+}
--- /dev/null
+++ b/cmd/sycamoreline/role.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	// stopTimeout covers the drain delay and the longest stream.
+	stopTimeout = 11 * time.Minute
+	// shutdownTimeout bounds the wait for HTTP requests in progress.
+	shutdownTimeout = 10 * time.Minute
+)
+
+// listenFunc opens the listening port of an address.
+type listenFunc func(address string) (net.Listener, error)
+
+func listenTCP(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %q: %w", address, err)
+	}
+	return l, nil
+}
+
+// newLogger writes JSON lines.
+func newLogger(out io.Writer, level, role, id string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log-level: %q: want debug, info, warn or error", level)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), l)
+	return zap.New(core).With(zap.String("role", role), zap.String("id", id)), nil
+}
+
+// runRole runs modules until the context ends or one of them fails.
+func runRole(ctx context.Context, o output, modules ...fx.Option) subcommands.ExitStatus {
+	app := fx.New(append(modules, quietFx(), fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout))...)
+	if err := app.Err(); err != nil {
+		return o.failure(rootCause(err))
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := app.Start(starting); err != nil {
+		return o.failure(rootCause(err))
+	}
+	status := subcommands.ExitSuccess
+	select {
+	case <-ctx.Done():
+	case s := <-app.Wait():
+		status = subcommands.ExitStatus(s.ExitCode)
+	}
+	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	if err := app.Stop(stopping); err != nil {
+		return o.failure(rootCause(err))
+	}
+	return status
+}
+
+// quietFx logs only failures of the wiring.
+func quietFx() fx.Option {
+	return fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger })
+}
+
+// rootCause drops the wiring's own context from an error.
+func rootCause(err error) error {
+	for {
+		next := errors.Unwrap(err)
+		if next == nil {
+			return err
+		}
+		err = next
+	}
+}
+
+// serveHTTP adds an HTTP server to the life of an app.
+func serveHTTP(life fx.Lifecycle, logger *zap.Logger, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					logger.Error("HTTP server stopped", zap.Error(err))
+				}
+			}()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+			defer cancel()
+			return server.Shutdown(ctx)
+		},
+	})
+}
--- /dev/null
+++ b/cmd/sycamoreline/standin.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/service"
+	"github.com/sycamoreline/sycamoreline/settings"
+	"github.com/sycamoreline/sycamoreline/standin"
+)
+
+// standIn is a backend server that answers a protocol without doing its work.
+type standIn interface {
+	http.Handler
+	Announcement() membership.Announcement
+	Faults() *standin.Switchboard
+}
+
+// standInModule is the role of a stand-in.
+func standInModule(role string, s standin.Settings, server standIn, listen listenFunc, newLog func(role, id string) (*zap.Logger, error)) fx.Option {
+	return fx.Module(role+" "+s.Server, fx.Invoke(func(life fx.Lifecycle) error {
+		logger, err := newLog(role, s.Server)
+		if err != nil {
+			return err
+		}
+		listener, err := listen(s.Listen)
+		if err != nil {
+			return err
+		}
+		serveHTTP(life, logger, listener, server)
+		var announcer *standin.Announcer
+		life.Append(fx.Hook{
+			OnStart: func(context.Context) error {
+				announcer = standin.NewAnnouncer(s.EntryHosts, s.Renewal(), server.Announcement,
+					standin.WithAnnounceErrors(func(host string, err error) {
+						logger.Info("announcement not accepted", zap.String("entry-host", host), zap.Error(err))
+					}))
+				logger.Info("stand-in started", zap.String("listen", s.Listen))
+				return nil
+			},
+			OnStop: func(context.Context) error {
+				announcer.Close()
+				return nil
+			},
+		})
+		return nil
+	}))
+}
+
+type standInEngineCommand struct {
+	output
+	path string
+}
+
+func (*standInEngineCommand) Name() string     { return "stand-in-engine" }
+func (*standInEngineCommand) Synopsis() string { return "run a stand-in of a model engine" }
+func (*standInEngineCommand) Usage() string {
+	return `sycamoreline stand-in-engine -settings FILE
+
+Runs a model engine that answers with made-up text, for trials and tests.
+
+Example:
+  sycamoreline stand-in-engine -settings examples/local/stand-in-engine-1.json
+
+Flags:
+`
+}
+
+func (c *standInEngineCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file")
+}
+
+func (c *standInEngineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Read[engineSettings](c.path)
+	if err != nil {
+		return c.usage("%s", err)
+	}
+	server, err := engine.NewStandIn(s.StandInSettings)
+	if err != nil {
+		return c.usage("%s: %s", c.path, err)
+	}
+	return runRole(ctx, c.output, standInModule(c.Name(), s.Settings, server, listenTCP, c.logger("info")))
+}
+
+type standInServiceCommand struct {
+	output
+	path string
+}
+
+func (*standInServiceCommand) Name() string     { return "stand-in-service" }
+func (*standInServiceCommand) Synopsis() string { return "run a stand-in of a plain service" }
+func (*standInServiceCommand) Usage() string {
+	return `sycamoreline stand-in-service -settings FILE
+
+Runs a plain service that counts how often each call has run, for trials and
+tests.
+
+Example:
+  sycamoreline stand-in-service -settings examples/local/stand-in-service-1.json
+
+Flags:
+`
+}
+
+func (c *standInServiceCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file")
+}
+
+func (c *standInServiceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Read[serviceSettings](c.path)
+	if err != nil {
+		return c.usage("%s", err)
+	}
+	server, err := service.NewStandIn(s.StandInSettings)
+	if err != nil {
+		return c.usage("%s: %s", c.path, err)
+	}
+	return runRole(ctx, c.output, standInModule(c.Name(), s.Settings, server, listenTCP, c.logger("info")))
+}
+
+// engineSettings and serviceSettings give the stand-ins' settings the pointer
+// method that settings.Read expects.
+type engineSettings struct{ engine.StandInSettings }
+
+func (s *engineSettings) Check() error { return s.StandInSettings.Check() }
+
+type serviceSettings struct{ service.StandInSettings }
+
+func (s *serviceSettings) Check() error { return s.StandInSettings.Check() }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -138,6 +138,9 @@
 // Queue gives status pages and load readers the scheduler.
 func (d *Dispatcher) Queue() *Queue { return d.queue }
 
+// Incarnation names this process among those that ran under the host's name.
+func (d *Dispatcher) Incarnation() string { return d.incarnation }
+
 // begin counts a running call. It refuses when the host may take no new work.
 func (d *Dispatcher) begin(firstSend bool) error {
 	v := verdict.MayHaveRun
