dispatch, ledger: let a resend of an unsent call run, and prove verdicts under faults

Cause: with eight local processes and one engine killed, a caller that was told not-run resent its call and got the recorded not-run for ever. A resend of a call whose record proves that it was not sent now opens a new call; a late copy of the first proposal does not. A tool call that is not idempotent may move to another server when the first was proved unreached.

The property test drives two hosts against the real ledger machine, with lost messages, resends, crashes and frozen hosts at any step.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -284,13 +284,13 @@
 // recordedError is the error that a resend of a failed call receives.
 func recordedError(s ledger.CallState) *verdict.Error {
 	reason := s.Reason
-	switch {
-	case s.Status == ledger.CallUnknown:
+	switch s.Status {
+	case ledger.CallUnknown:
 		if reason == "" {
 			reason = verdict.OutcomeUnknown
 		}
 		return verdict.New(verdict.MayHaveRun, reason, "the call was sent and its outcome is not known")
-	case s.Status == ledger.CallNotSent:
+	case ledger.CallNotSent:
 		return verdict.New(verdict.NotRun, reason, "the call was not sent")
 	default:
 		return verdict.New(s.Verdict, reason, "the call failed")
--- /dev/null
+++ b/dispatch/call_test.go
@@ -0,0 +1,367 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/faults"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func TestMain(m *testing.M) {
+	// Enough steps for a call to be lost and taken over a few times, and enough
+	// checks for the rarest of the faults that were seen to be found.
+	for name, value := range map[string]string{"rapid.steps": "150", "rapid.checks": "2000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(faults.Main(m))
+}
+
+const (
+	worldProgram = "p"
+	worldTeam    = "team"
+	answerTokens = 3
+	worstTokens  = 10
+	worldBudget  = 60
+)
+
+// world is a program's callers, two entry hosts, the real ledger machine and
+// two fake backend servers. Requests and answers between them can be lost at
+// any step, and hosts can crash or freeze.
+type world struct {
+	t          *rapid.T
+	ledger     *ledger.Machine
+	clock      int64
+	hosts      [2]int // incarnation of each
+	executions []*simExecution
+	runs       map[string][]int // by key: the grants whose attempts a server ran
+	steps      int
+	saidNotRun map[string]int // by key: the last step at which a caller was told so
+	answers    map[string]string
+	requests   int
+}
+
+// simExecution is a request on a host, with the action it does next.
+type simExecution struct {
+	host        int
+	incarnation int
+	kind        ledger.CallKind
+	key         string
+	idempotent  bool
+	c           *call
+	next        action
+	request     string
+	seen        string // tokens that the caller got
+	// asked is the step at which the ledger last granted or refused the call.
+	asked int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, ledger: ledger.New(), clock: 1,
+		runs: map[string][]int{}, saidNotRun: map[string]int{}, answers: map[string]string{},
+	}
+	r := w.apply(ledger.Command{OpenProgram: &ledger.OpenProgram{
+		Program: worldProgram, Team: worldTeam, Key: "open", Class: ledger.Standard,
+		Budget: ledger.Budget{Tokens: worldBudget, Calls: 20}, Deadline: 1 << 40,
+	}})
+	if r.Refusal != nil {
+		t.Fatalf("open: %+v", r.Refusal)
+	}
+	return w
+}
+
+func (w *world) apply(c ledger.Command) ledger.Result {
+	w.clock++
+	return w.ledger.ApplyCommand(w.clock, c)
+}
+
+// exchange applies a command, or loses the request or the response. The real
+// client repeats until its time is up, so a command may also be applied twice.
+func (w *world) exchange(c ledger.Command) (ledger.CallState, error) {
+	fate := rapid.IntRange(0, 9).Draw(w.t, "exchange")
+	if fate == 0 {
+		return ledger.CallState{}, verdict.New(verdict.MayHaveRun, verdict.ControlUnavailable, "request lost")
+	}
+	r := w.apply(c)
+	if fate == 1 {
+		return ledger.CallState{}, verdict.New(verdict.MayHaveRun, verdict.ControlUnavailable, "response lost")
+	}
+	if fate == 2 {
+		r = w.apply(c)
+	}
+	if r.Refusal != nil {
+		return ledger.CallState{}, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
+	}
+	return *r.Call, nil
+}
+
+// keyOf names the calls: even ones are model calls, odd ones are tool calls
+// that are not idempotent.
+func keyOf(n int) (key string, kind ledger.CallKind) {
+	if n%2 == 0 {
+		return fmt.Sprintf("k%d", n), ledger.ModelCall
+	}
+	return fmt.Sprintf("k%d", n), ledger.ToolCall
+}
+
+// send starts a request, which may be a resend of an earlier one.
+func (w *world) send(*rapid.T) {
+	key, kind := keyOf(rapid.IntRange(0, 3).Draw(w.t, "key"))
+	host := rapid.IntRange(0, 1).Draw(w.t, "host")
+	w.requests++
+	x := &simExecution{
+		host: host, incarnation: w.hosts[host], kind: kind, key: key,
+		idempotent: kind == ledger.ModelCall, request: fmt.Sprint(w.requests), next: actOpen,
+	}
+	x.c = newCall(kind, x.idempotent, hostName(host), fmt.Sprint(x.incarnation))
+	w.executions = append(w.executions, x)
+}
+
+func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
+
+// crash loses a host's executions at whatever step they are.
+func (w *world) crash(*rapid.T) {
+	host := rapid.IntRange(0, 1).Draw(w.t, "crash")
+	w.hosts[host]++
+	kept := w.executions[:0]
+	for _, x := range w.executions {
+		if x.host != host {
+			kept = append(kept, x)
+		}
+	}
+	w.executions = kept
+}
+
+// step does the next action of one execution. An execution that is not chosen
+// for long is a host that is frozen.
+func (w *world) step(*rapid.T) {
+	if len(w.executions) == 0 {
+		w.t.Skip("nothing to do")
+	}
+	i := rapid.IntRange(0, len(w.executions)-1).Draw(w.t, "execution")
+	x := w.executions[i]
+	if w.do(x) {
+		w.executions = append(w.executions[:i], w.executions[i+1:]...)
+	}
+}
+
+// do returns true when the request has been answered.
+func (w *world) do(x *simExecution) bool {
+	w.steps++
+	switch x.next {
+	case actOpen:
+		w.opened(x, ledger.Command{OpenCall: &ledger.OpenCall{
+			Program: worldProgram, Team: worldTeam, Key: x.key, Fingerprint: x.key, Kind: x.kind, Name: "n",
+			Idempotent: x.idempotent, WorstTokens: worstTokens, Timeout: 1 << 30,
+			Host: hostName(x.host), HostIncarnation: fmt.Sprint(x.incarnation), Request: x.request,
+		}}, x.c.openFailed)
+	case actPoll:
+		w.poll(x)
+	case actTakeOver:
+		w.takeOver(x)
+	case actEnqueue:
+		w.enqueue(x)
+	case actMark:
+		w.mark(x)
+	case actSend:
+		w.run(x)
+	case actSettle:
+		o := x.c.outcome
+		o.Program, o.Call, o.Attempt = worldProgram, x.c.state.Call, x.c.state.Attempt
+		s, err := w.exchange(ledger.Command{SettleCall: &o})
+		if err != nil {
+			x.next = x.c.settleFailed(err)
+			return false
+		}
+		x.next = x.c.settled(s)
+	case actReply:
+		w.checkReply(x)
+		return true
+	case actFail:
+		w.checkFailure(x)
+		return true
+	}
+	return false
+}
+
+func (w *world) opened(x *simExecution, c ledger.Command, failed func(error) action) {
+	x.asked = w.steps
+	s, err := w.exchange(c)
+	if err != nil {
+		x.next = failed(err)
+		return
+	}
+	x.next = x.c.opened(s)
+}
+
+func (w *world) poll(x *simExecution) {
+	if rapid.IntRange(0, 4).Draw(w.t, "poll") == 0 {
+		x.next = x.c.openFailed(verdict.New(verdict.MayHaveRun, verdict.CallInProgress, "caller waits no longer"))
+		return
+	}
+	r := w.ledger.Answer(ledger.Query{Call: &ledger.CallQuery{Program: worldProgram, Team: worldTeam, Key: x.key}})
+	x.next = x.c.polled(*r.Call)
+}
+
+// takeOver is granted at any time: the control hosts may wrongly believe that
+// the other host is gone.
+func (w *world) takeOver(x *simExecution) {
+	if rapid.Bool().Draw(w.t, "alive") {
+		x.next = x.c.takeOverFailed(verdict.New(verdict.MayHaveRun, verdict.CallInProgress, "host is alive"))
+		return
+	}
+	w.opened(x, ledger.Command{TakeOver: &ledger.TakeOver{
+		Program: worldProgram, Call: x.c.state.Call, Attempt: x.c.state.Attempt, Request: x.request,
+		Host: hostName(x.host), HostIncarnation: fmt.Sprint(x.incarnation),
+	}}, x.c.takeOverFailed)
+}
+
+func (w *world) enqueue(x *simExecution) {
+	switch rapid.IntRange(0, 9).Draw(w.t, "queue") {
+	case 0:
+		x.next = x.c.refused(verdict.Overloaded, "queue is full")
+	case 1:
+		x.next = x.c.timedOut(verdict.DeadlineExceeded)
+	default:
+		server := fmt.Sprintf("s%d", rapid.IntRange(0, 1).Draw(w.t, "server"))
+		x.next = x.c.assigned(target{server: server, incarnation: "i"}, false)
+	}
+}
+
+func (w *world) mark(x *simExecution) {
+	_, err := w.exchange(ledger.Command{MarkSent: &ledger.MarkSent{
+		Program: worldProgram, Call: x.c.state.Call, Attempt: x.c.state.Attempt,
+		Server: x.c.to.server, ServerIncarnation: x.c.to.incarnation, PreviousUnsent: !x.c.mayHave,
+	}})
+	if err != nil {
+		x.next = x.c.markFailed(err)
+		return
+	}
+	x.next = x.c.markedSent()
+}
+
+// run is the backend server: it may not be reached, it may run the call and
+// lose the answer at any token, or it answers.
+func (w *world) run(x *simExecution) {
+	mayRetry := rapid.Bool().Draw(w.t, "retry")
+	fate := rapid.IntRange(0, 5).Draw(w.t, "run")
+	if fate == 0 {
+		x.next = x.c.broken(verdict.New(verdict.NotRun, verdict.ServerFailed, "not reached"), mayRetry)
+		return
+	}
+	w.runs[x.key] = append(w.runs[x.key], x.asked)
+	if at, ok := w.saidNotRun[x.key]; ok && x.asked < at {
+		w.t.Fatalf("%s: attempt granted at step %d runs after a refusal of step %d said not-run", x.key, x.asked, at)
+	}
+	until := answerTokens
+	if fate <= 2 {
+		until = rapid.IntRange(0, answerTokens-1).Draw(w.t, "tokens")
+	}
+	if x.kind == ledger.ModelCall {
+		w.stream(x, until)
+	}
+	if fate <= 2 {
+		x.next = x.c.broken(verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "answer lost"), mayRetry)
+		return
+	}
+	answer, _ := json.Marshal(fmt.Sprintf("%s ran as %s %s", x.key, x.request, x.c.text))
+	x.next = x.c.succeeded(answerTokens, []ledger.Message{{Role: "assistant", Content: x.key}}, answer)
+}
+
+// stream sends tokens from an offset that the caller may already have.
+func (w *world) stream(x *simExecution, until int) {
+	from := 0
+	if x.c.received > 0 {
+		from = rapid.IntRange(0, x.c.received).Draw(w.t, "resume")
+	}
+	for i := from; i < until; i++ {
+		isNew, err := x.c.token(engine.Token{Offset: i, Text: fmt.Sprint(i)})
+		if err != nil {
+			w.t.Fatalf("token: %v", err)
+		}
+		if isNew {
+			x.seen += fmt.Sprint(i)
+		}
+	}
+}
+
+func (w *world) checkReply(x *simExecution) {
+	answer := string(x.c.state.Answer)
+	if before, ok := w.answers[x.key]; ok && before != answer {
+		w.t.Fatalf("%s: answers %s and %s", x.key, before, answer)
+	}
+	w.answers[x.key] = answer
+	if x.seen != "" && x.seen != "012" {
+		w.t.Fatalf("%s: caller saw tokens %q", x.key, x.seen)
+	}
+}
+
+// checkFailure checks the verdict. not-run speaks of the key and of all grants
+// up to the one that was refused, whatever host they were on. Another request
+// of the caller may be granted the call as soon as the record says not-sent.
+func (w *world) checkFailure(x *simExecution) {
+	if x.c.err.Verdict() != verdict.NotRun {
+		return
+	}
+	for _, granted := range w.runs[x.key] {
+		if granted <= x.asked {
+			w.t.Fatalf("%s: %v says not-run of step %d, but the attempt of step %d ran", x.key, x.c.err, x.asked, granted)
+		}
+	}
+	w.saidNotRun[x.key] = max(w.saidNotRun[x.key], x.asked)
+}
+
+// check holds after every step.
+func (w *world) check(*rapid.T) {
+	for key, runs := range w.runs {
+		if _, kind := keyOf(int(key[1] - '0')); kind == ledger.ToolCall && len(runs) > 1 {
+			w.t.Fatalf("%s is not idempotent and ran %d times", key, len(runs))
+		}
+	}
+	s := w.ledger.Answer(ledger.Query{Program: &ledger.ProgramQuery{Program: worldProgram, Team: worldTeam}}).Program
+	if s.Spent.Tokens+s.Reserved.Tokens > worldBudget {
+		w.t.Fatalf("budget %d exceeded: %+v", worldBudget, s)
+	}
+}
+
+// Guards against a non-idempotent call that runs twice, a false not-run, two
+// answers for one key, tokens missing or doubled and an exceeded budget, with
+// lost messages, resends to other hosts, crashes and frozen hosts at any step.
+func TestCallsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"send":  w.send,
+			"crash": w.crash,
+			"step":  w.step,
+			"step2": w.step,
+			"step3": w.step,
+			"step4": w.step,
+			"":      w.check,
+		})
+	})
+}
+
+// Guards against a gap in an answer being passed on to the caller.
+func TestTokenGapIsAnError(t *testing.T) {
+	c := newCall(ledger.ModelCall, true, "h", "1")
+	isNew, err := c.token(engine.Token{Offset: 0, Text: "a"})
+	assert.NilError(t, err)
+	assert.Assert(t, isNew)
+	_, err = c.token(engine.Token{Offset: 2, Text: "c"})
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	isNew, err = c.token(engine.Token{Offset: 0, Text: "a"})
+	assert.NilError(t, err)
+	assert.Assert(t, !isNew)
+}
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -184,6 +184,7 @@
 		Attempt:           s.Attempt,
 		Server:            x.server.Server,
 		ServerIncarnation: x.server.Incarnation,
+		PreviousUnsent:    !x.c.mayHave,
 	})
 	if err != nil {
 		x.finished(schedule.Usage{}, schedule.FailedUnsent)
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -27,6 +27,9 @@
 	Verdict           verdict.Verdict `json:"verdict"`
 	Reason            verdict.Reason  `json:"reason,omitempty"`
 	HistoryLength     int             `json:"history-length,omitempty"`
+	// OpenedBy and OpenedOn name the proposal that opened the call.
+	OpenedBy string `json:"opened-by,omitempty"`
+	OpenedOn string `json:"opened-on,omitempty"` // host incarnation
 }
 
 // running is what is needed of the running call only. A program has at most
@@ -56,7 +59,7 @@
 	if p == nil || p.Team != c.Team {
 		return Result{Refusal: m.unknownProgram(c.Program)}
 	}
-	if number, ok := p.keys[c.Key]; ok {
+	if number, ok := p.keys[c.Key]; ok && !p.mayRunAgain(p.Calls[number-1], c) {
 		return p.resend(p.Calls[number-1], c)
 	}
 	if refusal := m.checkOpenCall(p, c); refusal != nil {
@@ -68,6 +71,7 @@
 		Kind: c.Kind, Name: c.Name, Idempotent: c.Idempotent, Status: CallRunning,
 		Host: c.Host, HostIncarnation: c.HostIncarnation,
 		LastServer: p.LastServer, HistoryLength: len(p.History),
+		OpenedBy: c.Request, OpenedOn: c.HostIncarnation,
 	}
 	timeout := c.Timeout
 	if timeout == 0 {
@@ -102,6 +106,17 @@
 	return nil
 }
 
+// mayRunAgain says whether a resend opens a new call, since the record proves
+// that the call was not sent. A late copy of the proposal that opened the old
+// call does not: nobody would run what it opens.
+func (p *program) mayRunAgain(k *call, c *OpenCall) bool {
+	return k.Status == CallNotSent && k.Fingerprint == c.Fingerprint && !k.openedBy(c)
+}
+
+func (k *call) openedBy(c *OpenCall) bool {
+	return k.OpenedBy == c.Request && k.OpenedOn == c.HostIncarnation
+}
+
 // resend answers an open-call whose key has a record.
 func (p *program) resend(k *call, c *OpenCall) Result {
 	if k.Fingerprint != c.Fingerprint {
@@ -130,7 +145,7 @@
 	switch {
 	case again:
 		return Result{Call: p.callState(k)}
-	case k.Sent && !k.Idempotent:
+	case k.Sent && !k.Idempotent && !c.PreviousUnsent:
 		return refuse(verdict.MayHaveRun, verdict.OutcomeUnknown,
 			"call %d of program %q is not idempotent and was sent to server %q", k.Number, p.ID, k.Server)
 	case p.Status != ProgramOpen:
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -122,6 +122,9 @@
 	Attempt           int    `json:"attempt"`
 	Server            string `json:"server"`
 	ServerIncarnation string `json:"server-incarnation"`
+	// PreviousUnsent asserts that nothing reached the server that this attempt
+	// was marked for before, so that another one may be tried.
+	PreviousUnsent bool `json:"previous-unsent,omitempty"`
 }
 
 // SettleCall records the outcome of an attempt, its cost and its answer in
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -20,7 +20,7 @@
 	r = m.ApplyCommand(3, openTestCall("p", "k2", 10))
 	assert.Equal(t, r.Refusal.Reason, verdict.CallInProgress)
 
-	m.ApplyCommand(4, Command{MarkSent: &MarkSent{"p", 1, 1, "s1", "i1"}})
+	m.ApplyCommand(4, Command{MarkSent: &MarkSent{Program: "p", Call: 1, Attempt: 1, Server: "s1", ServerIncarnation: "i1"}})
 	settle := Command{SettleCall: &SettleCall{
 		Program: "p", Call: 1, Attempt: 1, Status: CallOK, Tokens: 40,
 		Answer: json.RawMessage(`"sized"`), History: []Message{{"assistant", "sized"}},
@@ -71,3 +71,43 @@
 		Messages: []Message{{"user", key}},
 	}}
 }
+
+// Guards against a caller that is told not-run for ever, because its resend
+// only gets the old record, and against a late copy of the first proposal
+// that opens a call which nobody runs.
+func TestResendOfAnUnsentCallRunsAgain(t *testing.T) {
+	m := New()
+	openTestProgram(t, m, "p", Budget{Tokens: 100, Calls: 2})
+	first := openTestCall("p", "k", 60)
+	first.OpenCall.Request = "r1"
+	m.ApplyCommand(2, first)
+	m.ApplyCommand(3, Command{SettleCall: &SettleCall{Program: "p", Call: 1, Attempt: 1, Status: CallNotSent}})
+
+	late := m.ApplyCommand(4, first)
+	assert.Assert(t, !late.Call.Granted)
+	assert.Equal(t, late.Call.Status, CallNotSent)
+
+	resend := openTestCall("p", "k", 60)
+	resend.OpenCall.Request = "r2"
+	again := m.ApplyCommand(5, resend)
+	assert.Assert(t, again.Call.Granted)
+	assert.Equal(t, again.Call.Call, 2)
+}
+
+// Guards against a non-idempotent call that is sent to a second server
+// although the first may have run it.
+func TestNonIdempotentCallMovesOnlyWhenUnsent(t *testing.T) {
+	m := New()
+	openTestProgram(t, m, "p", Budget{Tokens: 100, Calls: 2})
+	open := openTestCall("p", "k", 0)
+	open.OpenCall.Kind, open.OpenCall.Idempotent = ToolCall, false
+	m.ApplyCommand(2, open)
+	mark := func(server string, unsent bool) *Refusal {
+		c := MarkSent{Program: "p", Call: 1, Attempt: 1, Server: server, ServerIncarnation: "i", PreviousUnsent: unsent}
+		return m.ApplyCommand(3, Command{MarkSent: &c}).Refusal
+	}
+	assert.Assert(t, mark("s1", false) == nil)
+	assert.Equal(t, mark("s2", false).Reason, verdict.OutcomeUnknown)
+	assert.Assert(t, mark("s2", true) == nil)
+	assert.Equal(t, mark("s1", false).Reason, verdict.OutcomeUnknown)
+}
