--- a/cmd/sycamoreline/commands.go
+++ b/cmd/sycamoreline/commands.go
@@ -29,6 +29,7 @@
 		{&controlCommand{output: o}, groupRole},
 		{&standInEngineCommand{output: o}, groupRole},
 		{&standInServiceCommand{output: o}, groupRole},
+		{&demoCommand{output: o}, groupRole},
 		{&runCommand{output: o}, groupCaller},
 		{&checkCommand{output: o}, groupOperator},
 		{&versionCommand{output: o}, groupOperator},
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -181,9 +181,12 @@
 func operatorHandler(p entryParts) http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/metrics", p.Metrics.handler).Methods(http.MethodGet)
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.Board.LeaseLive(p.Clock()) {
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		switch {
+		case !p.Board.LeaseLive(p.Clock()):
 			http.Error(w, "no lease", http.StatusServiceUnavailable)
+		case len(p.Board.Servers()) == 0:
+			http.Error(w, "no backend servers", http.StatusServiceUnavailable)
 		}
 	}).Methods(http.MethodGet)
 	return r
