--- a/replica/node.go
+++ b/replica/node.go
@@ -346,7 +346,7 @@
 			return
 		}
 	}
-	if m.Term > n.hard.Term && !(m.Kind == preVoteReply && !m.Reject) {
+	if m.Term > n.hard.Term && (m.Kind != preVoteReply || m.Reject) {
 		n.follow(now, m.Term)
 	}
 	if m.Term < n.hard.Term {
