--- a/disk/store_test.go
+++ b/disk/store_test.go
@@ -168,11 +168,11 @@
 		for i := range uint64(4) {
 			assert.NilError(t, s.Write(disk.Batch{Entries: []disk.Entry{entry(i+1, 1)}}))
 		}
-		end := d.Size("/log")
+		end := d.Size("data/log")
 		assert.NilError(t, s.Write(disk.Batch{Entries: []disk.Entry{entry(5, 1)}}))
-		file := rapid.SampledFrom([]string{"/log", "/identity", "0002"}).Draw(t, "file")
+		file := rapid.SampledFrom([]string{"data/log", "data/identity", "data/snapshot-0000000000000002"}).Draw(t, "file")
 		size := d.Size(file)
-		if file == "/log" {
+		if file == "data/log" {
 			size = end // damage of the last write cannot be told from a torn one
 		}
 		assert.Assert(t, d.Corrupt(file, rapid.IntRange(0, size-1).Draw(t, "offset")))
--- a/faults/disk.go
+++ b/faults/disk.go
@@ -4,8 +4,9 @@
 	"errors"
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
-	"strings"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -101,7 +102,8 @@
 	defer d.mu.Unlock()
 	d.epoch++
 	d.names = map[string]*inode{}
-	for name, f := range d.durable {
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
+		f := d.durable[name]
 		left := &inode{data: tear(r, f)}
 		left.synced = left.data[:len(left.data):len(left.data)]
 		d.names[name], d.durable[name] = left, left
@@ -159,28 +161,25 @@
 	}
 }
 
-// Corrupt changes one bit of the file whose name ends in suffix, at the offset
-// modulo its size. It returns false if there is no such file.
-func (d *Disk) Corrupt(suffix string, offset int) bool {
+// Corrupt changes one bit of a file, at the offset modulo its size. It returns
+// false if there is no such file.
+func (d *Disk) Corrupt(name string, offset int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, f := range d.names {
-		if strings.HasSuffix(name, suffix) && len(f.data) > 0 {
-			f.data[offset%len(f.data)] ^= 0x10
-			return true
-		}
+	f := d.names[name]
+	if f == nil || len(f.data) == 0 {
+		return false
 	}
-	return false
+	f.data[offset%len(f.data)] ^= 0x10
+	return true
 }
 
-// Size returns the size of the file whose name ends in suffix, or 0.
-func (d *Disk) Size(suffix string) int {
+// Size returns the size of a file, or 0 if there is none.
+func (d *Disk) Size(name string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, f := range d.names {
-		if strings.HasSuffix(name, suffix) {
-			return len(f.data)
-		}
+	if f := d.names[name]; f != nil {
+		return len(f.data)
 	}
 	return 0
 }
@@ -242,6 +241,7 @@
 			names = append(names, filepath.Base(name))
 		}
 	}
+	slices.Sort(names)
 	return names, nil
 }
 
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -86,7 +86,8 @@
 	}
 	a.finishReads()
 	o := a.group.options
-	if a.sinceEntries >= o.snapshotEntries || a.sinceBytes >= o.snapshotBytes {
+	due := a.sinceEntries >= o.snapshotEntries || a.sinceBytes >= o.snapshotBytes
+	if due && !a.group.sending.Load() {
 		a.save()
 	}
 	return nil
--- a/replica/election.go
+++ b/replica/election.go
@@ -46,7 +46,7 @@
 // campaign asks for pre-votes.
 func (n *Node) campaign(now Now) {
 	n.resetElection(now)
-	if !n.members.isVoter(n.Self) || n.stalled(now) {
+	if !n.members.isVoter(n.Self) || n.stalled(now) || !n.mayVote(now) {
 		return
 	}
 	n.role, n.leader, n.leaderHeard = PreCandidate, Ref{}, false
@@ -79,7 +79,7 @@
 		m := n.message(kind, x.Ref)
 		m.Term, m.Forced = term, forced
 		m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
-		n.after(m)
+		n.after(n.showSeen(m))
 	}
 }
 
@@ -101,7 +101,7 @@
 }
 
 func (n *Node) onPreVote(now Now, m Message) {
-	if !n.formed() || n.hearsLeader(now) {
+	if !n.mayVote(now) || n.hearsLeader(now) {
 		return
 	}
 	r := n.message(preVoteReply, m.From)
@@ -114,8 +114,8 @@
 }
 
 func (n *Node) onVote(now Now, m Message) {
-	if !n.formed() {
-		return // has no full state to vote on
+	if !n.mayVote(now) {
+		return
 	}
 	r := n.message(voteReply, m.From)
 	mine := Ref{ID: n.hard.VoteID, Incarnation: n.hard.VoteIncarnation}
--- a/replica/group.go
+++ b/replica/group.go
@@ -87,6 +87,7 @@
 	waiters  waiters
 
 	leader  atomic.Pointer[Ref]
+	sending atomic.Bool   // a snapshot is being sent
 	closing chan struct{} // Close was called
 	stop    chan struct{} // the goroutines must end
 	done    chan struct{} // they have ended
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -124,6 +124,7 @@
 	switch {
 	case p.probing:
 		p.waiting = true
+		m = n.showSeen(m)
 	case len(m.Entries) > 0:
 		p.next = m.Entries[len(m.Entries)-1].Index + 1
 		p.flying = append(p.flying, p.next-1)
@@ -137,7 +138,7 @@
 	for _, r := range n.others() {
 		p := n.lead.progress[r]
 		p.waiting = false
-		if p.snapshot.Index != 0 {
+		if p.snapshot.Index != 0 && n.transferring(now, p) {
 			n.sendChunk(r, p)
 			continue
 		}
@@ -232,9 +233,11 @@
 }
 
 func (n *Node) onAppendRejected(m Message, p *progress) {
-	if m.Index <= p.match || m.Index > p.next {
+	if m.Index > p.next {
 		return // late answer to a message that was overtaken
 	}
+	// An answer at or below match is late too, or the replica's disk was rolled
+	// back; the probe shows the replica what it had acknowledged.
 	p.next = max(m.Index, p.match+1)
 	p.flying = nil
 	p.probing, p.waiting = true, false
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/sycamoreline/sycamoreline/disk"
 )
 
 // loop owns the node: every event goes through it, one at a time.
@@ -153,6 +151,7 @@
 // noteLeader publishes the leader, and answers the proposals whose outcome
 // became unknown when this replica stopped leading.
 func (g *Group) noteLeader() {
+	g.sending.Store(g.node.Sending())
 	leader, _ := g.node.Leader()
 	before := g.leader.Load()
 	if before != nil && *before == leader {
@@ -201,21 +200,3 @@
 		}
 	}
 }
-
-// write is a Persist with the messages that wait for it.
-type write struct {
-	persist Persist
-	after   []Message
-	err     error
-}
-
-// simple returns whether the write can share one sync with its neighbours.
-func (w write) simple() bool { return w.persist.Reset == nil && w.persist.Chunk == nil }
-
-func (w write) batch(b disk.Batch) disk.Batch {
-	if w.persist.HardState != nil {
-		b.HardState = w.persist.HardState
-	}
-	b.Entries = append(b.Entries, w.persist.Entries...)
-	return b
-}
--- a/replica/message.go
+++ b/replica/message.go
@@ -23,6 +23,8 @@
 	chunk         MessageKind = "snapshot"
 	chunkReply    MessageKind = "snapshot-reply"
 	handover      MessageKind = "hand-over"
+	recall        MessageKind = "recall"
+	recallReply   MessageKind = "recall-reply"
 	join          MessageKind = "join"
 	form          MessageKind = "form"
 )
@@ -48,4 +50,6 @@
 	Offset  int64        `json:"offset,omitempty"` // bytes of a snapshot
 	Data    []byte       `json:"data,omitempty"`
 	Last    bool         `json:"last,omitempty"` // last part of a snapshot
+	// Seen is what the sender remembers of the receiver's promises.
+	Seen *Seen `json:"seen,omitempty"`
 }
--- a/replica/node.go
+++ b/replica/node.go
@@ -141,10 +141,15 @@
 	writeSince    time.Duration // a write has been outstanding since then
 	writes        int           // outstanding writes
 
+	unchecked map[Ref]bool  // voters not yet asked about this replica's promises
+	mayVoteAt time.Duration // when it votes even so
+	recallAt  time.Duration
+
 	joinAt time.Duration // when an unformed replica announces itself next
 
 	lead  leadership
 	empty map[string]emptyPeer // unformed replicas, by id
+	seen  map[Ref]Seen         // promises of each replica, this one too
 	chunk incomingChunks
 }
 
@@ -158,12 +163,15 @@
 		snapshot:    r.Snapshot,
 		commit:      max(r.Base.Index, r.Snapshot.Index),
 		empty:       map[string]emptyPeer{},
+		seen:        map[Ref]Seen{},
 	}
+	n.seen[n.Self] = n.promisedOnDisk()
 	n.applied = n.commit
 	if err := n.loadMembers(); err != nil {
 		return nil, err
 	}
 	n.resetElection(now)
+	n.startRecall(now)
 	return n, nil
 }
 
@@ -235,8 +243,15 @@
 	return Message{Kind: kind, From: n.Self, To: to, Term: n.hard.Term}
 }
 
-func (n *Node) early(m Message) { n.out.Early = append(n.out.Early, m) }
-func (n *Node) after(m Message) { n.out.After = append(n.out.After, m) }
+func (n *Node) early(m Message) {
+	n.remember(m)
+	n.out.Early = append(n.out.Early, m)
+}
+
+func (n *Node) after(m Message) {
+	n.remember(m)
+	n.out.After = append(n.out.After, m)
+}
 
 func (n *Node) setHard(h disk.HardState) {
 	n.hard = h
@@ -302,6 +317,7 @@
 
 // Tick moves the timers. It is called several times per heartbeat.
 func (n *Node) Tick(now Now) Output {
+	n.tickRecall(now)
 	switch {
 	case !n.formed():
 		n.tickUnformed(now)
@@ -315,7 +331,8 @@
 
 // Step handles a message from another replica.
 func (n *Node) Step(now Now, m Message) Output {
-	if n.accept(m) {
+	if n.accept(m) && n.checkSeen(m) {
+		n.remember(m)
 		n.step(now, m)
 	}
 	return n.take(now)
@@ -332,6 +349,14 @@
 
 func (n *Node) step(now Now, m Message) {
 	switch m.Kind {
+	case recall:
+		r := n.showSeen(n.message(recallReply, m.From))
+		r.Term = 0
+		n.early(r)
+		return
+	case recallReply:
+		delete(n.unchecked, m.From)
+		return
 	case join:
 		n.onJoin(now, m)
 		return
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -6,6 +6,7 @@
 type incomingChunks struct {
 	info   disk.SnapshotInfo
 	offset int64
+	whole  bool // all parts are on their way to the disk
 }
 
 func (n *Node) beginSnapshot(to Ref, p *progress) {
@@ -14,6 +15,28 @@
 	n.sendChunk(to, p)
 }
 
+// transferring ends a transfer that the receiver does not answer, or whose
+// snapshot has been replaced.
+func (n *Node) transferring(now Now, p *progress) bool {
+	if p.snapshot.Index == n.snapshot.Index && now.Elapsed-p.heardAt < n.Timing.Election {
+		return true
+	}
+	p.snapshot, p.offset = disk.SnapshotInfo{}, 0
+	p.probing = true
+	return false
+}
+
+// Sending returns whether a snapshot is being sent. It should not be replaced
+// meanwhile, or a slow transfer would never end.
+func (n *Node) Sending() bool {
+	for _, p := range n.lead.progress {
+		if n.role == Leader && p.snapshot.Index != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) sendChunk(to Ref, p *progress) {
 	m := n.message(chunk, to)
 	m.Index, m.LogTerm, m.Offset, m.Round = p.snapshot.Index, p.snapshot.Term, p.offset, n.lead.round
@@ -35,20 +58,28 @@
 		n.reply(r)
 		return
 	}
-	if n.chunk.info.Index != m.Index || n.chunk.info.Term != m.LogTerm || m.Offset == 0 {
+	same := n.chunk.info.Index == m.Index && n.chunk.info.Term == m.LogTerm
+	if !same || m.Offset == 0 && !n.chunk.whole {
 		n.chunk = incomingChunks{info: disk.SnapshotInfo{Index: m.Index, Term: m.LogTerm, Members: members}}
 	}
+	if n.chunk.whole {
+		r.Offset = m.Offset
+		n.reply(r)
+		return
+	}
 	if m.Offset != n.chunk.offset {
 		r.Offset = n.chunk.offset
 		n.reply(r)
 		return
 	}
 	n.chunk.offset += int64(len(m.Data))
+	n.chunk.info.Bytes, n.chunk.whole = n.chunk.offset, m.Last
 	n.out.Persist.Chunk = &Chunk{Info: n.chunk.info, Offset: m.Offset, Data: m.Data, Last: m.Last}
 	r.Offset = n.chunk.offset
-	if !m.Last {
-		n.after(r)
+	if m.Last {
+		r.Offset = m.Offset // install tells the leader of the end
 	}
+	n.after(r)
 }
 
 // ChunkFailed reports that a part of a received snapshot could not be stored.
--- a/replica/writer.go
+++ b/replica/writer.go
@@ -16,112 +16,129 @@
 // fullRetry is the pause between attempts to write to a full disk.
 const fullRetry = 200 * time.Millisecond
 
-// runWriter writes what the loop queued. Writes that queued up while the disk
-// was busy share one sync.
-func (g *Group) runWriter() {
-	defer g.workers.Done()
-	var received receiver
-	defer received.drop()
-	for {
-		select {
-		case <-g.stop:
-			return
-		case <-g.writes.ready:
-		}
-		pending := g.writes.take()
-		for len(pending) > 0 {
-			k := 0
-			var b disk.Batch
-			for k < len(pending) && pending[k].simple() {
-				b = pending[k].batch(b)
-				k++
-			}
-			if k > 0 {
-				g.report(pending[:k], g.writeBatch(b))
-			} else {
-				k = 1
-				g.report(pending[:1], g.writeOther(pending[0].persist, &received))
-			}
-			pending = pending[k:]
-		}
-	}
+// write is a Persist with the messages that wait for it.
+type write struct {
+	persist Persist
+	after   []Message
+	err     error
 }
 
-func (g *Group) report(ws []write, err error) {
-	for _, w := range ws {
-		w.err = err
-		g.written.put(w)
+// simple returns whether the write can share one sync with its neighbours.
+func (w write) simple() bool { return w.persist.Reset == nil && w.persist.Chunk == nil }
+
+func (w write) batch(b disk.Batch) disk.Batch {
+	if w.persist.HardState != nil {
+		b.HardState = w.persist.HardState
 	}
+	b.Entries = append(b.Entries, w.persist.Entries...)
+	return b
 }
 
-// writeBatch waits while the disk is full. A leader steps down meanwhile, as
-// it does with a slow disk.
-func (g *Group) writeBatch(b disk.Batch) error {
-	for {
-		err := g.store.Write(b)
-		if !errors.Is(err, disk.ErrFull) {
-			return err
-		}
-		g.options.logger.Error("disk is full", zap.Error(err))
-		select {
-		case <-g.stop:
-			return err
-		case <-time.After(fullRetry):
-		}
+// writer owns the log of a store.
+type writer struct {
+	store    *disk.Store
+	received *disk.SnapshotWriter // what the leader sends, nil when nothing
+}
+
+// writeNext carries out the first of the pending writes, and those after it
+// that can share its sync. It returns how many; the error concerns all.
+func (w *writer) writeNext(pending []write) (int, error) {
+	var b disk.Batch
+	k := 0
+	for k < len(pending) && pending[k].simple() {
+		b = pending[k].batch(b)
+		k++
+	}
+	if k > 0 {
+		return k, w.store.Write(b)
 	}
+	return 1, w.writeOther(pending[0].persist)
 }
 
-func (g *Group) writeOther(p Persist, r *receiver) error {
+func (w *writer) writeOther(p Persist) error {
+	var err error
 	if p.Reset != nil {
-		if err := g.store.Compact(*p.Reset, p.HardState, p.Entries); err != nil {
-			return err
-		}
-	} else if p.HardState != nil || len(p.Entries) > 0 {
-		if err := g.writeBatch(disk.Batch{HardState: p.HardState, Entries: p.Entries}); err != nil {
-			return err
-		}
+		err = w.store.Compact(*p.Reset, p.HardState, p.Entries)
+	} else {
+		err = w.store.Write(disk.Batch{HardState: p.HardState, Entries: p.Entries})
 	}
-	if p.Chunk == nil {
-		return nil
+	if err != nil || p.Chunk == nil {
+		return err
 	}
-	if err := r.add(g.store, *p.Chunk); err != nil {
-		r.drop()
+	if err := w.receive(*p.Chunk); err != nil {
+		w.drop()
 		return fmt.Errorf("%w: %w", errChunk, err)
 	}
 	return nil
 }
 
-// receiver gathers the parts of a snapshot that the leader sends.
-type receiver struct {
-	writer *disk.SnapshotWriter
-}
-
-func (r *receiver) drop() {
-	if r.writer != nil {
-		_ = r.writer.Close()
-		r.writer = nil
-	}
-}
-
-func (r *receiver) add(s *disk.Store, c Chunk) error {
+// receive stores a part of a snapshot.
+func (w *writer) receive(c Chunk) error {
 	if c.Offset == 0 {
-		r.drop()
-		w, err := s.ReceiveSnapshot(c.Info)
+		w.drop()
+		received, err := w.store.ReceiveSnapshot(c.Info)
 		if err != nil {
 			return err
 		}
-		r.writer = w
+		w.received = received
 	}
-	if r.writer == nil {
+	if w.received == nil {
 		return errors.New("a part is missing")
 	}
-	if _, err := r.writer.Write(c.Data); err != nil {
+	if _, err := w.received.Write(c.Data); err != nil {
 		return err
 	}
 	if !c.Last {
 		return nil
 	}
-	_, err := r.writer.Finish()
-	r.writer = nil
+	_, err := w.received.Finish()
+	w.received = nil
 	return err
 }
+
+func (w *writer) drop() {
+	if w.received != nil {
+		_ = w.received.Close()
+		w.received = nil
+	}
+}
+
+// runWriter writes what the loop queued. Writes that queued up while the disk
+// was busy share one sync.
+func (g *Group) runWriter() {
+	defer g.workers.Done()
+	w := writer{store: g.store}
+	defer w.drop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-g.writes.ready:
+		}
+		for pending := g.writes.take(); len(pending) > 0; {
+			k, err := g.writeSome(&w, pending)
+			for _, x := range pending[:k] {
+				x.err = err
+				g.written.put(x)
+			}
+			pending = pending[k:]
+		}
+	}
+}
+
+// writeSome waits while the disk is full. A leader steps down meanwhile, as it
+// does with a slow disk.
+func (g *Group) writeSome(w *writer, pending []write) (int, error) {
+	for {
+		k, err := w.writeNext(pending)
+		if !errors.Is(err, disk.ErrFull) {
+			return k, err
+		}
+		g.options.logger.Error("disk is full", zap.Error(err))
+		select {
+		case <-g.stop:
+			return k, err
+		case <-time.After(fullRetry):
+		}
+	}
+}
