Remove a lost incarnation before its replacement votes; test repair

The property test found, with the order learner, voter, old one removed: when the new replica loses its disk between the promotion and its commit, the members are A, B, lost C, lost C' and the quorum of three is out of reach for good. The old one is now removed once the learner has caught up, and the learner promoted after that; each is still one step, and none of them needs more than A and B.

--- /dev/null
+++ b/replica/fault_test.go
@@ -0,0 +1,215 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+// formedSim returns a group with a leader and some committed entries.
+func formedSim(t *rapid.T) (*sim, *simHost) {
+	s := newSim(t)
+	s.run(2 * time.Second)
+	s.eachHost((*simHost).propose)
+	s.run(time.Second)
+	l := s.leader()
+	if l == nil {
+		s.failf("no leader: %s", s.describe())
+	}
+	return s, l
+}
+
+// follower returns one of the hosts that do not lead.
+func (s *sim) follower(l *simHost) *simHost {
+	others := s.others(l)
+	return others[rapid.IntRange(0, len(others)-1).Draw(s.t, "follower")]
+}
+
+func (s *sim) others(l *simHost) []*simHost {
+	var hosts []*simHost
+	for _, h := range s.hosts {
+		if h != l {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+func drawTime(t *rapid.T, label string, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, label))
+}
+
+// Guards against a replica that raises the term while it is cut off, in one
+// direction or both, and forces an election when it returns.
+func TestCutOffReplicaDoesNotDisturb(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		f := s.follower(l)
+		term := l.node.Term()
+		if rapid.Bool().Draw(t, "one-way") {
+			s.net.Cut(l.id, f.id)
+		} else {
+			s.net.Isolate(f.id, testIDs...)
+		}
+		s.run(3*time.Second + drawTime(t, "cut", 10*time.Second))
+		l.propose()
+		s.run(100 * time.Millisecond)
+		s.net.Heal()
+		s.run(3 * time.Second)
+		assert.Equal(t, l.node.Role(), Leader)
+		assert.Equal(t, l.node.Term(), term)
+		assert.Equal(t, f.node.commit, l.node.commit)
+	})
+}
+
+// Guards against a leader without a quorum that goes on leading, and against a
+// group that takes longer than 3 s to replace it.
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		s.net.Isolate(l.id, testIDs...)
+		l.propose()
+		l.read()
+		s.run(simTiming.Election + simTiming.Heartbeat)
+		assert.Assert(t, l.node.Role() != Leader)
+		s.run(3*time.Second - simTiming.Election - simTiming.Heartbeat)
+		n := s.leader()
+		assert.Assert(t, n != nil && n.node.commit >= n.node.lead.termStart, s.describe())
+		s.settle()
+	})
+}
+
+// Guards against a leader that holds the group up because its disk is slow or
+// full.
+func TestLeaderWithStalledDiskStepsDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		if rapid.Bool().Draw(t, "full") {
+			l.disk.SetCapacity(l.disk.Used() + rapid.IntRange(0, 20).Draw(t, "room"))
+		} else {
+			l.syncTime = time.Minute
+		}
+		l.propose()
+		s.run(3 * time.Second)
+		n := s.leader()
+		assert.Assert(t, n != nil && n != l, s.describe())
+		n.propose()
+		s.run(time.Second)
+		assert.Equal(t, n.node.commit, n.node.log.last())
+		if l.node != nil {
+			l.crash(0) // ends the slow write
+		}
+		s.settle()
+	})
+}
+
+// Guards against a group formed without all members, and against one formed
+// anew over a member that holds an earlier group's log.
+func TestFormationNeedsAllMembersEmpty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		late := s.hosts[rapid.IntRange(0, 2).Draw(t, "late")]
+		old := rapid.Bool().Draw(t, "holds a log")
+		if old {
+			s.run(2 * time.Second)
+			for _, h := range s.others(late) {
+				h.crash(0)
+				h.disk.Lose()
+			}
+		} else {
+			late.crash(time.Hour)
+		}
+		s.leaders, s.committed, s.high = map[uint64]Ref{}, map[uint64]disk.Entry{}, 0
+		s.run(5 * time.Second)
+		assert.Assert(t, s.leader() == nil, s.describe())
+		if !old {
+			s.settle()
+		}
+	})
+}
+
+// Guards against a late message of a lost incarnation that forms a second
+// group, with disks lost while the group forms.
+func TestDiskLostDuringFormation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		s.net.Spread, s.net.DuplicatePercent = 300*time.Millisecond, 30
+		s.run(drawTime(t, "before", 500*time.Millisecond))
+		h := s.hosts[rapid.IntRange(0, 2).Draw(t, "host")]
+		if s.high == 0 || s.intact(h) {
+			h.crash(drawTime(t, "down", 300*time.Millisecond))
+			h.disk.Lose()
+		}
+		s.run(2 * time.Second)
+		s.settle()
+	})
+}
+
+// Guards against a second disk lost as soon as the group is whole again.
+func TestSecondFailureRightAfterRepair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := formedSim(t)
+		for range 3 {
+			h := s.hosts[rapid.IntRange(0, 2).Draw(t, "host")]
+			h.crash(drawTime(t, "down", 2*time.Second))
+			h.disk.Lose()
+			s.eachHost((*simHost).propose)
+			for start := s.now; !s.whole(); {
+				if s.now-start > 10*time.Second {
+					s.failf("not repaired: %s", s.describe())
+				}
+				s.run(simTick)
+			}
+		}
+		s.settle()
+	})
+}
+
+// Guards against a replica whose disk was rolled back: its vote must not elect
+// a leader without the entries that it had acknowledged. The only other holder
+// of them is frozen for a short time meanwhile.
+func TestRolledBackDisk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		behind := s.follower(l)
+		r := s.others(l)[0]
+		if r == behind {
+			r = s.others(l)[1]
+		}
+		image := r.disk.Image()
+		s.run(drawTime(t, "backup age", 2*time.Second))
+		s.net.Isolate(behind.id, testIDs...)
+		for range rapid.IntRange(1, 12).Draw(t, "proposals") {
+			l.propose()
+			s.run(20 * time.Millisecond)
+		}
+		r.crash(drawTime(t, "down", 100*time.Millisecond))
+		r.disk.Restore(image)
+		l.frozen = s.now + simTiming.Election/2
+		s.net.Heal()
+		s.run(5 * time.Second)
+		s.settle()
+	})
+}
+
+// Guards against a hand-over that loses proposals or needs an election
+// timeout.
+func TestHandOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		l.propose()
+		out, ok := l.node.HandOver(l.local())
+		assert.Assert(t, ok)
+		l.handle(out)
+		first, _ := l.node.Propose(l.local(), [][]byte{[]byte("late")})
+		assert.Equal(t, first, uint64(0))
+		s.run(100 * time.Millisecond)
+		n := s.leader()
+		assert.Assert(t, n != nil && n != l, s.describe())
+		s.settle()
+	})
+}
--- a/replica/form.go
+++ b/replica/form.go
@@ -13,20 +13,21 @@
 	at  time.Duration
 }
 
-// tickUnformed tells all initial members, every heartbeat, that this replica
-// has an empty log.
-func (n *Node) tickUnformed(now Now) {
-	if now.Elapsed < n.joinAt {
-		n.formGroup(now)
+// tickJoin announces a replica that no leader talks to: one with an empty log,
+// or one that the leader does not know because the membership that named it
+// was never committed. Members that only lost their leader do no harm by it.
+func (n *Node) tickJoin(now Now) {
+	if n.role == Leader || n.hearsLeader(now) || now.Elapsed < n.joinAt {
 		return
 	}
 	n.joinAt = now.Elapsed + n.Timing.Heartbeat
 	for _, id := range n.Initial {
 		if id != n.Self.ID {
-			n.early(n.message(join, Ref{ID: id}))
+			m := n.message(join, Ref{ID: id})
+			m.Index = n.log.last()
+			n.early(m)
 		}
 	}
-	n.formGroup(now)
 }
 
 // formGroup writes the first membership once all initial members have said
@@ -80,7 +81,9 @@
 }
 
 func (n *Node) onJoin(now Now, m Message) {
-	n.empty[m.From.ID] = emptyPeer{ref: m.From, at: now.Elapsed}
+	if m.Index == 0 {
+		n.empty[m.From.ID] = emptyPeer{ref: m.From, at: now.Elapsed}
+	}
 	switch {
 	case n.role == Leader:
 		n.onJoiner(now, m.From)
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -170,7 +170,7 @@
 		if x.Learner {
 			continue
 		}
-		if x.Ref == n.Self || now.Elapsed-n.lead.progress[x.Ref].heardAt < n.Timing.Election {
+		if n.active(now, x.Ref) {
 			count++
 		}
 	}
--- a/replica/node.go
+++ b/replica/node.go
@@ -318,9 +318,10 @@
 // Tick moves the timers. It is called several times per heartbeat.
 func (n *Node) Tick(now Now) Output {
 	n.tickRecall(now)
+	n.tickJoin(now)
 	switch {
 	case !n.formed():
-		n.tickUnformed(now)
+		n.formGroup(now)
 	case n.role == Leader:
 		n.tickLeader(now)
 	case now.Elapsed >= n.electionAt:
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -11,17 +11,17 @@
 var faultActions = map[string]func(s *sim, h *simHost, d time.Duration){
 	"crash": func(_ *sim, h *simHost, d time.Duration) { h.crash(d) },
 	"lose-disk": func(s *sim, h *simHost, d time.Duration) {
-		if s.whole() {
+		if s.intact(h) {
 			s.logf("%s: loses its disk", h.id)
 			h.crash(d)
 			h.disk.Lose()
 		}
 	},
 	"corrupt-log": func(s *sim, h *simHost, d time.Duration) {
-		if s.whole() {
+		if s.intact(h) {
 			s.logf("%s: log corrupted", h.id)
 			h.crash(d)
-			h.disk.Corrupt("data/log", s.random.IntN(h.disk.Size("data/log")))
+			h.disk.Corrupt("data/log", s.random.IntN(1<<20))
 		}
 	},
 	"fail-sync": func(_ *sim, h *simHost, _ time.Duration) { h.disk.FailSync(true) },
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -40,13 +40,18 @@
 }
 
 // nextFor returns the membership after the next step for one id: a new
-// incarnation becomes a learner, then a voter once it has caught up, and then
-// the old one is removed.
+// incarnation becomes a learner; once it has caught up, the old one is removed
+// and then the new one made a voter. The old one goes first because it counts
+// towards the quorum but can no longer vote: with both as voters, the loss of
+// the new one too would leave two of four, and the group stuck for good.
 func (n *Node) nextFor(now Now, id string) Members {
 	lives := n.lives(id)
 	j, joining := n.lead.joining[id]
 	joining = joining && now.Elapsed-j.at < n.Timing.Election
 	if len(lives) == 0 {
+		if joining {
+			return n.members.with(Member{Ref: j.ref, Learner: true})
+		}
 		return nil
 	}
 	newest := lives[len(lives)-1]
@@ -54,18 +59,25 @@
 	case joining && newest.Ref == j.ref:
 		delete(n.lead.joining, id)
 		return nil
-	case len(lives) > 1 && !newest.Learner:
-		return n.members.without(lives[0].Ref)
 	case joining && newest.Learner:
 		return n.members.without(newest.Ref) // it was lost before it caught up
 	case joining:
 		return n.members.with(Member{Ref: j.ref, Learner: true})
+	case newest.Learner && !n.active(now, newest.Ref) && n.active(now, lives[0].Ref):
+		return n.members.without(newest.Ref) // a late message announced it
 	case newest.Learner && n.caughtUp(now, newest.Ref):
-		return n.members.with(Member{Ref: newest.Ref})
+		return n.afterCatchUp(lives)
 	}
 	return nil
 }
 
+func (n *Node) afterCatchUp(lives Members) Members {
+	if len(lives) > 1 {
+		return n.members.without(lives[0].Ref)
+	}
+	return n.members.with(Member{Ref: lives[0].Ref})
+}
+
 // lives returns the members with an id, oldest first.
 func (n *Node) lives(id string) Members {
 	var out Members
@@ -79,5 +91,11 @@
 
 func (n *Node) caughtUp(now Now, r Ref) bool {
 	p := n.lead.progress[r]
-	return p != nil && !p.probing && p.match >= n.commit && now.Elapsed-p.heardAt < n.Timing.Election
+	return p != nil && !p.probing && p.match >= n.commit && n.active(now, r)
+}
+
+// active returns whether a member answered lately.
+func (n *Node) active(now Now, r Ref) bool {
+	p := n.lead.progress[r]
+	return r == n.Self || p != nil && now.Elapsed-p.heardAt < n.Timing.Election
 }
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -452,15 +452,26 @@
 	return best
 }
 
-// whole returns whether every member is the present incarnation of its host
-// and has all that was committed: then one more disk may be lost.
+// whole returns whether the members are the present incarnations of all hosts
+// and have all that was committed.
 func (s *sim) whole() bool {
 	l := s.leader()
-	if l == nil || l.node.membersIndex > l.node.commit || len(l.node.members) != len(s.hosts) {
+	return l != nil && l.node.membersIndex <= l.node.commit && len(l.node.members) == len(s.hosts) && s.intact(nil)
+}
+
+// intact returns whether all hosts but one are voters with all that was
+// committed: then the disk of that one may be lost, in the middle of its
+// repair too.
+func (s *sim) intact(but *simHost) bool {
+	l := s.leader()
+	if l == nil {
 		return false
 	}
 	for _, h := range s.hosts {
-		if h.node == nil || !l.node.members.isVoter(h.node.Self) || h.node.log.stable < s.high {
+		if h == but {
+			continue
+		}
+		if h.node == nil || !l.node.members.isVoter(h.node.Self) || h.node.log.stable < s.high || len(l.node.lives(h.id)) != 1 {
 			return false
 		}
 	}
@@ -488,6 +499,7 @@
 // proposal within 10 s, and that no answered proposal is missing.
 func (s *sim) settle() {
 	s.calm()
+	s.run(time.Second)
 	deadline := s.now + 10*time.Second
 	for !s.whole() {
 		if s.now >= deadline {
