--- a/replica/group.go
+++ b/replica/group.go
@@ -88,6 +88,7 @@
 
 	leader   atomic.Pointer[Ref]
 	leadTerm atomic.Uint64 // 0 when this replica does not lead
+	sending  atomic.Bool   // a snapshot is being sent
 	closing  chan struct{} // Close was called
 	stop     chan struct{} // the goroutines must end
 	done     chan struct{} // they have ended
