schedule: queue by team and attained service, route by expected finish

Calls wait in one queue per pool of servers that can run them: teams below their share of the slots first, then by the service that the whole program has had, with aging. Servers are sampled, and the prefix believed to be cached is weighed against the load. Slow servers are detected from token times, their runs resumed elsewhere within a budget; suspects run alone; programs are admitted while the slots that they keep busy fit.

--- /dev/null
+++ b/schedule/baseline_test.go
@@ -0,0 +1,55 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// roundRobin sends each call to the next server.
+type roundRobin struct{ next int }
+
+func (r *roundRobin) choose(_ *Scheduler, _ time.Duration, c *call) choice {
+	r.next++
+	return choice{server: c.pool.members[r.next%len(c.pool.members)], reason: "round-robin"}
+}
+
+// leastOutstanding sends each call to the server with the fewest own runs.
+type leastOutstanding struct{}
+
+func (leastOutstanding) choose(s *Scheduler, _ time.Duration, c *call) choice {
+	m := c.pool.members
+	best := m[s.random.IntN(len(m))]
+	for _, v := range m {
+		if v.inFlight < best.inFlight {
+			best = v
+		}
+	}
+	return choice{server: best, reason: "least-outstanding"}
+}
+
+// prefixHash sends all calls of a program to the same server.
+type prefixHash struct{}
+
+func (prefixHash) choose(_ *Scheduler, _ time.Duration, c *call) choice {
+	m := c.pool.members
+	return choice{server: m[xxhash.Sum64String(c.ID.Program)%uint64(len(m))], reason: "prefix-hash"}
+}
+
+// baseline sends calls at once; they queue in the engines, first in first out.
+func baseline(r func() router) Option {
+	return func(s *Scheduler) {
+		s.policies = policies{
+			admitter: admitAll{}, order: FirstInFirstOut{}, router: r(), lookahead: 1, unlimited: true,
+		}
+	}
+}
+
+var baselines = []struct {
+	name   string
+	option Option
+}{
+	{"round-robin", baseline(func() router { return &roundRobin{} })},
+	{"least-outstanding", baseline(func() router { return leastOutstanding{} })},
+	{"prefix-hash", baseline(func() router { return prefixHash{} })},
+}
--- /dev/null
+++ b/schedule/hedge.go
@@ -0,0 +1,84 @@
+package schedule
+
+import "time"
+
+const (
+	// checkInterval separates two visits of the servers with runs.
+	checkInterval = 100 * time.Millisecond
+	// hedgeRatio bounds second runs to a tenth of the first ones, above a
+	// burst that covers one slowed server.
+	hedgeRatio = 0.1
+	hedgeBurst = 16
+	// hedgeGain is the factor by which a second run must be faster.
+	hedgeGain = 1.5
+)
+
+// hedgeRuns queues second runs for the calls of a slow server that would end
+// earlier elsewhere.
+func (s *Scheduler) hedgeRuns(now time.Duration, v *server) {
+	if !s.hedging {
+		return
+	}
+	for _, c := range v.runs {
+		if s.worthHedging(now, c, v) {
+			c.hedge = hedgeQueued
+			s.hedges = append(s.hedges, c)
+		}
+	}
+}
+
+func (s *Scheduler) worthHedging(_ time.Duration, c *call, v *server) bool {
+	if !c.Idempotent || c.solo || c.hedge != hedgeNone || c.Service != "" {
+		return false
+	}
+	k := &c.pool.costs
+	produced := c.runOn(v).produced()
+	remaining := c.remaining(produced) * k.token
+	here := remaining / v.speed.relative
+	if produced == 0 {
+		here += c.recompute(v) / v.speed.relative
+	}
+	elsewhere := remaining + float64(c.PromptTokens+produced)*k.prefill
+	return here > hedgeGain*elsewhere
+}
+
+// remaining estimates the output tokens that are still to come.
+func (c *call) remaining(produced int) float64 {
+	n := max(c.pool.costs.output-float64(produced), c.pool.costs.output/4)
+	if c.MaxTokens > 0 {
+		n = min(n, float64(c.MaxTokens-produced))
+	}
+	return max(n, 1)
+}
+
+// nextHedge assigns the first second run that has a server.
+func (s *Scheduler) nextHedge(now time.Duration) (Assignment, bool) {
+	for len(s.hedges) > 0 {
+		c := s.hedges[0]
+		if c.running != 1 || !c.runs[0].server.speed.slow {
+			s.dropHedge(c)
+			continue
+		}
+		if len(c.pool.open) == 0 || !s.hedgeBudget.has(now) {
+			return Assignment{}, false
+		}
+		o := s.router.choose(s, now, c)
+		if o.server == nil || o.server.speed.slow {
+			return Assignment{}, false
+		}
+		s.dropHedge(c)
+		c.hedge = hedgeSent
+		s.hedgeBudget.take()
+		return s.start(now, c, choice{server: o.server, reason: "slow-server"}), true
+	}
+	return Assignment{}, false
+}
+
+func (s *Scheduler) dropHedge(c *call) {
+	c.hedge = hedgeNone
+	s.hedges[0] = nil
+	s.hedges = s.hedges[1:]
+	if len(s.hedges) == 0 {
+		s.hedges = s.hedgeBuffer[:0]
+	}
+}
--- /dev/null
+++ b/schedule/measure_test.go
@@ -0,0 +1,161 @@
+package schedule
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// seeds are fixed, so that every run measures the same.
+var seeds = []uint64{1, 2, 3, 4, 5}
+
+func (p *programRun) latency() time.Duration { return p.ended - p.arrival }
+
+func (p *programRun) finished() bool { return !p.refused && p.ended > 0 }
+
+func (p *programRun) inTime() bool { return p.finished() && p.latency() <= p.deadline }
+
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
+func quantile(v []float64, q float64) float64 {
+	s := slices.Sorted(slices.Values(v))
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
+
+// addedDelay is the mean of latency over idle latency, minus one.
+func addedDelay(r *result) float64 {
+	var v []float64
+	for _, p := range r.programs {
+		v = append(v, p.latency().Seconds()/p.idle.Seconds()-1)
+	}
+	return mean(v)
+}
+
+// stragglerLatency is the mean latency of the longest tenth.
+func stragglerLatency(r *result) float64 {
+	l := slices.Clone(r.programs)
+	slices.SortFunc(l, func(a, b *programRun) int { return cmp.Compare(b.idle, a.idle) })
+	var v []float64
+	for _, p := range l[:len(l)/10] {
+		v = append(v, p.latency().Seconds())
+	}
+	return mean(v)
+}
+
+func latencies(r *result, kind string) []float64 {
+	var v []float64
+	for _, p := range r.programs {
+		if kind == "" || p.kind == kind {
+			v = append(v, p.latency().Seconds())
+		}
+	}
+	return v
+}
+
+// latencyScenario offers a fluctuating load with a mean of 90% to Tailor Paws.
+func latencyScenario(seed uint64, length time.Duration) scenario {
+	r := rand.New(rand.NewPCG(seed, 2))
+	return scenario{
+		fleet: tailorPaws, view: lateView,
+		programs: offer(r, fluctuating(r, length, 0.9), tailorPaws.language, languageEngine,
+			source{fit, 0.7}, source{chat, 0.3}),
+	}
+}
+
+// best returns the least value of a measure over the baselines.
+func best(sc scenario, seed uint64, measures ...func(*result) float64) []float64 {
+	out := make([]float64, len(measures))
+	for i, b := range baselines {
+		r := simulate(sc, seed, b.option)
+		for j, m := range measures {
+			if v := m(r); i == 0 || v < out[j] {
+				out[j] = v
+			}
+		}
+	}
+	return out
+}
+
+// noAdmission runs the product without a limit on programs, where a measure
+// compares the latency of the same programs.
+func noAdmission(s *Scheduler) { s.admitter = admitAll{} }
+
+func latencyRatios(seed uint64, opts ...Option) []float64 {
+	sc := latencyScenario(seed, 10*time.Minute)
+	b := best(sc, seed, addedDelay, stragglerLatency)
+	r := simulate(sc, seed, append([]Option{noAdmission}, opts...)...)
+	return []float64{addedDelay(r) / b[0], stragglerLatency(r) / b[1]}
+}
+
+// forSeeds runs f for all seeds at the same time.
+func forSeeds(f func(i int, seed uint64)) {
+	var w sync.WaitGroup
+	for i, seed := range seeds {
+		w.Go(func() { f(i, seed) })
+	}
+	w.Wait()
+}
+
+// measure is a figure of section 4.7 of the design.
+type measure struct {
+	names  []string
+	higher bool // is better
+	run    func(seed uint64, opts ...Option) []float64
+}
+
+var measures = []measure{
+	{names: []string{"program-latency-ratio", "straggler-ratio"}, run: latencyRatios},
+	{names: []string{"crest-goodput"}, higher: true, run: func(seed uint64, opts ...Option) []float64 {
+		return crest(seed, opts...)[:1]
+	}},
+	{names: []string{"crest-broken-programs"}, run: func(seed uint64, opts ...Option) []float64 {
+		return crest(seed, opts...)[1:]
+	}},
+	{names: []string{"kiosk-p95-ratio"}, run: kioskRatio},
+	{names: []string{"slowed-p99-ratio", "slowed-lookup-p99-ratio"}, run: slowedRatios},
+	{names: []string{"wasted-cache-ratio"}, run: wastedCache},
+	{names: []string{"fairness"}, run: fairness},
+}
+
+// figures runs a measure for all seeds, and returns its values by name.
+func (m measure) figures(opts ...Option) [][]float64 {
+	bySeed := make([][]float64, len(seeds))
+	forSeeds(func(i int, seed uint64) { bySeed[i] = m.run(seed, opts...) })
+	out := make([][]float64, len(m.names))
+	for _, v := range bySeed {
+		for j := range m.names {
+			out[j] = append(out[j], v[j])
+		}
+	}
+	return out
+}
+
+func (m measure) worst(v []float64) float64 {
+	if m.higher {
+		return slices.Min(v)
+	}
+	return slices.Max(v)
+}
+
+// BenchmarkMeasures reports the figures of section 4.7 of the design.
+func BenchmarkMeasures(b *testing.B) {
+	for _, m := range measures {
+		b.Run(m.names[0], func(b *testing.B) {
+			for b.Loop() {
+				for j, v := range m.figures() {
+					b.ReportMetric(quantile(v, 0.5), m.names[j]+"-median")
+					b.ReportMetric(m.worst(v), m.names[j]+"-worst")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/schedule/queue.go
@@ -0,0 +1,123 @@
+package schedule
+
+// queue holds the waiting calls of one pool, by team.
+type queue struct {
+	teams   map[string]*teamQueue
+	waiting []*teamQueue // teams with waiting calls
+	// inFlight counts the runs of all teams, and weight sums the weights of
+	// the teams that have waiting calls or runs.
+	inFlight int
+	weight   float64
+	length   int
+}
+
+// teamQueue is the part of one team.
+type teamQueue struct {
+	weight   float64
+	calls    indexedHeap
+	inFlight int
+	position int // in queue.waiting, or -1
+}
+
+func byRank(a, b *call) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.serial < b.serial
+}
+
+func (q *queue) team(name string, weight float64) *teamQueue {
+	t := q.teams[name]
+	if t == nil {
+		t = &teamQueue{weight: weight, position: -1}
+		t.calls.less = byRank
+		t.calls.place = func(c *call, i int) { c.position = i }
+		if q.teams == nil {
+			q.teams = map[string]*teamQueue{}
+		}
+		q.teams[name] = t
+	}
+	if t.weight != weight {
+		if t.active() {
+			q.weight += weight - t.weight
+		}
+		t.weight = weight
+	}
+	return t
+}
+
+func (t *teamQueue) active() bool { return t.inFlight > 0 || t.calls.len() > 0 }
+
+// change applies f to a team and keeps the sums of the queue.
+func (q *queue) change(t *teamQueue, f func()) {
+	was, length := t.active(), t.calls.len()
+	f()
+	q.length += t.calls.len() - length
+	if is := t.active(); is != was {
+		if is {
+			q.weight += t.weight
+		} else {
+			q.weight -= t.weight
+		}
+	}
+	q.list(t)
+}
+
+// list keeps the team in or out of the waiting list.
+func (q *queue) list(t *teamQueue) {
+	switch {
+	case t.calls.len() > 0 && t.position < 0:
+		t.position = len(q.waiting)
+		q.waiting = append(q.waiting, t)
+	case t.calls.len() == 0 && t.position >= 0:
+		last := len(q.waiting) - 1
+		q.waiting[t.position] = q.waiting[last]
+		q.waiting[t.position].position = t.position
+		q.waiting = q.waiting[:last]
+		t.position = -1
+	}
+}
+
+func (q *queue) push(c *call)   { q.change(c.team, func() { c.team.calls.push(c) }) }
+func (q *queue) remove(c *call) { q.change(c.team, func() { c.team.calls.remove(c.position) }) }
+
+func (q *queue) started(c *call) {
+	q.inFlight++
+	q.change(c.team, func() { c.team.inFlight++ })
+}
+
+func (q *queue) ended(c *call) {
+	q.inFlight--
+	q.change(c.team, func() { c.team.inFlight-- })
+}
+
+// next returns the team whose call is to run next. Teams below their share of
+// the slots in use compete by rank; the teams above it follow in order of
+// their use per weight, so that they can borrow only what is left.
+func (q *queue) next() *teamQueue {
+	var best *teamQueue
+	for _, t := range q.waiting {
+		if best == nil || q.before(t, best) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (q *queue) before(a, b *teamQueue) bool {
+	belowA, belowB := q.belowShare(a), q.belowShare(b)
+	if belowA != belowB {
+		return belowA
+	}
+	if !belowA {
+		useA, useB := float64(a.inFlight)/a.weight, float64(b.inFlight)/b.weight
+		if useA != useB {
+			return useA < useB
+		}
+	}
+	return byRank(a.calls.head(), b.calls.head())
+}
+
+func (q *queue) belowShare(t *teamQueue) bool {
+	return float64(t.inFlight)*q.weight < float64(q.inFlight+1)*t.weight
+}
--- /dev/null
+++ b/schedule/routing.go
@@ -0,0 +1,137 @@
+package schedule
+
+import "time"
+
+// choice is a server for a call.
+type choice struct {
+	server *server
+	// recompute is the time in seconds for the prompt tokens that are believed
+	// not to be cached there.
+	recompute float64
+	reason    string // kebab-case
+}
+
+// router chooses a server among the open ones of the call's pool. It returns a
+// choice without a server when the call is better off waiting.
+type router interface {
+	choose(s *Scheduler, now time.Duration, c *call) choice
+}
+
+// earliestFinish chooses the server where the call is expected to end first.
+// It looks at the server that ran the program's last call and at a few random
+// open servers, so that the cost does not depend on the number of servers and
+// that hosts with the same view do not all pick the same server.
+type earliestFinish struct {
+	samples int
+	// recomputeWeight values a second of prefill, which also delays the other
+	// runs of its server.
+	recomputeWeight float64
+	// loadWeight is the relative slowdown of a run on a full server compared
+	// with an empty one.
+	loadWeight float64
+	// excess is the fraction of its slots by which the server of the
+	// program's last call may be overcommitted to save a recomputation.
+	excess float64
+}
+
+func (e earliestFinish) choose(s *Scheduler, now time.Duration, c *call) choice {
+	var best choice
+	bestCost := 0.0
+	consider := func(v *server, wait float64, reason string) {
+		if c.runOn(v) != nil {
+			return
+		}
+		recompute := c.recompute(v)
+		cost := wait + e.cost(c, v, recompute)
+		if c.avoids(v) {
+			cost += avoidCost
+		}
+		if best.server == nil || cost < bestCost {
+			best, bestCost = choice{server: v, recompute: recompute, reason: reason}, cost
+		}
+	}
+	if v := c.last; v != nil && v.available() && !v.speed.slow {
+		if m := v.membershipOf(c.pool); m != nil {
+			if excess := v.inFlight - s.limit(v) + 1; excess <= 0 {
+				consider(v, 0, "cached-prefix")
+			} else if float64(excess) <= e.excess*float64(v.slots()) {
+				consider(v, float64(excess)*c.pool.costs.run/float64(v.slots()), "cached-prefix-wait")
+			}
+		}
+	}
+	open := c.pool.open
+	if len(open) <= e.samples {
+		for _, v := range open {
+			consider(v, 0, "earliest-finish")
+		}
+		return best
+	}
+	for range e.samples {
+		consider(open[s.random.IntN(len(open))], 0, "earliest-finish")
+	}
+	return best
+}
+
+// cost estimates the seconds until the call ends on a server.
+func (e earliestFinish) cost(c *call, v *server, recompute float64) float64 {
+	k := &c.pool.costs
+	work := k.run
+	if c.Service == "" {
+		work = k.output * k.token
+	}
+	return (e.recomputeWeight*recompute + work*(1+e.loadWeight*v.occupancy())) / v.speed.relative
+}
+
+// recompute estimates the seconds of prefill on a server.
+func (c *call) recompute(v *server) float64 {
+	if c.Service != "" {
+		return 0
+	}
+	return float64(c.PromptTokens-c.cachedOn(v)) * c.pool.costs.prefill
+}
+
+// cachedOn returns the number of prompt tokens believed to be cached.
+func (c *call) cachedOn(v *server) int {
+	n, known := v.cache.tokens(c.ID.Program)
+	if !known && v == c.last {
+		n = c.PrefixTokens
+	}
+	return min(n, c.PromptTokens)
+}
+
+// avoidCost in seconds puts a server that failed an earlier attempt behind all
+// others, but does not exclude it: it may be the only one.
+const avoidCost = 1000
+
+func (c *call) avoids(v *server) bool {
+	for _, id := range c.Avoid {
+		if id == v.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// lookahead is the number of calls at the front of a team's queue of which one
+// may be taken out of order because its prefix is cached on an open server.
+const lookahead = 8
+
+// pick chooses the next call of a team and its server. The first entries of a
+// heap are close to the first in rank.
+func (s *Scheduler) pick(now time.Duration, t *teamQueue) (*call, choice) {
+	var best *call
+	var bestChoice choice
+	var bestRank time.Duration
+	for i := 0; i < len(t.calls.calls) && i < s.lookahead; i++ {
+		c := t.calls.calls[i]
+		o := s.router.choose(s, now, c)
+		if o.server == nil {
+			continue
+		}
+		rank := c.rank + time.Duration(o.recompute*s.recomputeRank*float64(time.Second))
+		if best == nil || rank < bestRank {
+			best, bestChoice, bestRank = c, o, rank
+		}
+	}
+	return best, bestChoice
+}
--- /dev/null
+++ b/schedule/server.go
@@ -0,0 +1,183 @@
+package schedule
+
+import "time"
+
+// historySize is the number of changes of the own in-flight count that are
+// kept to interpret a late load report.
+const historySize = 64
+
+// server is a backend server and what this host believes of it.
+type server struct {
+	Server
+	pools    []membership
+	runs     []*call // calls with a run here
+	inFlight int
+	removed  bool
+	busy     int // position in Scheduler.busy, or -1
+
+	// others estimates the runs of the other entry hosts.
+	others  int
+	history [historySize]inFlightAt
+	newest  int
+	// rounding is a random number in [0, 1) that rounds this host's share of
+	// the slots up or down, so that the shares of all hosts add up to about
+	// the slots of the server.
+	rounding float64
+
+	speed speed
+	cache cache
+	// reserved is set while the server is kept for a suspect of this host,
+	// remotelyReserved while it is for one of another host.
+	reserved         bool
+	reservedAt       time.Duration
+	remotelyReserved bool
+}
+
+type inFlightAt struct {
+	at    time.Duration
+	count int
+}
+
+func (v *server) slots() int { return max(1, v.Slots) }
+
+// occupancy is the estimated number of runs of all hosts per slot.
+func (v *server) occupancy() float64 {
+	return float64(v.inFlight+v.others) / float64(v.slots())
+}
+
+func (v *server) count(now time.Duration, change int) {
+	v.inFlight += change
+	if v.history[v.newest].at != now {
+		v.newest = (v.newest + 1) % historySize
+	}
+	v.history[v.newest] = inFlightAt{at: now, count: v.inFlight}
+}
+
+// inFlightBefore returns the own in-flight count at a past time.
+func (v *server) inFlightBefore(at time.Duration) int {
+	for i := range historySize {
+		h := v.history[(v.newest-i+historySize)%historySize]
+		if h.at <= at {
+			return h.count
+		}
+	}
+	return v.history[(v.newest+1)%historySize].count
+}
+
+// limit is the number of runs that this host may have on the server.
+func (s *Scheduler) limit(v *server) int {
+	if s.unlimited {
+		return 1 << 30
+	}
+	n := v.slots()
+	if s.hosts > 1 {
+		share := int(float64(n)/float64(s.hosts) + v.rounding)
+		free := n - v.others
+		n = max(share, min(n, free))
+	}
+	return v.speed.limit(n)
+}
+
+// available reports whether new work may be sent, the slots aside.
+func (v *server) available() bool {
+	return !v.Leaving && !v.removed && !v.reserved && !v.remotelyReserved
+}
+
+// refresh brings the open lists up to date after a change of the server.
+func (s *Scheduler) refresh(v *server) {
+	open := v.available() && v.inFlight < s.limit(v) && v.speed.mayProbe(s.now, v.inFlight)
+	for i := range v.pools {
+		v.setOpen(i, open)
+	}
+}
+
+// SetServer adds a backend server or replaces what is known of it.
+func (s *Scheduler) SetServer(now time.Duration, n Server) {
+	s.advance(now)
+	v := s.servers[n.ID]
+	if v == nil {
+		v = &server{busy: -1, rounding: s.random.Float64(), speed: newSpeed()}
+		s.servers[n.ID] = v
+		s.serverOrder = append(s.serverOrder, v)
+	} else if v.Incarnation != n.Incarnation {
+		v.speed, v.cache, v.others = newSpeed(), cache{}, 0
+	}
+	s.slots += n.modelSlots() - v.modelSlots()
+	v.Server = n
+	v.cache.limit = n.CacheTokens
+	v.leaveAll()
+	for _, p := range s.poolOrder {
+		if p.key.servedBy(&v.Server) {
+			s.join(p, v)
+		}
+	}
+}
+
+// modelSlots is what the server adds to the capacity that admission counts.
+func (v *Server) modelSlots() int {
+	if v.Service != "" || v.Leaving {
+		return 0
+	}
+	return v.Slots
+}
+
+// RemoveServer forgets a server. Its runs are still reported by Finished.
+func (s *Scheduler) RemoveServer(now time.Duration, id string) {
+	s.advance(now)
+	v := s.servers[id]
+	if v == nil {
+		return
+	}
+	v.removed = true
+	v.leaveAll()
+	s.slots -= v.modelSlots()
+	delete(s.servers, id)
+	for i, o := range s.serverOrder {
+		if o == v {
+			s.serverOrder = append(s.serverOrder[:i], s.serverOrder[i+1:]...)
+			break
+		}
+	}
+}
+
+// Report takes in a server's own load report. The runs that are not this
+// host's own at the time of the report are those of the other hosts.
+func (s *Scheduler) Report(now time.Duration, id string, l Load) {
+	s.advance(now)
+	v := s.servers[id]
+	if v == nil {
+		return
+	}
+	v.others = max(0, l.Running+l.Queued-v.inFlightBefore(now-l.Age))
+	s.refresh(v)
+}
+
+// SetHosts sets the number of live entry hosts that share the servers,
+// including this one.
+func (s *Scheduler) SetHosts(now time.Duration, n int) {
+	s.advance(now)
+	s.hosts = max(1, n)
+	for _, v := range s.serverOrder {
+		if s.hosts == 1 {
+			v.others = 0
+		}
+		s.refresh(v)
+	}
+}
+
+// setBusy keeps the list of servers that the periodic check visits: those with
+// runs, and those that are not at full speed.
+func (s *Scheduler) setBusy(v *server) {
+	busy := len(v.runs) > 0 || v.speed.held()
+	switch {
+	case busy && v.busy < 0:
+		v.busy = len(s.busy)
+		s.busy = append(s.busy, v)
+	case !busy && v.busy >= 0:
+		last := len(s.busy) - 1
+		s.busy[v.busy] = s.busy[last]
+		s.busy[v.busy].busy = v.busy
+		s.busy = s.busy[:last]
+		v.busy = -1
+	}
+}
--- /dev/null
+++ b/schedule/slowness.go
@@ -0,0 +1,116 @@
+package schedule
+
+import "time"
+
+const (
+	// slowBelow and recoveredAbove are relative speeds. A full batch and the
+	// prefill of long prompts alone bring a server down to about 0.6.
+	slowBelow      = 0.45
+	recoveredAbove = 0.7
+	// speedMemory is the time constant of the token time of a server, divided
+	// by its runs: with four runs a change shows within about half a second.
+	speedMemory = 1.5
+	// probeInterval separates the runs that test a slow server.
+	probeInterval = time.Second
+	// returnStep is the time after which a recovered server gets one more
+	// slot.
+	returnStep = 250 * time.Millisecond
+	// silence is the shortest time without a token that counts as slow.
+	silence = 600 * time.Millisecond
+)
+
+// speed is the estimated speed of one server.
+type speed struct {
+	relative  float64 // to the median of the pool; 1 is typical
+	token     float64 // mean seconds per token, 0 without observation
+	slow      bool
+	ramping   bool
+	slots     int // while slow or ramping
+	nextStep  time.Duration
+	nextProbe time.Duration
+}
+
+func newSpeed() speed { return speed{relative: 1} }
+
+// held reports whether the server gets less than its slots.
+func (p *speed) held() bool { return p.slow || p.ramping }
+
+func (p *speed) limit(n int) int {
+	if p.held() {
+		return min(n, p.slots)
+	}
+	return n
+}
+
+func (p *speed) mayProbe(now time.Duration, inFlight int) bool {
+	return !p.slow || (inFlight == 0 && now >= p.nextProbe)
+}
+
+// observe takes in that a run needed some seconds per token for a while.
+func (p *speed) observe(now time.Duration, perToken, during, typical float64) {
+	if p.token == 0 {
+		p.token = typical
+	}
+	p.token += (perToken - p.token) * during / (during + speedMemory)
+	p.judge(now, typical)
+}
+
+// judge compares the server with the median of its pool.
+func (p *speed) judge(now time.Duration, typical float64) {
+	p.relative = min(1.5, max(0.02, typical/p.token))
+	switch {
+	case !p.slow && p.relative < slowBelow:
+		p.slow, p.ramping, p.slots = true, false, 1
+		p.nextProbe = now + probeInterval
+	case p.slow && p.relative > recoveredAbove:
+		p.slow, p.ramping = false, true
+		p.nextStep = now + returnStep
+	}
+}
+
+// step returns work to a recovered server, one slot at a time.
+func (p *speed) step(now time.Duration, slots int) {
+	if !p.ramping || now < p.nextStep {
+		return
+	}
+	p.slots++
+	p.nextStep = now + returnStep
+	p.ramping = p.slots < slots
+}
+
+// checkSilence lowers the speed of a server none of whose runs produces tokens.
+func (v *server) checkSilence(now time.Duration, typical float64) {
+	gap, decoding := now, false
+	for _, c := range v.runs {
+		r := c.runOn(v)
+		if r.tokens > 0 {
+			decoding = true
+			gap = min(gap, now-r.last)
+		}
+	}
+	if !decoding || gap < silence || gap.Seconds() < v.speed.token {
+		return
+	}
+	v.speed.token = gap.Seconds()
+	v.speed.judge(now, typical)
+}
+
+// check runs the periodic work: silent servers, returning work, hedges.
+func (s *Scheduler) check(now time.Duration) {
+	if now < s.nextCheck {
+		return
+	}
+	s.nextCheck = now + checkInterval
+	for i := len(s.busy) - 1; i >= 0; i-- {
+		v := s.busy[i]
+		if s.detect && len(v.runs) > 0 {
+			v.checkSilence(now, v.runs[0].pool.costs.token)
+		}
+		v.speed.step(now, v.slots())
+		if v.speed.slow {
+			s.hedgeRuns(now, v)
+		}
+		s.refresh(v)
+		s.setBusy(v)
+	}
+}
--- /dev/null
+++ b/schedule/suspects.go
@@ -0,0 +1,188 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// crashLimit is the number of crashes after which a request is refused.
+	crashLimit = 2
+	// soloPatience bounds the wait for the runs of other entry hosts to leave
+	// a reserved server.
+	soloPatience = 5 * time.Second
+	// suspectLife is the time for which a crash is remembered.
+	suspectLife = time.Hour
+)
+
+// suspect is what this host knows of a request that was in flight on crashed
+// servers.
+type suspect struct {
+	own    int // crashes seen by this host
+	remote int // crashes seen by other hosts
+	server string
+	at     time.Duration // of the last crash
+}
+
+func (u *suspect) crashes() int { return u.own + u.remote }
+
+// SetSuspects sets the suspects that other entry hosts know, and the servers
+// that they keep free for them.
+func (s *Scheduler) SetSuspects(now time.Duration, l []Suspect) {
+	s.advance(now)
+	for f, u := range s.suspects {
+		u.remote = 0
+		if u.own == 0 {
+			delete(s.suspects, f)
+		}
+	}
+	kept := map[string]bool{}
+	for _, n := range l {
+		s.suspect(now, n.Fingerprint).remote += n.Crashes
+		kept[n.Server] = true
+	}
+	for _, v := range s.serverOrder {
+		if v.remotelyReserved != kept[v.ID] {
+			v.remotelyReserved = kept[v.ID]
+			s.refresh(v)
+		}
+	}
+}
+
+// Suspects returns the suspects that this host knows from its own calls, for
+// the other entry hosts.
+func (s *Scheduler) Suspects() []Suspect {
+	var out []Suspect
+	for f, u := range s.suspects {
+		if u.own > 0 {
+			out = append(out, Suspect{Fingerprint: f, Crashes: u.own, Server: u.server})
+		}
+	}
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+func (s *Scheduler) suspect(now time.Duration, fingerprint uint64) *suspect {
+	u := s.suspects[fingerprint]
+	if u == nil {
+		u = &suspect{at: now}
+		s.suspects[fingerprint] = u
+	}
+	return u
+}
+
+// crashed makes the request of a broken run a suspect.
+func (s *Scheduler) crashed(now time.Duration, c *call) {
+	if c.Fingerprint == 0 {
+		return
+	}
+	for f, u := range s.suspects {
+		if now-u.at > suspectLife {
+			delete(s.suspects, f)
+		}
+	}
+	u := s.suspect(now, c.Fingerprint)
+	u.own++
+	u.at = now
+}
+
+// cleared forgets a suspect that ran to its end.
+func (s *Scheduler) cleared(c *call) {
+	if u := s.suspects[c.Fingerprint]; u != nil && u.crashes() < crashLimit {
+		delete(s.suspects, c.Fingerprint)
+	}
+}
+
+// divert takes a suspect out of the normal order: it is refused, or queued to
+// run alone.
+func (s *Scheduler) divert(c *call) bool {
+	if len(s.suspects) == 0 || c.Fingerprint == 0 {
+		return false
+	}
+	u := s.suspects[c.Fingerprint]
+	if u == nil {
+		return false
+	}
+	if u.crashes() >= crashLimit {
+		s.refuse(c, "crashed-servers", 0)
+		return true
+	}
+	if !c.solo {
+		c.solo = true
+		c.pool.solo = append(c.pool.solo, c)
+		s.expire(c)
+	}
+	return true
+}
+
+// nextSolo assigns a suspect to a server that runs nothing else.
+func (s *Scheduler) nextSolo(now time.Duration) (Assignment, bool) {
+	for _, p := range s.poolOrder {
+		if len(p.solo) == 0 && len(p.reserved) == 0 {
+			continue
+		}
+		s.reserve(now, p)
+		if a, ok := s.startSolo(now, p); ok {
+			return a, true
+		}
+	}
+	return Assignment{}, false
+}
+
+// reserve keeps one server of ten free while suspects wait, at least one.
+func (s *Scheduler) reserve(now time.Duration, p *pool) {
+	for len(p.reserved) < min(len(p.solo), 1+len(p.members)/10) {
+		var best *server
+		for _, v := range p.members {
+			if v.available() && (best == nil || v.inFlight+v.others < best.inFlight+best.others) {
+				best = v
+			}
+		}
+		if best == nil {
+			return
+		}
+		best.reserved, best.reservedAt = true, now
+		p.reserved = append(p.reserved, best)
+		s.refresh(best)
+	}
+	if len(p.solo) == 0 {
+		s.release(p)
+	}
+}
+
+// release opens the reserved servers that no suspect needs any more.
+func (s *Scheduler) release(p *pool) {
+	p.reserved = slices.DeleteFunc(p.reserved, func(v *server) bool {
+		if len(v.runs) > 0 && v.runs[0].solo {
+			return false
+		}
+		v.reserved = false
+		s.refresh(v)
+		return true
+	})
+}
+
+func (s *Scheduler) startSolo(now time.Duration, p *pool) (Assignment, bool) {
+	for _, v := range p.reserved {
+		empty := v.inFlight == 0 && (v.others == 0 || now-v.reservedAt > soloPatience)
+		if !empty || v.Leaving || v.removed || v.remotelyReserved {
+			continue
+		}
+		for len(p.solo) > 0 {
+			c := p.solo[0]
+			p.solo = p.solo[1:]
+			s.unexpire(c)
+			u := s.suspects[c.Fingerprint]
+			if u != nil && u.crashes() >= crashLimit {
+				s.refuse(c, "crashed-servers", 0)
+				continue
+			}
+			if u != nil {
+				u.server = v.ID
+			}
+			return s.start(now, c, choice{server: v, reason: "suspect-alone"}), true
+		}
+	}
+	return Assignment{}, false
+}
