--- a/schedule/baseline_test.go
+++ b/schedule/baseline_test.go
@@ -1,15 +1,11 @@
 package schedule
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // roundRobin sends each call to the next server.
 type roundRobin struct{ next int }
 
-func (r *roundRobin) choose(_ *Scheduler, _ time.Duration, c *call) choice {
+func (r *roundRobin) choose(_ *Scheduler, c *call) choice {
 	r.next++
 	return choice{server: c.pool.members[r.next%len(c.pool.members)], reason: "round-robin"}
 }
@@ -17,7 +13,7 @@
 // leastOutstanding sends each call to the server with the fewest own runs.
 type leastOutstanding struct{}
 
-func (leastOutstanding) choose(s *Scheduler, _ time.Duration, c *call) choice {
+func (leastOutstanding) choose(s *Scheduler, c *call) choice {
 	m := c.pool.members
 	best := m[s.random.IntN(len(m))]
 	for _, v := range m {
@@ -31,7 +27,7 @@
 // prefixHash sends all calls of a program to the same server.
 type prefixHash struct{}
 
-func (prefixHash) choose(_ *Scheduler, _ time.Duration, c *call) choice {
+func (prefixHash) choose(_ *Scheduler, c *call) choice {
 	m := c.pool.members
 	return choice{server: m[xxhash.Sum64String(c.ID.Program)%uint64(len(m))], reason: "prefix-hash"}
 }
--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -15,19 +15,19 @@
 
 // hedgeRuns queues second runs for the calls of a slow server that would end
 // earlier elsewhere.
-func (s *Scheduler) hedgeRuns(now time.Duration, v *server) {
+func (s *Scheduler) hedgeRuns(v *server) {
 	if !s.hedging {
 		return
 	}
 	for _, c := range v.runs {
-		if s.worthHedging(now, c, v) {
+		if s.worthHedging(c, v) {
 			c.hedge = hedgeQueued
 			s.hedges = append(s.hedges, c)
 		}
 	}
 }
 
-func (s *Scheduler) worthHedging(_ time.Duration, c *call, v *server) bool {
+func (s *Scheduler) worthHedging(c *call, v *server) bool {
 	if !c.Idempotent || c.solo || c.hedge != hedgeNone || c.Service != "" {
 		return false
 	}
@@ -62,7 +62,7 @@
 		if len(c.pool.open) == 0 || !s.hedgeBudget.has(now) {
 			return Assignment{}, false
 		}
-		o := s.router.choose(s, now, c)
+		o := s.router.choose(s, c)
 		if o.server == nil || o.server.speed.slow {
 			return Assignment{}, false
 		}
--- a/schedule/measure_test.go
+++ b/schedule/measure_test.go
@@ -71,9 +71,17 @@
 	}
 }
 
-// best returns the least value of a measure over the baselines.
+// bestBaselines holds the results of best by seed: the baselines do not depend
+// on the policies under test.
+var bestBaselines sync.Map
+
+// best returns the least value of each measure over the baselines.
 func best(sc scenario, seed uint64, measures ...func(*result) float64) []float64 {
+	if v, ok := bestBaselines.Load(seed); ok {
+		return v.([]float64)
+	}
 	out := make([]float64, len(measures))
+	defer func() { bestBaselines.Store(seed, out) }()
 	for i, b := range baselines {
 		r := simulate(sc, seed, b.option)
 		for j, m := range measures {
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -14,7 +14,7 @@
 // router chooses a server among the open ones of the call's pool. It returns a
 // choice without a server when the call is better off waiting.
 type router interface {
-	choose(s *Scheduler, now time.Duration, c *call) choice
+	choose(s *Scheduler, c *call) choice
 }
 
 // earliestFinish chooses the server where the call is expected to end first.
@@ -34,7 +34,7 @@
 	excess float64
 }
 
-func (e earliestFinish) choose(s *Scheduler, now time.Duration, c *call) choice {
+func (e earliestFinish) choose(s *Scheduler, c *call) choice {
 	var best choice
 	bestCost := 0.0
 	consider := func(v *server, wait float64, reason string) {
@@ -118,13 +118,13 @@
 
 // pick chooses the next call of a team and its server. The first entries of a
 // heap are close to the first in rank.
-func (s *Scheduler) pick(now time.Duration, t *teamQueue) (*call, choice) {
+func (s *Scheduler) pick(t *teamQueue) (*call, choice) {
 	var best *call
 	var bestChoice choice
 	var bestRank time.Duration
 	for i := 0; i < len(t.calls.calls) && i < s.lookahead; i++ {
 		c := t.calls.calls[i]
-		o := s.router.choose(s, now, c)
+		o := s.router.choose(s, c)
 		if o.server == nil {
 			continue
 		}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -243,7 +243,7 @@
 		if p == nil {
 			return Assignment{}, false
 		}
-		c, o := s.pick(s.now, p.queue.next())
+		c, o := s.pick(p.queue.next())
 		if c == nil {
 			return Assignment{}, false
 		}
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -108,7 +108,7 @@
 		}
 		v.speed.step(now, v.slots())
 		if v.speed.slow {
-			s.hedgeRuns(now, v)
+			s.hedgeRuns(v)
 		}
 		s.refresh(v)
 		s.setBusy(v)
--- a/schedule/workload_test.go
+++ b/schedule/workload_test.go
@@ -246,7 +246,7 @@
 	}
 	for _, p := range sc.programs {
 		run := &programRun{programSpec: p, host: s.hosts[s.random.IntN(sc.hosts)]}
-		s.result.programs = append(s.result.programs, run)
+		s.programs = append(s.programs, run)
 		s.open++
 		s.after(p.arrival, func() { run.host.ask(run) })
 	}
