schedule: let a team make up for a quiet time at admission

Cause: with team c at five times its share, 8 of 306 programs of team b and 9 of 308 of team a were refused although both offered 90% of their shares: the bursts of their arrivals exceeded the share. A team is now admitted up to 1.5 times its share while its mean over 30 s is below it and all teams together stay within 1.1 of the limit. The programs that wait for admission are bounded per team instead of together.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -12,6 +12,12 @@
 	// teamIdle is the time after which a team without programs no longer
 	// counts when the capacity is divided.
 	teamIdle = 5 * time.Second
+	// shareWindow is the time constant of the mean number of programs of a
+	// team, and burstFactor the multiple of its share that it may reach.
+	shareWindow = 30.0 // seconds
+	burstFactor = 1.5
+	// burstTotal bounds the programs of all teams during such a burst.
+	burstTotal = 1.1
 )
 
 // admitter decides whether the capacity allows one more program.
@@ -38,8 +44,14 @@
 	if float64(len(s.programs)) < limit {
 		return true
 	}
-	// A team gets its entitled share even while others have borrowed it.
-	return float64(t.programs) < limit*t.weight()/s.activeWeight()
+	// A team gets its entitled share even while others have borrowed it, and
+	// may make up for a quiet time with a burst.
+	share := limit * t.weight() / s.activeWeight()
+	if float64(t.programs) < share {
+		return true
+	}
+	return t.mean < share && float64(t.programs) < burstFactor*share &&
+		float64(len(s.programs)) < burstTotal*limit
 }
 
 // limit is the number of programs that keep this host's share of the slots
@@ -53,8 +65,36 @@
 type team struct {
 	limits   TeamLimits
 	programs int
+	mean     float64 // of programs, over shareWindow
+	meanAt   time.Duration
 	retries  budget
 	seen     time.Duration
+	asking   map[string]time.Duration // programs that wait for admission
+}
+
+// change starts or ends programs.
+func (t *team) change(now time.Duration, n int) {
+	t.follow(now)
+	t.programs += n
+}
+
+// follow brings the mean up to date.
+func (t *team) follow(now time.Duration) {
+	if elapsed := (now - t.meanAt).Seconds(); elapsed > 0 {
+		t.mean += (float64(t.programs) - t.mean) * elapsed / (elapsed + shareWindow)
+		t.meanAt = now
+	}
+}
+
+func (t *team) stopAsking(program string) { delete(t.asking, program) }
+
+// dropStale forgets programs whose callers have gone while they waited.
+func (t *team) dropStale(now time.Duration) {
+	for p, since := range t.asking {
+		if now-since > 2*admissionPatience {
+			delete(t.asking, p)
+		}
+	}
 }
 
 func (t *team) weight() float64 {
@@ -67,7 +107,10 @@
 func (s *Scheduler) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
-		t = &team{retries: newBudget(teamRetryRatio, teamRetryRate, teamRetryBurst)}
+		t = &team{
+			retries: newBudget(teamRetryRatio, teamRetryRate, teamRetryBurst),
+			asking:  map[string]time.Duration{},
+		}
 		s.teams[name] = t
 		s.teamOrder = append(s.teamOrder, t)
 	}
@@ -106,26 +149,28 @@
 	}
 	t := s.team(p.Team)
 	t.seen = now
+	t.follow(now)
 	if t.limits.MaxPrograms > 0 && t.programs >= t.limits.MaxPrograms {
 		return s.refuseProgram(p, "team-program-limit")
 	}
 	if !s.admitter.allows(s, t) {
-		return s.postpone(now, p)
+		return s.postpone(now, p, t)
 	}
-	delete(s.asking, p.ID)
+	t.stopAsking(p.ID)
 	s.programs[p.ID] = &program{team: t}
-	t.programs++
+	t.change(now, 1)
 	return Admission{Admitted: true, Reason: "capacity"}
 }
 
 // postpone lets a program wait briefly and then refuses it.
-func (s *Scheduler) postpone(now time.Duration, p Program) Admission {
-	since, asked := s.asking[p.ID]
+func (s *Scheduler) postpone(now time.Duration, p Program, t *team) Admission {
+	since, asked := t.asking[p.ID]
 	if !asked {
-		if len(s.asking) >= s.maxAsking() {
+		t.dropStale(now)
+		if len(t.asking) >= s.maxAsking() {
 			return s.refuseProgram(p, "capacity")
 		}
-		s.asking[p.ID] = now
+		t.asking[p.ID] = now
 		since = now
 	}
 	if now-since >= admissionPatience {
@@ -134,12 +179,12 @@
 	return Admission{Wait: admissionRetry, Reason: "capacity"}
 }
 
-// maxAsking bounds the programs that wait for admission to about those that
-// can be admitted within the patience.
+// maxAsking bounds the programs of a team that wait for admission to about
+// those that can be admitted within the patience.
 func (s *Scheduler) maxAsking() int { return 1 + s.slots/s.hosts/4 }
 
 func (s *Scheduler) refuseProgram(p Program, reason string) Admission {
-	delete(s.asking, p.ID)
+	s.team(p.Team).stopAsking(p.ID)
 	// Refused callers return spread over some seconds.
 	hint := time.Second + time.Duration(s.random.Int64N(int64(4*time.Second)))
 	return Admission{RetryAfter: hint, Reason: reason}
@@ -148,12 +193,11 @@
 // EndProgram forgets a program.
 func (s *Scheduler) EndProgram(now time.Duration, id string) {
 	s.advance(now)
-	delete(s.asking, id)
 	p := s.programs[id]
 	if p == nil {
 		return
 	}
-	p.team.programs--
+	p.team.change(now, -1)
 	for _, v := range p.cachedOn {
 		v.cache.forget(id)
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -39,8 +39,7 @@
 	refused  []Refused
 
 	programs  map[string]*program
-	asking    map[string]time.Duration // programs that wait for admission
-	active    float64                  // fraction of programs that run a call
+	active    float64 // fraction of programs that run a call
 	teams     map[string]*team
 	teamOrder []*team
 	retries   budget
@@ -112,7 +111,6 @@
 		pools:       map[poolKey]*pool{},
 		calls:       map[CallID]*call{},
 		programs:    map[string]*program{},
-		asking:      map[string]time.Duration{},
 		active:      1,
 		teams:       map[string]*team{},
 		suspects:    map[uint64]*suspect{},
