schedule: count the prefixes that a call pushes out of the cache

Cause: with cache for half of the open programs, a call that moves to a server with a full cache evicts the prefix of another program. The expected finish now includes the prefill that this causes later. Prefixes of ended programs are dropped by orders to the engines.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -198,9 +198,7 @@
 		return
 	}
 	p.team.change(now, -1)
-	for _, v := range p.cachedOn {
-		v.cache.forget(id)
-	}
+	s.dropAll(p, id)
 	delete(s.programs, id)
 }
 
--- a/schedule/cache.go
+++ b/schedule/cache.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// CacheOrders returns the orders about the caches of paused and ended
-// programs, each once. A lost order costs memory, not correctness.
+// CacheOrders returns the orders about the caches of programs, each once. A
+// lost order costs memory until the engine evicts, not correctness.
 func (s *Scheduler) CacheOrders(now time.Duration) []CacheOrder {
 	s.advance(now)
 	out := s.cacheOrders
@@ -141,11 +141,39 @@
 	return out
 }
 
-// believe records cached tokens of a program, and where to forget them when
-// the program ends.
+// believe records the cached tokens of a program after a call, and where to
+// forget them when the program ends.
 func (s *Scheduler) believe(v *server, id string, tokens int) {
 	v.cache.set(id, tokens)
-	if p := s.programs[id]; p != nil && !slices.Contains(p.cachedOn, v) {
+	p := s.programs[id]
+	if p == nil {
+		return
+	}
+	if !slices.Contains(p.cachedOn, v) {
 		p.cachedOn = append(p.cachedOn, v)
 	}
 }
+
+// quota is this host's share of a server's cache.
+func (v *server) quota(hosts int) int64 { return v.cache.limit / int64(hosts) }
+
+// evicts estimates the seconds of later prefill that a call causes on a server
+// by pushing the prefixes of other programs out of the cache.
+func (s *Scheduler) evicts(c *call, v *server) float64 {
+	if c.Service != "" || v.cache.limit == 0 {
+		return 0
+	}
+	over := v.cache.used + int64(c.PromptTokens-c.cachedOn(v)) - v.quota(s.hosts)
+	return float64(max(0, over)) * c.pool.costs.prefill
+}
+
+// dropAll orders the servers to free the memory of an ended program.
+func (s *Scheduler) dropAll(p *program, id string) {
+	for _, v := range p.cachedOn {
+		if v.removed {
+			continue
+		}
+		v.cache.forget(id)
+		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id, Action: Drop})
+	}
+}
--- a/schedule/engine_test.go
+++ b/schedule/engine_test.go
@@ -481,7 +481,7 @@
 	p.ended = h.sim.now
 	h.sim.open--
 	h.s.EndProgram(h.sim.now, p.id)
-	for _, e := range h.sim.order {
-		e.release(p.id)
+	for _, o := range h.s.CacheOrders(h.sim.now) {
+		h.sim.engines[o.Server].release(o.Program)
 	}
 }
--- a/schedule/measure_test.go
+++ b/schedule/measure_test.go
@@ -131,6 +131,7 @@
 	{names: []string{"kiosk-p95-ratio"}, run: kioskRatio},
 	{names: []string{"slowed-p99-ratio", "slowed-lookup-p99-ratio"}, run: slowedRatios},
 	{names: []string{"wasted-cache-ratio"}, run: wastedCache},
+	{names: []string{"shared-cache-lru-ratio", "shared-cache-mru-ratio", "shared-cache-largest-ratio"}, run: sharedCacheRatios},
 	{names: []string{"fairness"}, run: fairness},
 }
 
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -32,6 +32,9 @@
 	// excess is the fraction of its slots by which the server of the
 	// program's last call may be overcommitted to save a recomputation.
 	excess float64
+	// evictWeight values a second of prefill that other programs will need
+	// because the call pushes them out of the cache.
+	evictWeight float64
 }
 
 func (e earliestFinish) choose(s *Scheduler, c *call) choice {
@@ -42,7 +45,7 @@
 			return
 		}
 		recompute := c.recompute(v)
-		cost := wait + e.cost(c, v, recompute)
+		cost := wait + e.cost(c, v, recompute) + e.evictWeight*s.evicts(c, v)
 		if c.avoids(v) {
 			cost += avoidCost
 		}
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -137,47 +136,72 @@
 func wastedCache(seed uint64, opts ...Option) []float64 {
 	sc := cacheScenario(seed)
 	r := simulate(sc, seed, withoutAdmission(opts)...)
-	return []float64{float64(r.recompute) / float64(clairvoyant(r.accesses, sc.engine.cache*sc.language))}
+	return []float64{float64(r.recompute) / float64(sharedCache(r.accesses, sc.engine.cache*sc.language, clairvoyant))}
 }
 
-// clairvoyant returns the prefix tokens recomputed by a cache that evicts the
-// tokens of the program that is used again last.
-func clairvoyant(accesses []access, limit int) int64 {
+// sharedCacheRatios compares eviction rules without knowledge of the future
+// with the clairvoyant one, in a single cache of the same total size.
+func sharedCacheRatios(seed uint64, opts ...Option) []float64 {
+	sc := cacheScenario(seed)
+	r := simulate(sc, seed, withoutAdmission(opts)...)
+	size := sc.engine.cache * sc.language
+	least := float64(sharedCache(r.accesses, size, clairvoyant))
+	var out []float64
+	for _, rule := range []eviction{
+		func(a, b cachedProgram) bool { return a.last < b.last },
+		func(a, b cachedProgram) bool { return a.last > b.last },
+		func(a, b cachedProgram) bool { return a.tokens > b.tokens || (a.tokens == b.tokens && a.last < b.last) },
+	} {
+		out = append(out, float64(sharedCache(r.accesses, size, rule))/least)
+	}
+	return out
+}
+
+// eviction reports whether a is to be evicted before b.
+type eviction func(a, b cachedProgram) bool
+
+type cachedProgram struct {
+	program    string
+	tokens     int
+	last, next int // positions of the last and the next access
+}
+
+// clairvoyant evicts the program that is used again last.
+func clairvoyant(a, b cachedProgram) bool { return a.next > b.next }
+
+// sharedCache returns the prefix tokens recomputed by one cache for all
+// programs, which are dropped at their end.
+func sharedCache(accesses []access, limit int, before eviction) int64 {
 	next := make([]int, len(accesses))
 	seen := map[string]int{}
 	for i := len(accesses) - 1; i >= 0; i-- {
-		next[i] = math.MaxInt
-		if n, ok := seen[accesses[i].program]; ok {
-			next[i] = n
-		}
+		next[i] = seen[accesses[i].program] // 0 after the last access
 		seen[accesses[i].program] = i
 	}
-	type held struct{ tokens, next int }
-	cached := map[string]held{}
+	cached := map[string]cachedProgram{}
 	used, missed := 0, int64(0)
 	for i, a := range accesses {
 		h := cached[a.program]
 		missed += int64(a.prefix - min(h.tokens, a.prefix))
 		used -= h.tokens
 		delete(cached, a.program)
-		if next[i] == math.MaxInt {
+		if next[i] == 0 {
 			continue
 		}
-		cached[a.program] = held{a.length, next[i]}
+		cached[a.program] = cachedProgram{a.program, a.length, i, next[i]}
 		used += a.length
 		for used > limit {
-			last := ""
-			for p, h := range cached {
-				if last == "" || h.next > cached[last].next {
-					last = p
+			var victim cachedProgram
+			for _, h := range cached {
+				if victim.program == "" || before(h, victim) {
+					victim = h
 				}
 			}
-			h := cached[last]
-			lost := min(h.tokens, used-limit)
-			h.tokens -= lost
+			lost := min(victim.tokens, used-limit)
+			victim.tokens -= lost
 			used -= lost
-			if cached[last] = h; h.tokens == 0 {
-				delete(cached, last)
+			if cached[victim.program] = victim; victim.tokens == 0 {
+				delete(cached, victim.program)
 			}
 		}
 	}
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -158,10 +158,11 @@
 	Server string
 }
 
-// CacheAction says what to do with the cached prefix of a paused program.
+// CacheAction says what to do with the cached prefix of a program.
 type CacheAction uint8
 
-// The cache actions. Keep needs no order to the engine.
+// The cache actions. Keep needs no order to the engine; Offload is an export
+// to storage outside the cache.
 const (
 	Keep CacheAction = iota
 	Offload
