control: prove leases, configuration in force and take-overs with silent cuts

Three control hosts with real fsyncs and four entry hosts in one process; entry hosts are cut off silently, and the leader is stopped on the way.

--- a/control/client.go
+++ b/control/client.go
@@ -48,6 +48,7 @@
 	groups int
 	self   string
 	tls    *tls.Config
+	dial   DialFunc
 
 	mu      sync.Mutex
 	leaders map[int]int // group to index in peers
@@ -61,6 +62,11 @@
 	return func(c *Client) { c.tls = config }
 }
 
+// WithClientDial replaces TCP.
+func WithClientDial(d DialFunc) ClientOption {
+	return func(c *Client) { c.dial = d }
+}
+
 // NewClient returns a client that calls itself self and knows the given
 // control hosts. programGroups is the number of program groups, at least 1.
 func NewClient(self string, key Key, hosts []Address, programGroups int, opts ...ClientOption) *Client {
@@ -69,7 +75,7 @@
 		o(c)
 	}
 	for _, h := range hosts {
-		c.peers = append(c.peers, newPeer(h.ID, h.Address, self, key, c.tls))
+		c.peers = append(c.peers, newPeer(h.ID, h.Address, self, key, c.tls, c.dial))
 	}
 	return c
 }
@@ -142,6 +148,8 @@
 		var unsent *unsentError
 		var v *verdict.Error
 		switch {
+		case verdict.From(err).Reason() == verdict.Unauthorised:
+			return err
 		case errors.As(err, &notLeader):
 			if i := c.peerIndex(notLeader.leader); i >= 0 && i != target {
 				target = i
--- a/control/host.go
+++ b/control/host.go
@@ -38,6 +38,7 @@
 	ServerTLS     *tls.Config // nil for none
 	ClientTLS     *tls.Config // nil for none
 	Engines       Releaser
+	Dial          DialFunc // to other control hosts; nil for TCP
 }
 
 // Releaser asks engines to release the memory of ended programs.
@@ -104,7 +105,7 @@
 	var peers []*Peer
 	for _, a := range h.config.Hosts {
 		if a.ID != h.config.ID {
-			peers = append(peers, newPeer(a.ID, a.Address, h.config.ID, h.config.Key, h.config.ClientTLS))
+			peers = append(peers, newPeer(a.ID, a.Address, h.config.ID, h.config.Key, h.config.ClientTLS, h.config.Dial))
 		}
 	}
 	return peers
--- /dev/null
+++ b/control/host_test.go
@@ -0,0 +1,353 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/board"
+	"github.com/sycamoreline/sycamoreline/faults"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func TestMain(m *testing.M) {
+	code := faults.Main(m)
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+const (
+	testTTL     = 300 * time.Millisecond
+	testTimeout = 20 * time.Second
+)
+
+// link is a network link that can be cut silently: writes are accepted and
+// lost, reads wait, and connections stay open.
+type link struct {
+	mu  sync.Mutex
+	cut chan struct{} // closed when the link is whole
+}
+
+func newLink() *link {
+	l := &link{cut: make(chan struct{})}
+	close(l.cut)
+	return l
+}
+
+func (l *link) set(whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if whole {
+		select {
+		case <-l.cut:
+		default:
+			close(l.cut)
+		}
+		return
+	}
+	l.cut = make(chan struct{})
+}
+
+func (l *link) whole() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case <-l.whole():
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	nc, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &linkConn{Conn: nc, link: l, closed: make(chan struct{})}, nil
+}
+
+type linkConn struct {
+	net.Conn
+	link   *link
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *linkConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.link.whole():
+		return n, err
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *linkConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.link.whole():
+		return c.Conn.Write(b)
+	default:
+		// The bytes are lost, so the connection cannot be used again.
+		c.Close()
+		return len(b), nil
+	}
+}
+
+func (c *linkConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// cluster is three control hosts and some entry hosts in one process.
+type cluster struct {
+	t         *testing.T
+	key       Key
+	addresses []Address
+	hosts     []*Host
+	links     []*link // of entry hosts
+	clients   []*Client
+	boards    []*board.Board
+	keepers   []*LeaseKeeper
+	started   time.Time
+}
+
+func startCluster(t *testing.T, entries int) *cluster {
+	t.Helper()
+	key, err := NewKey("a key of the tests")
+	assert.NilError(t, err)
+	c := &cluster{t: t, key: key, started: time.Now()}
+	var listeners []net.Listener
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a listener on loopback does not wait
+		assert.NilError(t, err)
+		listeners = append(listeners, l)
+		c.addresses = append(c.addresses, Address{ID: fmt.Sprintf("control-%d", i+1), Address: l.Addr().String()})
+	}
+	folder := t.TempDir()
+	for i, l := range listeners {
+		h, err := StartHost(HostConfig{
+			ID: c.addresses[i].ID, Hosts: c.addresses, ProgramGroups: 2, Key: key, LeaseTTL: testTTL,
+			DataFolder: filepath.Join(folder, c.addresses[i].ID),
+		}, l, zap.NewNop())
+		assert.NilError(t, err)
+		c.hosts = append(c.hosts, h)
+	}
+	for i := range entries {
+		c.addEntry(i)
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+func (c *cluster) now() time.Duration { return time.Since(c.started) }
+
+func (c *cluster) addEntry(i int) {
+	l := newLink()
+	client := NewClient(fmt.Sprintf("entry-%d", i+1), c.key, c.addresses, 2, WithClientDial(l.dial))
+	b := board.New()
+	host := membership.Host{Host: fmt.Sprintf("entry-%d", i+1), Incarnation: "1", Address: "127.0.0.1:1", DataCentre: "dc"}
+	c.links = append(c.links, l)
+	c.clients = append(c.clients, client)
+	c.boards = append(c.boards, b)
+	c.keepers = append(c.keepers, NewLeaseKeeper(client, host, b, c.now, testTTL/3, zap.NewNop()))
+}
+
+func (c *cluster) close() {
+	for _, l := range c.links {
+		l.set(true)
+	}
+	for _, k := range c.keepers {
+		k.Close()
+	}
+	for _, x := range c.clients {
+		x.Close()
+	}
+	for _, h := range c.hosts {
+		if h != nil {
+			assert.Check(c.t, h.Close())
+		}
+	}
+}
+
+// stopLeader closes the control host that leads a group and returns its
+// index.
+func (c *cluster) stopLeader(group int) {
+	for i, h := range c.hosts {
+		if h == nil {
+			continue
+		}
+		if _, ok := h.groups[group].Leading(); ok {
+			assert.NilError(c.t, h.Close())
+			c.hosts[i] = nil
+			return
+		}
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a change that is reported to be in force while a host with a
+// live lease still works by an older one. Entry hosts are cut off silently
+// and come back, and the leader is stopped on the way.
+func TestConfigurationInForce(t *testing.T) {
+	c := startCluster(t, 4) // the last one is never cut off
+	ctx := testContext(t)
+	for _, k := range c.keepers {
+		<-k.Granted()
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	configuration := NewConfiguration(c.clients[3])
+	for round := range 12 {
+		for _, l := range c.links[:3] {
+			l.set(random.IntN(3) > 0)
+		}
+		if round == 6 {
+			c.stopLeader(ConfigGroup)
+		}
+		o, err := configuration.Apply(ctx, tree.Change{
+			ChangeID: fmt.Sprint("change-", round),
+			Writes: []tree.Write{{
+				Path: "/teams/a/limits", Value: json.RawMessage(fmt.Sprintf(`{"weight":%d}`, round+1)), IfVersion: int64(round),
+			}},
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, o.Applied, "%+v", o)
+		c.waitInForce(ctx, configuration, o.Revision)
+	}
+}
+
+// waitInForce waits until the leader says so, and checks all hosts.
+func (c *cluster) waitInForce(ctx context.Context, configuration *Configuration, revision int64) {
+	for {
+		r, err := configuration.InForce(ctx, revision)
+		assert.NilError(c.t, err)
+		if r.InForce {
+			break
+		}
+		assert.Assert(c.t, pause(ctx, time.Millisecond), "revision %d is not in force; waiting for %v", revision, r.Waiting)
+	}
+	for i, b := range c.boards {
+		applied, _ := b.Revisions()
+		if b.LeaseLive(c.now()) {
+			assert.Assert(c.t, applied >= revision, "entry-%d works by revision %d while %d is in force", i+1, applied, revision)
+		}
+	}
+}
+
+// Guards against new work for a leaving server from an entry host that the
+// announcement did not reach: one lease after the leader has recorded it, no
+// host with a live lease may take the server for available.
+func TestLeavingServerIsUnavailableEverywhere(t *testing.T) {
+	c := startCluster(t, 3)
+	ctx := testContext(t)
+	for _, k := range c.keepers {
+		<-k.Granted()
+	}
+	a := membership.Announcement{
+		Server: "s", Incarnation: "1", Address: "127.0.0.1:2", DataCentre: "dc", Kind: membership.Engine,
+		Models: []membership.Model{{Name: "m"}}, Slots: 1,
+	}
+	_, err := c.clients[0].Announce(ctx, a)
+	assert.NilError(t, err)
+	for _, b := range c.boards {
+		for available(b) != 1 {
+			assert.Assert(t, pause(ctx, time.Millisecond), "server is not known everywhere")
+		}
+	}
+	c.links[1].set(false)
+	a.Leaving = true
+	_, err = c.clients[0].Announce(ctx, a)
+	assert.NilError(t, err)
+	pause(ctx, testTTL)
+	for i, b := range c.boards {
+		assert.Assert(t, !b.LeaseLive(c.now()) || available(b) == 0, "entry-%d still takes the server for available", i+1)
+	}
+}
+
+func available(b *board.Board) int {
+	n := 0
+	for _, v := range b.Servers() {
+		if !v.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a call that is taken over while its host is alive, and one
+// that is never taken over after its host died.
+func TestTakeOverOnlyFromLostHosts(t *testing.T) {
+	c := startCluster(t, 2)
+	ctx := testContext(t)
+	for _, k := range c.keepers {
+		<-k.Granted()
+	}
+	first, second := NewPrograms(c.clients[0]), NewPrograms(c.clients[1])
+	_, err := first.OpenProgram(ctx, ledger.OpenProgram{
+		Program: "p", Team: "a", Class: ledger.Standard, Key: "open",
+		Budget: ledger.Budget{Tokens: 100, Calls: 5}, Deadline: time.Now().Add(time.Hour).UnixMilli(),
+	})
+	assert.NilError(t, err)
+	open, err := first.OpenCall(ctx, ledger.OpenCall{
+		Program: "p", Team: "a", Key: "k", Fingerprint: "f", Kind: ledger.ModelCall, Name: "m", Idempotent: true,
+		WorstTokens: 10, Host: "entry-1", HostIncarnation: "1", Timeout: 60_000, Request: "r1",
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, open.Granted)
+
+	takeOver := ledger.TakeOver{Program: "p", Call: 1, Attempt: 1, Host: "entry-2", HostIncarnation: "1", Request: "r2"}
+	pause(ctx, testTTL) // a control host that has just started takes every host to be alive
+	_, err = second.TakeOver(ctx, open, takeOver)
+	assert.Equal(t, verdict.From(err).Reason(), verdict.CallInProgress)
+
+	c.links[0].set(false)
+	for {
+		taken, err := second.TakeOver(ctx, open, takeOver)
+		if err == nil {
+			assert.Equal(t, taken.Attempt, 2)
+			return
+		}
+		assert.Equal(t, verdict.From(err).Reason(), verdict.CallInProgress)
+		assert.Assert(t, pause(ctx, time.Millisecond))
+	}
+}
+
+// Guards against hosts without the deployment key.
+func TestWrongDeploymentKeyIsRefused(t *testing.T) {
+	c := startCluster(t, 0)
+	wrong, err := NewKey("another key than the tests'")
+	assert.NilError(t, err)
+	client := NewClient("stranger", wrong, c.addresses, 2)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = NewConfiguration(client).Since(ctx, 0)
+	assert.ErrorContains(t, err, "wrong deployment key")
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -25,6 +25,7 @@
 	self    string
 	key     Key
 	tls     *tls.Config
+	dialTCP DialFunc
 
 	mu       sync.Mutex
 	conn     *jsonrpc2.Conn
@@ -33,8 +34,14 @@
 	isClosed bool
 }
 
-func newPeer(id, address, self string, key Key, config *tls.Config) *Peer {
-	return &Peer{id: id, address: address, self: self, key: key, tls: config}
+// DialFunc opens a connection to a control host.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newPeer(id, address, self string, key Key, config *tls.Config, dial DialFunc) *Peer {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Peer{id: id, address: address, self: self, key: key, tls: config, dialTCP: dial}
 }
 
 // call sends a request and waits for its response. Errors of handlers come
@@ -89,8 +96,7 @@
 func (p *Peer) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", p.address)
+	nc, err := p.dialTCP(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, fmt.Errorf("control host %s: %w", p.id, err)
 	}
