Bind formation to a nonce, so that a late membership cannot form two groups

TestDiskLostDuringFormation found, after 126 cases: the coordinator sent a membership, lost its disk and formed a group anew; one member adopted the late first membership, and two different entries 1 of term 1 were committed. Remembering the coordinator's incarnation alone was ruled out, because a late join changes it back.

--- a/replica/form.go
+++ b/replica/form.go
@@ -7,24 +7,48 @@
 	"github.com/sycamoreline/sycamoreline/disk"
 )
 
+// formation is what a replica knows before it belongs to a group.
+//
+// A replica with an empty log addresses its joins to the incarnation of the
+// coordinator (the initial member with the lowest id) that it knows, with a
+// nonce that changes whenever it hears of another one. A membership is adopted
+// only with the current nonce. So a membership that a lost incarnation of the
+// coordinator sent, and that arrives late, is refused by every replica on
+// which a later incarnation counts.
+type formation struct {
+	nonce  uint64
+	known  map[string]Ref       // last incarnation heard of, by id
+	empty  map[string]emptyPeer // replicas with empty logs, by id
+	joinAt time.Duration        // when this replica announces itself next
+}
+
 // emptyPeer is a replica that said that its log is empty.
 type emptyPeer struct {
-	ref Ref
-	at  time.Duration
+	ref   Ref
+	nonce uint64
+	at    time.Duration
+}
+
+func (n *Node) newFormation() formation {
+	return formation{nonce: n.Random.Uint64(), known: map[string]Ref{}, empty: map[string]emptyPeer{}}
 }
 
+func (n *Node) coordinator() string { return slices.Min(n.Initial) }
+
 // tickJoin announces a replica that no leader talks to: one with an empty log,
 // or one that the leader does not know because the membership that named it
 // was never committed. Members that only lost their leader do no harm by it.
 func (n *Node) tickJoin(now Now) {
-	if n.role == Leader || n.hearsLeader(now) || now.Elapsed < n.joinAt {
+	if n.role == Leader || n.hearsLeader(now) || now.Elapsed < n.form.joinAt {
 		return
 	}
-	n.joinAt = now.Elapsed + n.Timing.Heartbeat
+	n.form.joinAt = now.Elapsed + n.Timing.Heartbeat
 	for _, id := range n.Initial {
 		if id != n.Self.ID {
-			m := n.message(join, Ref{ID: id})
-			m.Index = n.log.last()
+			to := n.form.known[id]
+			to.ID = id
+			m := n.message(join, to)
+			m.Index, m.Round = n.log.last(), n.form.nonce
 			n.early(m)
 		}
 	}
@@ -33,14 +57,14 @@
 // formGroup writes the first membership once all initial members have said
 // that their logs are empty. Only the member with the lowest id does so.
 func (n *Node) formGroup(now Now) {
-	if n.Self.ID != slices.Min(n.Initial) {
+	if n.Self.ID != n.coordinator() {
 		return
 	}
 	var members Members
 	for _, id := range n.Initial {
 		ref := n.Self
 		if id != n.Self.ID {
-			p, ok := n.empty[id]
+			p, ok := n.form.empty[id]
 			if !ok || now.Elapsed-p.at > 3*n.Timing.Heartbeat {
 				return
 			}
@@ -51,7 +75,7 @@
 	n.adopt(members)
 	n.electionAt = now.Elapsed + n.Timing.Heartbeat
 	for _, r := range n.others() {
-		n.sendForm(r)
+		n.sendForm(r, n.form.empty[r.ID].nonce)
 	}
 }
 
@@ -61,19 +85,14 @@
 	n.putEntries([]disk.Entry{{Index: 1, Term: 1, Kind: disk.Membership, Data: members.encode()}})
 }
 
-func (n *Node) sendForm(to Ref) {
+func (n *Node) sendForm(to Ref, nonce uint64) {
 	m := n.message(form, to)
-	m.Members = n.members
+	m.Members, m.Round = n.members, nonce
 	n.after(m)
 }
 
 func (n *Node) onForm(now Now, m Message) {
-	if n.formed() || !m.Members.isVoter(n.Self) {
-		return
-	}
-	// A late message from a former incarnation of the sender must not form a
-	// second group.
-	if p, ok := n.empty[m.From.ID]; ok && p.ref != m.From {
+	if n.formed() || !m.Members.isVoter(n.Self) || m.Round != n.form.nonce {
 		return
 	}
 	n.adopt(m.Members)
@@ -81,13 +100,18 @@
 }
 
 func (n *Node) onJoin(now Now, m Message) {
-	if m.Index == 0 {
-		n.empty[m.From.ID] = emptyPeer{ref: m.From, at: now.Elapsed}
+	if n.form.known[m.From.ID] != m.From {
+		n.form.known[m.From.ID] = m.From
+		if m.From.ID == n.coordinator() {
+			n.form.nonce = n.Random.Uint64()
+		}
 	}
 	switch {
 	case n.role == Leader:
 		n.onJoiner(now, m.From)
 	case n.formed() && n.log.last() == 1 && n.members.isVoter(m.From):
-		n.sendForm(m.From) // the first message was lost
+		n.sendForm(m.From, m.Round) // the first message was lost
+	case m.Index == 0 && m.To == n.Self:
+		n.form.empty[m.From.ID] = emptyPeer{ref: m.From, nonce: m.Round, at: now.Elapsed}
 	}
 }
--- a/replica/node.go
+++ b/replica/node.go
@@ -145,11 +145,9 @@
 	mayVoteAt time.Duration // when it votes even so
 	recallAt  time.Duration
 
-	joinAt time.Duration // when an unformed replica announces itself next
-
 	lead  leadership
-	empty map[string]emptyPeer // unformed replicas, by id
-	seen  map[Ref]Seen         // promises of each replica, this one too
+	form  formation
+	seen  map[Ref]Seen // promises of each replica, this one too
 	chunk incomingChunks
 }
 
@@ -162,10 +160,10 @@
 		log:         entryLog{base: r.Base, entries: r.Entries, stable: r.Base.Index + uint64(len(r.Entries))},
 		snapshot:    r.Snapshot,
 		commit:      max(r.Base.Index, r.Snapshot.Index),
-		empty:       map[string]emptyPeer{},
 		seen:        map[Ref]Seen{},
 	}
 	n.seen[n.Self] = n.promisedOnDisk()
+	n.form = n.newFormation()
 	n.applied = n.commit
 	if err := n.loadMembers(); err != nil {
 		return nil, err
@@ -345,7 +343,7 @@
 	if m.To.ID != n.Self.ID || m.From.ID == n.Self.ID {
 		return false
 	}
-	return m.To.Incarnation == n.Self.Incarnation || m.To.Incarnation == 0 && m.Kind == join
+	return m.To.Incarnation == n.Self.Incarnation || m.Kind == join
 }
 
 func (n *Node) step(now Now, m Message) {
