--- a/schedule/cache.go
+++ b/schedule/cache.go
@@ -149,8 +149,24 @@
 	if p == nil {
 		return
 	}
-	if !slices.Contains(p.cachedOn, v) {
-		p.cachedOn = append(p.cachedOn, v)
+	if slices.Contains(p.cachedOn, v) {
+		return
+	}
+	if len(p.cachedOn) == maxCopies {
+		s.orderDrop(p.cachedOn[0], id)
+		p.cachedOn = slices.Delete(p.cachedOn, 0, 1)
+	}
+	p.cachedOn = append(p.cachedOn, v)
+}
+
+// maxCopies bounds the servers that keep the prefix of one program; the oldest
+// copy is dropped.
+const maxCopies = 4
+
+func (s *Scheduler) orderDrop(v *server, id string) {
+	v.cache.forget(id)
+	if !v.removed {
+		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id, Action: Drop})
 	}
 }
 
@@ -159,21 +175,17 @@
 
 // evicts estimates the seconds of later prefill that a call causes on a server
 // by pushing the prefixes of other programs out of the cache.
-func (s *Scheduler) evicts(c *call, v *server) float64 {
+func (s *Scheduler) evicts(c *call, v *server, missing int) float64 {
 	if c.Service != "" || v.cache.limit == 0 {
 		return 0
 	}
-	over := v.cache.used + int64(c.PromptTokens-c.cachedOn(v)) - v.quota(s.hosts)
+	over := v.cache.used + int64(missing) - v.quota(s.hosts)
 	return float64(max(0, over)) * c.pool.costs.prefill
 }
 
 // dropAll orders the servers to free the memory of an ended program.
 func (s *Scheduler) dropAll(p *program, id string) {
 	for _, v := range p.cachedOn {
-		if v.removed {
-			continue
-		}
-		v.cache.forget(id)
-		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id, Action: Drop})
+		s.orderDrop(v, id)
 	}
 }
--- /dev/null
+++ b/schedule/cost_test.go
@@ -0,0 +1,103 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// BenchmarkDecision measures one call from Enqueue to Finished, with a decision
+// by Next, while other calls run and wait.
+func BenchmarkDecision(b *testing.B) {
+	for _, servers := range []int{12, 120, 1400} {
+		for _, programs := range []int{1000, 10_000, 140_000} {
+			b.Run(fmt.Sprintf("servers=%d/programs=%d", servers, programs), func(b *testing.B) {
+				l := newDecisionLoop(servers, programs)
+				for range 2 * programs {
+					l.turn()
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					l.turn()
+				}
+			})
+		}
+	}
+}
+
+// TestDecisionDoesNotAllocate guards against allocations on the warm path.
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	l := newDecisionLoop(120, 1000)
+	for range 20_000 {
+		l.turn()
+	}
+	if n := testing.AllocsPerRun(2000, l.turn); n > 0 {
+		t.Fatalf("%.0f allocations per decision", n)
+	}
+}
+
+// decisionLoop keeps all slots busy and as many calls waiting.
+type decisionLoop struct {
+	s        *Scheduler
+	now      time.Duration
+	programs []Request
+	index    map[string]int // of programs
+	next     int
+	running  []Assignment
+	oldest   int
+}
+
+func newDecisionLoop(servers, programs int) *decisionLoop {
+	l := &decisionLoop{
+		s:     New(rand.NewPCG(1, 1), func(s *Scheduler) { s.admitter = admitAll{} }),
+		index: map[string]int{},
+	}
+	for i := range servers {
+		l.s.SetServer(0, Server{
+			ID: fmt.Sprint("server-", i), Slots: 8, CacheTokens: 400_000, Models: []ServerModel{{Name: "m"}},
+		})
+	}
+	l.s.SetHosts(0, 4)
+	for i := range programs {
+		r := request(fmt.Sprint("program-", i), uint64(i+1))
+		r.Team = fmt.Sprint("team-", i%20)
+		r.PromptTokens = 500 + i%4000
+		l.s.AdmitProgram(0, Program{ID: r.ID.Program, Team: r.Team})
+		l.index[r.ID.Program] = i
+		l.programs = append(l.programs, r)
+	}
+	l.running = make([]Assignment, 0, 16*servers)
+	for range min(programs/2, 16*servers) {
+		l.enqueue()
+	}
+	for a, ok := l.s.Next(0); ok; a, ok = l.s.Next(0) {
+		l.running = append(l.running, a)
+	}
+	return l
+}
+
+func (l *decisionLoop) enqueue() {
+	r := &l.programs[l.next]
+	l.next = (l.next + 1) % len(l.programs)
+	r.ID.Call++
+	r.AttainedTokens += 100
+	l.s.Enqueue(l.now, *r)
+}
+
+func (l *decisionLoop) turn() {
+	l.now += 100 * time.Microsecond
+	a := l.running[l.oldest]
+	l.s.FirstToken(l.now, a.ID, a.Server)
+	l.s.Tokens(l.now, a.ID, a.Server, 1)
+	l.s.Finished(l.now, a.ID, a.Server, Usage{PromptTokens: 500, CachedTokens: 400, OutputTokens: 2}, Succeeded)
+	l.enqueue()
+	n, ok := l.s.Next(l.now)
+	if !ok {
+		panic("no decision although a slot is free")
+	}
+	p := &l.programs[l.index[n.ID.Program]]
+	p.LastServer, p.PrefixTokens = n.Server, p.PromptTokens
+	l.running[l.oldest] = n
+	l.oldest = (l.oldest + 1) % len(l.running)
+}
--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -36,7 +36,7 @@
 	remaining := c.remaining(produced) * k.token
 	here := remaining / v.speed.relative
 	if produced == 0 {
-		here += c.recompute(v) / v.speed.relative
+		here += float64(c.missing(v)) * k.prefill / v.speed.relative
 	}
 	elsewhere := remaining + float64(c.PromptTokens+produced)*k.prefill
 	return here > hedgeGain*elsewhere
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -75,6 +75,7 @@
 		p.reserved = slices.DeleteFunc(p.reserved, func(o *server) bool { return o == v })
 	}
 	v.pools = v.pools[:0]
+	v.reserved = false
 }
 
 // setOpen enters or removes a server in the open list of its i-th pool.
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // choice is a server for a call.
 type choice struct {
@@ -44,8 +47,9 @@
 		if c.runOn(v) != nil {
 			return
 		}
-		recompute := c.recompute(v)
-		cost := wait + e.cost(c, v, recompute) + e.evictWeight*s.evicts(c, v)
+		missing := c.missing(v)
+		recompute := float64(missing) * c.pool.costs.prefill
+		cost := wait + e.cost(c, v, recompute) + e.evictWeight*s.evicts(c, v, missing)
 		if c.avoids(v) {
 			cost += avoidCost
 		}
@@ -85,21 +89,20 @@
 	return (e.recomputeWeight*recompute + work*(1+e.loadWeight*v.occupancy())) / v.speed.relative
 }
 
-// recompute estimates the seconds of prefill on a server.
-func (c *call) recompute(v *server) float64 {
+// missing returns the number of prompt tokens believed not to be cached on a
+// server.
+func (c *call) missing(v *server) int {
 	if c.Service != "" {
 		return 0
 	}
-	return float64(c.PromptTokens-c.cachedOn(v)) * c.pool.costs.prefill
-}
-
-// cachedOn returns the number of prompt tokens believed to be cached.
-func (c *call) cachedOn(v *server) int {
-	n, known := v.cache.tokens(c.ID.Program)
+	cached, known := 0, false
+	if c.home == nil || slices.Contains(c.home.cachedOn, v) {
+		cached, known = v.cache.tokens(c.ID.Program)
+	}
 	if !known && v == c.last {
-		n = c.PrefixTokens
+		cached = c.PrefixTokens
 	}
-	return min(n, c.PromptTokens)
+	return max(0, c.PromptTokens-cached)
 }
 
 // avoidCost in seconds puts a server that failed an earlier attempt behind all
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -29,6 +29,7 @@
 	pools       map[poolKey]*pool
 	poolOrder   []*pool
 	waiting     []*pool // pools with waiting calls
+	soloPools   []*pool // pools with waiting suspects or reserved servers
 
 	calls    map[CallID]*call
 	spare    []*call
@@ -59,7 +60,8 @@
 	Request
 	pool     *pool
 	team     *teamQueue
-	last     *server // that ran the program's previous call
+	home     *program // nil if admitted by another host
+	last     *server  // that ran the program's previous call
 	rank     time.Duration
 	serial   uint64
 	position int // in the queue of its team, or -1
@@ -151,6 +153,7 @@
 	*c = call{Request: r, serial: s.serial, position: -1, expiry: -1}
 	c.pool = s.poolFor(&c.Request)
 	c.team = c.pool.queue.team(r.Team, s.team(r.Team).weight())
+	c.home = s.programs[r.ID.Program]
 	c.last = s.servers[r.LastServer]
 	c.rank = s.order.Rank(s.now, &c.Request)
 	s.calls[r.ID] = c
--- /dev/null
+++ b/schedule/scheduler_test.go
@@ -0,0 +1,336 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// model drives one Scheduler with random events and keeps the truth.
+type model struct {
+	s        *Scheduler
+	random   *rand.Rand
+	now      time.Duration
+	servers  map[string]Server
+	inFlight map[string][]CallID
+	started  map[CallID][]string // servers
+	queued   map[CallID]Request
+	admitted map[string]bool
+	refused  map[CallID]string
+	crashes  map[uint64]int // of runs that were alone on their server
+	alone    map[string]bool
+	calls    int
+}
+
+func newModel(t *rapid.T) *model {
+	seed := rapid.Uint64().Draw(t, "seed")
+	m := &model{
+		s: New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
+		servers: map[string]Server{}, inFlight: map[string][]CallID{}, started: map[CallID][]string{},
+		queued: map[CallID]Request{}, admitted: map[string]bool{}, refused: map[CallID]string{},
+		crashes: map[uint64]int{}, alone: map[string]bool{},
+	}
+	for i := range 3 {
+		m.setServer(Server{ID: fmt.Sprint("s", i), Slots: 2, Models: []ServerModel{{Name: "m"}}})
+	}
+	return m
+}
+
+func (m *model) setServer(v Server) {
+	m.servers[v.ID] = v
+	m.s.SetServer(m.now, v)
+}
+
+func (m *model) enqueue(t *rapid.T) {
+	m.calls++
+	r := Request{
+		ID: CallID{Program: fmt.Sprint("p", m.calls), Call: 1, Attempt: 1}, Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"),
+		Class: Class(rapid.IntRange(0, 2).Draw(t, "class")), Model: "m",
+		PromptTokens: rapid.IntRange(1, 4000).Draw(t, "prompt"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		AttainedTokens: rapid.Int64Range(0, 100_000).Draw(t, "attained"),
+		LastServer:     rapid.SampledFrom([]string{"", "s0", "s1"}).Draw(t, "last"),
+		Fingerprint:    rapid.Uint64Range(1, 5).Draw(t, "fingerprint"),
+	}
+	r.PrefixTokens = r.PromptTokens / 2
+	if rapid.Bool().Draw(t, "deadline") {
+		r.Deadline = m.now + time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds"))*time.Second
+	}
+	m.queued[r.ID] = r
+	m.s.Enqueue(m.now, r)
+}
+
+// drain takes all decisions that are due and checks them.
+func (m *model) drain(t *rapid.T) {
+	for {
+		a, ok := m.s.Next(m.now)
+		if !ok {
+			break
+		}
+		m.check(t, a)
+	}
+	for _, f := range m.s.Refused(m.now) {
+		_, queued := m.queued[f.ID]
+		assert.Assert(t, queued, "a call was refused that was not queued: %v", f)
+		assert.Assert(t, f.Reason != "capacity", "a call was refused for load")
+		delete(m.queued, f.ID)
+		m.refused[f.ID] = f.Reason
+	}
+}
+
+func (m *model) check(t *rapid.T, a Assignment) {
+	v, known := m.servers[a.Server]
+	assert.Assert(t, known && !v.Leaving, "a call went to a leaving or unknown server")
+	if a.Hedge {
+		assert.Equal(t, len(m.started[a.ID]), 1, "a second run without exactly one first run")
+	} else {
+		_, queued := m.queued[a.ID]
+		assert.Assert(t, queued, "a call was assigned twice or after its refusal")
+	}
+	assert.Assert(t, !slices.Contains(m.started[a.ID], a.Server), "two runs of a call on one server")
+	assert.Assert(t, !m.alone[a.Server], "a call went to a server that runs a suspect alone")
+	if a.Reason == "suspect-alone" {
+		assert.Equal(t, len(m.inFlight[a.Server]), 0, "a suspect started beside other calls")
+		m.alone[a.Server] = true
+	}
+	// The server of a cached prefix may be overcommitted by half its slots.
+	assert.Assert(t, len(m.inFlight[a.Server]) < v.Slots+v.Slots/2, "more runs than slots on %s", a.Server)
+	assert.Assert(t, a.Reason == "cached-prefix-wait" || len(m.inFlight[a.Server]) < v.Slots)
+	delete(m.queued, a.ID)
+	m.started[a.ID] = append(m.started[a.ID], a.Server)
+	m.inFlight[a.Server] = append(m.inFlight[a.Server], a.ID)
+}
+
+func (m *model) finish(id CallID, server string, e End) {
+	m.inFlight[server] = slices.DeleteFunc(m.inFlight[server], func(o CallID) bool { return o == id })
+	m.started[id] = slices.DeleteFunc(m.started[id], func(o string) bool { return o == server })
+	m.alone[server] = m.alone[server] && len(m.inFlight[server]) > 0
+	m.s.Finished(m.now, id, server, Usage{PromptTokens: 10, OutputTokens: 5}, e)
+}
+
+// running returns a random run in progress.
+func (m *model) running() (CallID, string, bool) {
+	for _, i := range m.random.Perm(3) {
+		v := fmt.Sprint("s", i)
+		if l := m.inFlight[v]; len(l) > 0 {
+			return l[m.random.IntN(len(l))], v, true
+		}
+	}
+	return CallID{}, "", false
+}
+
+func (m *model) step(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+	id, server, ok := m.running()
+	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	case 0, 1, 2:
+		m.enqueue(t)
+	case 3:
+		if ok {
+			m.s.FirstToken(m.now, id, server)
+			m.s.Tokens(m.now, id, server, 3)
+		}
+	case 4, 5:
+		if ok {
+			m.finish(id, server, rapid.SampledFrom([]End{Succeeded, Rejected, TimedOut, Superseded}).Draw(t, "end"))
+		}
+	case 6:
+		if ok {
+			for _, c := range slices.Clone(m.inFlight[server]) {
+				m.finish(c, server, Crashed)
+			}
+		}
+	case 7:
+		v := m.servers[fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "leaving"))]
+		v.Leaving = !v.Leaving
+		m.setServer(v)
+	case 8:
+		m.s.Report(m.now, server, Load{Age: time.Second, Running: rapid.IntRange(0, 4).Draw(t, "load")})
+	}
+	m.drain(t)
+}
+
+// TestCallsAreNeitherLostNorDoubled guards against calls that are assigned
+// twice, sent to full or leaving servers, refused for load, or forgotten.
+func TestCallsAreNeitherLostNorDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			m.step(t)
+		}
+		for _, id := range []string{"s0", "s1", "s2"} {
+			v := m.servers[id]
+			v.Leaving = false
+			m.setServer(v)
+		}
+		for i := 0; i < 20*m.calls+100; i++ {
+			m.now += time.Second
+			m.drain(t)
+			if id, server, ok := m.running(); ok {
+				m.finish(id, server, Succeeded)
+			}
+		}
+		assert.Equal(t, len(m.queued), 0, "calls were lost: %v", m.queued)
+		n := m.s.Snapshot()
+		for _, v := range n.Servers {
+			assert.Equal(t, v.InFlight, 0, "runs remain on %s", v.ID)
+		}
+		assert.Equal(t, len(m.s.calls), 0)
+	})
+}
+
+// TestSuspectIsRefusedAfterTwoCrashes guards against a request that takes down
+// one server after another, and against refusing the calls beside it.
+func TestSuspectIsRefusedAfterTwoCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const poison, resends = 99, 6
+		m := newModel(t)
+		lost := 0
+		for i := range resends {
+			for j := range rapid.IntRange(0, 4).Draw(t, "innocent") {
+				m.s.Enqueue(m.now, request(fmt.Sprintf("innocent-%d-%d", i, j), uint64(1000+10*i+j)))
+			}
+			r := request(fmt.Sprint("poison-", i), poison)
+			m.s.Enqueue(m.now, r)
+			lost += m.runUntilIdle(t, poison)
+		}
+		assert.Assert(t, lost <= 2, "the request took down %d servers", lost)
+		refused := 0
+		for id, reason := range m.refused {
+			assert.Equal(t, reason, "crashed-servers")
+			assert.Assert(t, id.Program[0] == 'p', "an innocent call was refused")
+			refused++
+		}
+		assert.Equal(t, refused, resends-2)
+	})
+}
+
+func request(program string, fingerprint uint64) Request {
+	return Request{
+		ID: CallID{Program: program, Call: 1, Attempt: 1}, Team: "a", Model: "m",
+		PromptTokens: 100, Fingerprint: fingerprint,
+	}
+}
+
+// runUntilIdle ends all runs. The runs beside a poisoned one crash with it and
+// the innocent ones are tried again. It returns the number of crashed servers.
+func (m *model) runUntilIdle(t *rapid.T, poison uint64) int {
+	lost := 0
+	for range 200 {
+		m.now += 100 * time.Millisecond
+		var running []Assignment
+		for a, ok := m.s.Next(m.now); ok; a, ok = m.s.Next(m.now) {
+			running = append(running, a)
+		}
+		for _, f := range m.s.Refused(m.now) {
+			m.refused[f.ID] = f.Reason
+		}
+		crashed := map[string]bool{}
+		for _, a := range running {
+			if m.s.calls[a.ID].Fingerprint == poison {
+				crashed[a.Server] = true
+				lost++
+			}
+		}
+		for _, a := range running {
+			again := m.s.calls[a.ID].Request
+			if a.Reason == "suspect-alone" {
+				assert.Equal(t, m.s.servers[a.Server].inFlight, 1, "a suspect does not run alone")
+			}
+			if !crashed[a.Server] {
+				m.s.Finished(m.now, a.ID, a.Server, Usage{}, Succeeded)
+				continue
+			}
+			m.s.Finished(m.now, a.ID, a.Server, Usage{}, Crashed)
+			if again.Fingerprint != poison {
+				again.ID.Attempt++
+				m.s.Enqueue(m.now, again)
+			}
+		}
+	}
+	return lost
+}
+
+// TestRetryBudgetsHold guards against retries that multiply the load.
+func TestRetryBudgetsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(rand.NewPCG(1, 1))
+		first, allowed, now := 0, map[string]int{}, time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			team := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "team")
+			if rapid.IntRange(0, 3).Draw(t, "first") == 0 {
+				first++
+				r := request(fmt.Sprint("p", first), 0)
+				r.Team = team
+				s.Enqueue(now, r)
+			} else if s.MayRetry(now, team) {
+				allowed[team]++
+			}
+		}
+		total := 0
+		for _, n := range allowed {
+			total += n
+			assert.Assert(t, float64(n) <= teamRetryBurst+teamRetryRatio*float64(first)+teamRetryRate*now.Seconds())
+		}
+		assert.Assert(t, float64(total) <= globalRetryBurst+globalRetryRatio*float64(first)+globalRetryRate*now.Seconds())
+	})
+}
+
+// TestAdmittedProgramsKeepRunning guards against refusing the calls of
+// admitted programs under overload, and against admission without a bound.
+func TestAdmittedProgramsKeepRunning(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	s.SetServer(0, Server{ID: "s", Slots: 4, Models: []ServerModel{{Name: "m"}}})
+	admitted := 0
+	for i := range 100 {
+		id := fmt.Sprint("p", i)
+		if s.AdmitProgram(0, Program{ID: id, Team: "a"}).Admitted {
+			admitted++
+			s.Enqueue(0, request(id, 0))
+		}
+	}
+	assert.Assert(t, admitted >= 4 && admitted <= 6, "admitted %d", admitted)
+	for now := time.Duration(0); now < time.Hour; now += time.Minute {
+		s.Next(now)
+		assert.Equal(t, len(s.Refused(now)), 0)
+	}
+}
+
+// TestMeasuresStayWithinBounds guards against a change of the decisions that
+// loses what the benchmarks show, on one seed.
+func TestMeasuresStayWithinBounds(t *testing.T) {
+	const seed = 1
+	v := crest(seed)
+	assert.Assert(t, v[0] >= 0.9, "crest-goodput %.3f", v[0])
+	assert.Assert(t, v[1] <= 0.01, "crest-broken-programs %.3f", v[1])
+	for _, m := range []struct {
+		name  string
+		run   func(uint64, ...Option) []float64
+		bound float64
+	}{
+		{"program-latency-ratio", latencyRatios, 0.6},
+		{"kiosk-p95-ratio", kioskRatio, 1.3},
+		{"slowed-p99-ratio", slowedRatios, 1.5},
+		{"fairness", fairness, 0.05},
+	} {
+		v := m.run(seed)[0]
+		assert.Assert(t, v <= m.bound, "%s %.3f", m.name, v)
+	}
+}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -80,9 +80,12 @@
 
 // available reports whether new work may be sent, the slots aside.
 func (v *server) available() bool {
-	return !v.Leaving && !v.removed && !v.reserved && !v.remotelyReserved
+	return !v.Leaving && !v.removed && !v.reserved && !v.remotelyReserved && !v.runsSuspect()
 }
 
+// runsSuspect reports whether a suspect runs here, which must stay alone.
+func (v *server) runsSuspect() bool { return len(v.runs) > 0 && v.runs[0].solo }
+
 // refresh brings the open lists up to date after a change of the server.
 func (s *Scheduler) refresh(v *server) {
 	open := v.available() && v.inFlight < s.limit(v) && v.speed.mayProbe(s.now, v.inFlight)
--- a/schedule/suspects.go
+++ b/schedule/suspects.go
@@ -111,6 +111,9 @@
 	if !c.solo {
 		c.solo = true
 		c.pool.solo = append(c.pool.solo, c)
+		if !slices.Contains(s.soloPools, c.pool) {
+			s.soloPools = append(s.soloPools, c.pool)
+		}
 		s.expire(c)
 	}
 	return true
@@ -118,15 +121,15 @@
 
 // nextSolo assigns a suspect to a server that runs nothing else.
 func (s *Scheduler) nextSolo(now time.Duration) (Assignment, bool) {
-	for _, p := range s.poolOrder {
-		if len(p.solo) == 0 && len(p.reserved) == 0 {
-			continue
-		}
+	for _, p := range s.soloPools {
 		s.reserve(now, p)
 		if a, ok := s.startSolo(now, p); ok {
 			return a, true
 		}
 	}
+	s.soloPools = slices.DeleteFunc(s.soloPools, func(p *pool) bool {
+		return len(p.solo) == 0 && len(p.reserved) == 0
+	})
 	return Assignment{}, false
 }
 
@@ -154,7 +157,7 @@
 // release opens the reserved servers that no suspect needs any more.
 func (s *Scheduler) release(p *pool) {
 	p.reserved = slices.DeleteFunc(p.reserved, func(v *server) bool {
-		if len(v.runs) > 0 && v.runs[0].solo {
+		if v.runsSuspect() {
 			return false
 		}
 		v.reserved = false
