Add engine control requests, the watcher and the stand-in server

The rest of the engine protocol: cancel, pin, release, export and import, orders, load reports and cache events, with a watcher that polls one engine and reports lost events as gaps.

A stream that this side closes is also cancelled by its call id, in the background, because an engine may not notice a closed connection. Waiting for the cancellation was ruled out: it would delay fail-over from a dead server by the timeout of the cancellation. A call resumed on the same engine therefore needs a new attempt number, which the doc comment of Stream states.

An import names the program again and is refused when the exported prefix is of another one.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -89,6 +89,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return Refusal(resp)
 	}
+	return CheckMediaType(resp, mediaType)
+}
+
+// CheckMediaType returns a *verdict.Error, may-have-run, for a response of
+// another media type.
+func CheckMediaType(resp *http.Response, mediaType string) error {
 	got, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	if err != nil || got != mediaType {
 		return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server %s: content type %q: want %s",
--- a/engine/client.go
+++ b/engine/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/backend"
@@ -16,7 +17,8 @@
 	defaultMaxEventBytes = 1 << 20
 	// drainTimeout bounds the wait for the end of the response after [DONE],
 	// which allows the connection to be reused.
-	drainTimeout = 100 * time.Millisecond
+	drainTimeout  = 100 * time.Millisecond
+	cancelTimeout = time.Second
 )
 
 // Client makes calls to model engines. It is safe for concurrent use.
@@ -24,6 +26,7 @@
 	transport     *http.Transport
 	maxEventBytes int
 	onDrop        func(Drop)
+	cancelling    sync.WaitGroup
 }
 
 // Option configures a Client.
@@ -58,17 +61,38 @@
 	return c
 }
 
-// Close closes idle connections. Streams in progress end with their contexts.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// Close waits for cancellations in progress and closes idle connections. The
+// streams must have ended.
+func (c *Client) Close() {
+	c.cancelling.Wait()
+	c.transport.CloseIdleConnections()
+}
 
 // Stream makes a call on the engine at address (host:port) and passes every
 // token to emit, in order and each once, starting at call.ResumeFrom. An error
 // of emit ends the stream and is the cause of the returned error.
 //
+// When emit fails or the context ends, the call is also cancelled on the
+// engine, by its id and without waiting: to resume it on the same engine, use
+// the next attempt number.
+//
 // Errors are *verdict.Error. The verdict is not-run only when nothing reached
 // the engine or the engine refused the call; an answer without its end is
 // may-have-run with reason server-failed.
 func (c *Client) Stream(ctx context.Context, address string, call Call, emit func(Token) error) (Finish, error) {
+	finish, err := c.stream(ctx, address, call, emit)
+	if err == nil {
+		return finish, nil
+	}
+	e := verdict.From(err)
+	closedHere := e.Reason() == verdict.Cancelled || e.Reason() == verdict.Timeout
+	if closedHere && e.Verdict() != verdict.NotRun {
+		c.cancelSoon(address, call.ID())
+	}
+	return Finish{}, e
+}
+
+func (c *Client) stream(ctx context.Context, address string, call Call, emit func(Token) error) (Finish, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := streamRequest(ctx, address, call)
@@ -91,6 +115,16 @@
 	return a.finish, nil
 }
 
+// cancelSoon cancels a call whose stream was closed by this side. An engine
+// may not notice a closed connection before it writes again, or at all.
+func (c *Client) cancelSoon(address string, id backend.CallID) {
+	c.cancelling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = c.Cancel(ctx, address, id)
+	})
+}
+
 func streamRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
 	body, err := call.body()
 	if err != nil {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -198,6 +198,10 @@
 	e := newStandIn(t, settings)
 	returned := make(chan struct{})
 	address, c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/cancel" {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
 		defer close(returned)
 		e.ServeHTTP(w, r)
 	}))
--- a/engine/standin.go
+++ b/engine/standin.go
@@ -55,9 +55,8 @@
 		first = standin.NewIncarnation()
 	}
 	e.current.Store(newIncarnation(first, s))
-	e.faults = standin.NewSwitchboard(s.Faults, func() {
-		e.current.Store(newIncarnation(standin.NewIncarnation(), s))
-	})
+	e.faults = standin.NewSwitchboard(s.Faults)
+	e.faults.OnCrash(func() { e.current.Store(newIncarnation(standin.NewIncarnation(), s)) })
 	e.handler = e.faults.Wrap(e.routes(), s.FaultSwitches)
 	return e, nil
 }
@@ -103,16 +102,12 @@
 // Announcement returns what the engine announces.
 func (e *StandIn) Announcement() membership.Announcement {
 	i, s := e.current.Load(), e.settings
-	address := s.Address
-	if address == "" {
-		address = s.Listen
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return membership.Announcement{
 		Server:      s.Server,
 		Incarnation: i.id,
-		Address:     address,
+		Address:     s.AnnouncedAddress(),
 		DataCentre:  s.DataCentre,
 		Kind:        membership.Engine,
 		Models:      slices.Clone(i.models),
@@ -123,9 +118,7 @@
 }
 
 func (e *StandIn) serveCancel(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Call string `json:"call"`
-	}
+	var body cancelBody
 	if !standin.ReadJSON(w, r, &body) {
 		return
 	}
@@ -136,7 +129,7 @@
 	if ok {
 		c.cancel()
 	}
-	standin.WriteJSON(w, map[string]bool{"cancelled": ok})
+	standin.WriteJSON(w, cancelResult{Cancelled: ok})
 }
 
 func (e *StandIn) serveLoad(w http.ResponseWriter, _ *http.Request) {
--- a/engine/standin_cache.go
+++ b/engine/standin_cache.go
@@ -64,15 +64,15 @@
 	return &prefixCache{capacity: capacity, entries: map[string]*cacheEntry{}, recent: list.New(), events: events}
 }
 
-// begin returns how many tokens of the prompt are cached, and keeps the entry
+// begin returns how many blocks of the prompt are cached, and keeps the entry
 // of the program until end.
-func (c *prefixCache) begin(program string, prompt []block) int64 {
+func (c *prefixCache) begin(program string, prompt []block) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.entry(program)
 	e.calls++
 	c.recent.MoveToFront(e.recent)
-	return blockTokens(prompt[:commonPrefix(e.blocks, prompt)])
+	return commonPrefix(e.blocks, prompt)
 }
 
 func (c *prefixCache) entry(program string) *cacheEntry {
--- a/engine/standin_completion.go
+++ b/engine/standin_completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,8 +35,8 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	e.faults.HangIfSet(ctx)
 	defer c.inc.stop(c.idText, c.inc.start(c.idText, cancel))
+	e.faults.HangIfSet(ctx)
 	if c.inc.slots.acquire(ctx, c.priority) != nil {
 		return
 	}
@@ -96,11 +97,11 @@
 // is cancelled.
 func (c *completion) run(ctx context.Context, w http.ResponseWriter) {
 	prompt := prefixBlocks(c.request.Model, c.request.Messages)
-	cached := c.inc.cache.begin(c.id.Program, prompt)
-	conversation := prompt
+	hits := c.inc.cache.begin(c.id.Program, prompt)
+	conversation := prompt[:hits]
 	defer func() { c.inc.cache.end(c.id.Program, conversation) }()
 
-	total := promptTokens(c.request.Messages)
+	total, cached := blockTokens(prompt), blockTokens(prompt[:hits])
 	c.usage = Usage{PromptTokens: int(total), CachedTokens: int(cached), OutputTokens: c.length}
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := &eventWriter{w: w, rc: http.NewResponseController(w)}
@@ -111,11 +112,12 @@
 	if c.engine.faults.Wait(ctx, time.Duration(computed)*c.engine.settings.prefill()) != nil {
 		return
 	}
+	conversation = prompt
 	if !c.decode(ctx, out) {
 		return
 	}
-	text := ledger.Message{Role: "assistant", Content: c.answer.text(c.length)}
-	conversation = prefixBlocks(c.request.Model, append(c.request.Messages[:len(c.request.Messages):len(c.request.Messages)], text))
+	reply := ledger.Message{Role: "assistant", Content: c.answer.text(c.length)}
+	conversation = prefixBlocks(c.request.Model, append(slices.Clone(c.request.Messages), reply))
 	c.end(out)
 }
 
--- a/engine/standin_memory.go
+++ b/engine/standin_memory.go
@@ -7,11 +7,7 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-type programBody struct {
-	Program string `json:"program"`
-}
-
-// exportedCache is the memory of a program outside of an engine.
+// exportedCache is the cached prefix of a program outside of an engine.
 type exportedCache struct {
 	Program string  `json:"program"`
 	Blocks  []block `json:"blocks"`
@@ -20,7 +16,7 @@
 func (e *StandIn) servePin(w http.ResponseWriter, r *http.Request) {
 	var body programBody
 	if standin.ReadJSON(w, r, &body) {
-		standin.WriteJSON(w, map[string]bool{"pinned": e.current.Load().cache.pin(body.Program)})
+		standin.WriteJSON(w, pinResult{Pinned: e.current.Load().cache.pin(body.Program)})
 	}
 }
 
@@ -32,12 +28,7 @@
 	i := e.current.Load()
 	released := i.cache.release(body.Program)
 	i.recordLoad(e.settings)
-	standin.WriteJSON(w, releaseResult{Incarnation: i.id, Tokens: released})
-}
-
-type releaseResult struct {
-	Incarnation string `json:"incarnation"`
-	Tokens      int64  `json:"tokens"`
+	standin.WriteJSON(w, Released{Incarnation: i.id, Tokens: released})
 }
 
 func (e *StandIn) serveExport(w http.ResponseWriter, r *http.Request) {
@@ -54,12 +45,19 @@
 }
 
 func (e *StandIn) serveImport(w http.ResponseWriter, r *http.Request) {
-	var body exportedCache
+	var body struct {
+		Program string        `json:"program"`
+		Cache   exportedCache `json:"cache"`
+	}
 	if !standin.ReadJSON(w, r, &body) {
 		return
 	}
+	if body.Program == "" || body.Program != body.Cache.Program {
+		verdict.Newf(verdict.NotRun, verdict.BadRequest, "field \"cache\" is of program %q: want %q", body.Cache.Program, body.Program).Write(w)
+		return
+	}
 	i := e.current.Load()
-	stored := i.cache.load(body.Program, body.Blocks)
+	stored := i.cache.load(body.Program, body.Cache.Blocks)
 	i.recordLoad(e.settings)
-	standin.WriteJSON(w, map[string]int64{"tokens": stored})
+	standin.WriteJSON(w, importResult{Tokens: stored})
 }
--- a/engine/standin_text.go
+++ b/engine/standin_text.go
@@ -63,11 +63,3 @@
 func messageTokens(m ledger.Message) int64 {
 	return int64(messageOverheadTokens + (len(m.Content)+bytesPerToken-1)/bytesPerToken)
 }
-
-func promptTokens(messages []ledger.Message) int64 {
-	var n int64
-	for _, m := range messages {
-		n += messageTokens(m)
-	}
-	return n
-}
--- /dev/null
+++ b/engine/watcher.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+const pollTimeout = 2 * time.Second
+
+// Reports are the callbacks of a Watcher; nil ones are left out. They are
+// called one at a time and must not block.
+type Reports struct {
+	// Load gets every load report.
+	Load func(Load)
+	// Event gets every cache event, in order and each once.
+	Event func(CacheEvent)
+	// Gap gets the first and last sequence numbers of lost events, before the
+	// event after them.
+	Gap func(first, last int64)
+	// Restarted gets the new incarnation of an engine; what was known of its
+	// cache is void.
+	Restarted func(incarnation string)
+	// Failed gets a *verdict.Error for every poll that failed.
+	Failed func(error)
+}
+
+// Watcher polls the load report and the cache events of one engine.
+type Watcher struct {
+	client  *Client
+	address string
+	every   time.Duration
+	reports Reports
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	incarnation string
+	next        int64 // sequence number to ask for
+}
+
+// NewWatcher starts to poll the engine at address now and at every interval.
+func NewWatcher(c *Client, address string, every time.Duration, r Reports) *Watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Watcher{
+		client:  c,
+		address: address,
+		every:   every,
+		reports: r.withDefaults(),
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		next:    1,
+	}
+	go w.run(ctx)
+	return w
+}
+
+func (r Reports) withDefaults() Reports {
+	if r.Load == nil {
+		r.Load = func(Load) {}
+	}
+	if r.Event == nil {
+		r.Event = func(CacheEvent) {}
+	}
+	if r.Gap == nil {
+		r.Gap = func(int64, int64) {}
+	}
+	if r.Restarted == nil {
+		r.Restarted = func(string) {}
+	}
+	if r.Failed == nil {
+		r.Failed = func(error) {}
+	}
+	return r
+}
+
+// Close stops polling and waits until no callback runs.
+func (w *Watcher) Close() {
+	w.cancel()
+	<-w.done
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+	ticker := time.NewTicker(w.every)
+	defer ticker.Stop()
+	for {
+		if err := w.poll(ctx); err != nil && ctx.Err() == nil {
+			w.reports.Failed(err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load, err := w.client.Load(ctx, w.address)
+	if err != nil {
+		return err
+	}
+	w.reports.Load(load)
+	for {
+		page, err := w.client.CacheEvents(ctx, w.address, w.next)
+		if err != nil {
+			return err
+		}
+		asked := w.next
+		w.read(page)
+		if w.next == asked {
+			return nil
+		}
+	}
+}
+
+// read reports a page. After a restart of the engine, the events are to be
+// read from the first one on.
+func (w *Watcher) read(page CacheEvents) {
+	if page.Incarnation != w.incarnation {
+		known, asked := w.incarnation != "", w.next
+		w.incarnation, w.next = page.Incarnation, 1
+		if known {
+			w.reports.Restarted(page.Incarnation)
+		}
+		if asked != 1 {
+			return
+		}
+	}
+	for _, e := range page.Events {
+		if e.Sequence < w.next {
+			continue
+		}
+		if e.Sequence > w.next {
+			w.reports.Gap(w.next, e.Sequence-1)
+		}
+		w.next = e.Sequence + 1
+		w.reports.Event(e)
+	}
+}
--- a/service/client.go
+++ b/service/client.go
@@ -5,13 +5,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
-	"mime"
 	"net/http"
 	"net/url"
-	"unicode/utf8"
 
 	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -81,28 +76,12 @@
 // read returns the body of a response to the call, once it is known to be
 // whole and to belong to the call.
 func (c *Client) read(resp *http.Response, id backend.CallID) ([]byte, error) {
-	address, ctx := resp.Request.URL.Host, resp.Request.Context()
 	if got := resp.Header.Get(backend.HeaderCall); got != id.String() {
-		return nil, failed(address, "response is for call %q: want %q", got, id.String())
+		return nil, verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server %s: response is for call %q: want %q",
+			resp.Request.URL.Host, got, id.String())
 	}
-	if t, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type")); err != nil || t != "application/json" {
-		return nil, failed(address, "content type %q: want application/json", resp.Header.Get("Content-Type"))
+	if err := backend.CheckMediaType(resp, "application/json"); err != nil {
+		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, c.maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, failed(address, "response is longer than %d bytes", c.maxBodyBytes)
-	case err != nil:
-		return nil, backend.Failure(ctx, verdict.MayHaveRun, address, "response broke", err)
-	case !utf8.Valid(body):
-		return nil, failed(address, "response is not UTF-8")
-	case !json.Valid(body):
-		return nil, failed(address, "response is not valid JSON")
-	}
-	return body, nil
-}
-
-func failed(address, format string, args ...any) error {
-	return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server "+address+": "+format, args...)
+	return backend.ReadJSON(resp, c.maxBodyBytes)
 }
--- a/service/standin.go
+++ b/service/standin.go
@@ -56,7 +56,8 @@
 		first = standin.NewIncarnation()
 	}
 	t.incarnation.Store(&first)
-	t.faults = standin.NewSwitchboard(s.Faults, func() {
+	t.faults = standin.NewSwitchboard(s.Faults)
+	t.faults.OnCrash(func() {
 		next := standin.NewIncarnation()
 		t.incarnation.Store(&next)
 	})
@@ -83,14 +84,10 @@
 // Announcement returns what the service announces.
 func (t *StandIn) Announcement() membership.Announcement {
 	s := t.settings
-	address := s.Address
-	if address == "" {
-		address = s.Listen
-	}
 	return membership.Announcement{
 		Server:      s.Server,
 		Incarnation: *t.incarnation.Load(),
-		Address:     address,
+		Address:     s.AnnouncedAddress(),
 		DataCentre:  s.DataCentre,
 		Kind:        membership.Service,
 		ServiceName: s.Service,
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -47,13 +47,12 @@
 	faults  Faults
 	thawed  chan struct{} // closed while not frozen
 	crashed chan struct{} // closed by the next crash
-	restart func()
+	onCrash []func()
 }
 
-// NewSwitchboard returns a switchboard with the given faults switched on. A
-// crash calls restart after the server is down and before it serves again.
-func NewSwitchboard(f Faults, restart func()) *Switchboard {
-	s := &Switchboard{crashed: make(chan struct{}), thawed: closedChannel(), restart: restart}
+// NewSwitchboard returns a switchboard with the given faults switched on.
+func NewSwitchboard(f Faults) *Switchboard {
+	s := &Switchboard{crashed: make(chan struct{}), thawed: closedChannel()}
 	s.Set(f)
 	return s
 }
@@ -64,6 +63,15 @@
 	return c
 }
 
+// OnCrash adds a function that runs in every crash, after the requests in
+// progress are lost and before new ones are served. It must not use the
+// switchboard.
+func (s *Switchboard) OnCrash(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onCrash = append(s.onCrash, f)
+}
+
 // Set replaces the faults.
 func (s *Switchboard) Set(f Faults) {
 	s.mu.Lock()
@@ -92,7 +100,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.crashed)
-	s.restart()
+	for _, f := range s.onCrash {
+		f()
+	}
 	s.crashed = make(chan struct{})
 }
 
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/sycamoreline/sycamoreline/membership"
+)
+
+// Backend is a stand-in of a backend server.
+type Backend interface {
+	http.Handler
+	Faults() *Switchboard
+	Announcement() membership.Announcement
+}
+
+// Server serves a stand-in on a listener and announces it.
+type Server struct {
+	http      *http.Server
+	announcer *Announcer
+	served    chan struct{}
+
+	mu          sync.Mutex
+	connections map[net.Conn]struct{}
+}
+
+// Start serves a stand-in on a listener, which it owns from then on, and
+// announces it at the entry hosts of the settings. Without an address in the
+// settings, the address of the listener is announced.
+func Start(l net.Listener, b Backend, s Settings, opts ...AnnouncerOption) *Server {
+	v := &Server{served: make(chan struct{}), connections: map[net.Conn]struct{}{}}
+	v.http = &http.Server{Handler: b, ConnState: v.track}
+	b.Faults().OnCrash(v.breakConnections)
+	go func() {
+		defer close(v.served)
+		_ = v.http.Serve(l)
+	}()
+	announcement := func() membership.Announcement {
+		m := b.Announcement()
+		if s.Address == "" {
+			m.Address = l.Addr().String()
+		}
+		return m
+	}
+	opts = append([]AnnouncerOption{WithPause(b.Faults().Frozen)}, opts...)
+	v.announcer = NewAnnouncer(s.EntryHosts, s.Renewal(), announcement, opts...)
+	return v
+}
+
+// Close announces that the server is leaving, waits for the requests in
+// progress until ctx ends, and then breaks the others.
+func (v *Server) Close(ctx context.Context) error {
+	v.announcer.Close()
+	err := v.http.Shutdown(ctx)
+	if err != nil {
+		_ = v.http.Close()
+	}
+	<-v.served
+	return err
+}
+
+func (v *Server) track(c net.Conn, state http.ConnState) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		v.connections[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(v.connections, c)
+	}
+}
+
+func (v *Server) breakConnections() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for c := range v.connections {
+		_ = c.Close()
+	}
+}
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -55,6 +55,14 @@
 	return time.Duration(s.RenewalMilliseconds) * time.Millisecond
 }
 
+// AnnouncedAddress is Address, or Listen when that is empty.
+func (s Settings) AnnouncedAddress() string {
+	if s.Address != "" {
+		return s.Address
+	}
+	return s.Listen
+}
+
 // NewIncarnation returns a random incarnation.
 func NewIncarnation() string { return rand.Text() }
 
