--- a/caller/model.go
+++ b/caller/model.go
@@ -104,13 +104,13 @@
 	return err
 }
 
-// endSingle ends the program of a single call. A call that was refused or
-// whose outcome is open stays, so that a resend of its key can still run it
-// or learn the outcome; its deadline ends it otherwise.
+// endSingle ends the program of a single call. It stays open while a resend
+// of the key may still run the call or learn its outcome; its deadline ends it
+// otherwise.
 func (p *api) endSingle(r *request, call dispatch.ModelCall, resendable bool, callErr error) {
 	status := ledger.ProgramDone
 	if callErr != nil {
-		if resendable && verdict.Of(callErr) != verdict.Ran {
+		if resendable && worthResending(callErr) {
 			return
 		}
 		status = ledger.ProgramFailed
@@ -123,6 +123,17 @@
 	}
 }
 
+func worthResending(err error) bool {
+	e := verdict.From(err)
+	switch e.Verdict() {
+	case verdict.Ran:
+		return false
+	case verdict.NotRun:
+		return e.RetryAfter() > 0 || e.Status() == http.StatusServiceUnavailable
+	}
+	return true
+}
+
 // singleBudget is at least the worst cost of a call: a token has one byte or
 // more, and each message costs a few tokens of framing.
 func singleBudget(c dispatch.ModelCall) int64 {
--- /dev/null
+++ b/caller/model_test.go
@@ -0,0 +1,242 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const streamBody = `{"model":"m","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"hello"}]}`
+
+func wholeAnswer() dispatch.ModelAnswer {
+	return dispatch.ModelAnswer{
+		Call: 1, Text: "size \"M\"", Model: "m", FinishReason: "stop", Created: 7,
+		Usage: engine.Usage{PromptTokens: 5, CachedTokens: 2, OutputTokens: 3},
+	}
+}
+
+// readBack reads an answer as the client does.
+func readBack(t *testing.T, w *httptest.ResponseRecorder) (dispatch.ModelAnswer, error) {
+	t.Helper()
+	r := w.Result()
+	defer r.Body.Close()
+	return readAnswer(r)
+}
+
+// Guards against a streamed answer that differs from the whole one, and
+// against a resend that repeats or drops text already streamed.
+func TestAnswerIsTheSameHoweverDelivered(t *testing.T) {
+	tests := []struct {
+		name   string
+		body   string
+		tokens []string
+	}{
+		{"whole", chatBody1, nil},
+		{"streamed", streamBody, []string{"size ", "", `"M"`}},
+		{"recorded", streamBody, nil},
+		{"streamed in part", streamBody, []string{"size"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := &fakeDispatcher{answer: wholeAnswer(), tokens: tt.tokens}
+			w := ask(newTestAPI(d), "POST", "/v1/chat/completions", tt.body, key)
+			got, err := readBack(t, w)
+			assert.NilError(t, err)
+			if tt.tokens != nil {
+				// Number and time of a call are not known when its stream begins.
+				got.Call, got.Created = 1, 7
+			}
+			assert.DeepEqual(t, got, wholeAnswer())
+		})
+	}
+}
+
+// Guards against an error after the first byte that looks like an end.
+func TestErrorWithinStream(t *testing.T) {
+	d := &fakeDispatcher{tokens: []string{"size"}, err: verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "engine is gone")}
+	w := ask(newTestAPI(d), "POST", "/v1/chat/completions", streamBody, key)
+	assert.Equal(t, w.Code, 200)
+	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+	_, err := readBack(t, w)
+	var e *verdict.Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Reason(), verdict.ServerFailed)
+	assert.Equal(t, e.RequestID(), "r-id-1")
+}
+
+// Guards against text of another answer being passed off as complete.
+func TestStreamThatDiffersFromRecordEndsInError(t *testing.T) {
+	for _, token := range []string{"Size", "size \"M\" and more"} {
+		d := &fakeDispatcher{answer: wholeAnswer(), tokens: []string{token}}
+		_, err := readBack(t, ask(newTestAPI(d), "POST", "/v1/chat/completions", streamBody, key))
+		assert.Equal(t, verdict.From(err).Reason(), verdict.Internal)
+		assert.Equal(t, verdict.Of(err), verdict.Ran)
+	}
+}
+
+// Guards against an error before the first byte being hidden in a stream.
+func TestErrorBeforeStream(t *testing.T) {
+	d := &fakeDispatcher{err: verdict.New(verdict.NotRun, verdict.Overloaded, "full", verdict.WithRetryAfter(time.Second))}
+	w := ask(newTestAPI(d), "POST", "/v1/chat/completions", streamBody, key)
+	assert.Equal(t, w.Code, 429)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Equal(t, w.Header().Get("Content-Type"), "application/json")
+}
+
+// Guards against a single call that cannot be found by a resend to another
+// entry host, and against a program left open or ended too early.
+func TestSingleCall(t *testing.T) {
+	busy := verdict.New(verdict.NotRun, verdict.Overloaded, "full", verdict.WithRetryAfter(time.Second))
+	tests := []struct {
+		name  string
+		err   error
+		keyed bool
+		ends  []ledger.ProgramStatus
+	}{
+		{"answered", nil, true, []ledger.ProgramStatus{ledger.ProgramDone}},
+		{"refused for good", verdict.New(verdict.NotRun, verdict.UnknownModel, "no"), true, []ledger.ProgramStatus{ledger.ProgramFailed}},
+		{"refused for now", busy, true, nil},
+		{"refused, no key to resend", busy, false, []ledger.ProgramStatus{ledger.ProgramFailed}},
+		{"outcome open", errors.New("lost"), true, nil},
+		{"failed", verdict.New(verdict.Ran, verdict.ServerFailed, "no"), true, []ledger.ProgramStatus{ledger.ProgramFailed}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := &fakeDispatcher{answer: wholeAnswer(), err: tt.err}
+			headers := []string{}
+			if tt.keyed {
+				headers = append(headers, key)
+			}
+			ask(newTestAPI(d), "POST", "/v1/chat/completions", chatBody1, headers...)
+			ask(newTestAPI(d), "POST", "/v1/chat/completions", chatBody1, headers...)
+			assert.Equal(t, d.models[0].FirstSend, !tt.keyed)
+			assert.Equal(t, d.models[0].Program, d.opens[0].Program)
+			assert.Equal(t, d.opens[0].Program == d.opens[1].Program, true)
+			assert.Equal(t, len(d.ends), 2*len(tt.ends))
+			for i, status := range tt.ends {
+				assert.Equal(t, d.ends[i].Status, status)
+			}
+		})
+	}
+}
+
+// Guards against a budget of a single call below its worst cost.
+func TestSingleBudgetCoversWorstCost(t *testing.T) {
+	c := dispatch.ModelCall{MaxTokens: 10, Messages: []ledger.Message{{Role: "user", Content: "hello"}}}
+	assert.Assert(t, singleBudget(c) >= 10+5)
+}
+
+// Guards against a resend being taken for another request because it asks
+// for another delivery or orders its fields otherwise, and against two
+// requests being taken for one.
+func TestFingerprint(t *testing.T) {
+	base, err := decodeChat([]byte(chatBody1))
+	assert.NilError(t, err)
+	tests := []struct {
+		body string
+		same bool
+	}{
+		{streamBody, true},
+		{`{ "messages":[{"role":"user", "content":"hello"}], "model":"m", "temperature":null }`, true},
+		{`{"model":"m","messages":[{"role":"user","content":"hello!"}]}`, false},
+		{`{"model":"m","temperature":1,"messages":[{"role":"user","content":"hello"}]}`, false},
+	}
+	for _, tt := range tests {
+		other, err := decodeChat([]byte(tt.body))
+		assert.NilError(t, err)
+		assert.Equal(t, base.fingerprint == other.fingerprint, tt.same, tt.body)
+	}
+}
+
+// Guards against fields that mean something to the engine being lost.
+func TestFurtherFieldsReachTheEngine(t *testing.T) {
+	d := &fakeDispatcher{answer: wholeAnswer()}
+	body := `{"model":"m","temperature":0.5,"max_completion_tokens":9,"messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}],"refusal":null}]}`
+	w := ask(newTestAPI(d), "POST", "/v1/chat/completions", body, key, "Sycamoreline-Program: p")
+	assert.Equal(t, w.Code, 200, w.Body.String())
+	got := d.models[0]
+	assert.Equal(t, got.Program, "p")
+	assert.Equal(t, got.MaxTokens, 9)
+	assert.Assert(t, got.WholeConversation)
+	assert.DeepEqual(t, got.Messages, []ledger.Message{{Role: "user", Content: "ab"}})
+	assert.DeepEqual(t, got.Extra, map[string]any{"temperature": json.RawMessage("0.5")})
+	assert.Equal(t, len(d.opens), 0)
+}
+
+// drainingGate refuses everything.
+type drainingGate struct{}
+
+func (drainingGate) Enter(bool) error {
+	return verdict.New(verdict.NotRun, verdict.Draining, "draining")
+}
+func (drainingGate) Leave() {}
+
+// Guards against a resend being told not-run by a host that never looked for
+// its first send.
+func TestRefusalOfResendMayHaveRun(t *testing.T) {
+	h := newTestAPI(&fakeDispatcher{}, WithGate(drainingGate{}))
+	tests := []struct {
+		header string
+		want   string
+	}{{"X: y", "not-run"}, {key, "may-have-run"}}
+	for _, tt := range tests {
+		w := ask(h, "POST", "/v1/chat/completions", chatBody1, tt.header)
+		assert.Equal(t, w.Code, 503)
+		assert.Equal(t, w.Header().Get(verdict.HeaderVerdict), tt.want)
+	}
+}
+
+// Guards against a dispatcher that panics taking other requests down, and
+// against text that JSON must escape.
+func FuzzRequests(f *testing.F) {
+	for _, seed := range []string{chatBody1, streamBody, openBody1, `{"status":"ended"}`, `{"model":`, "\xff", `[[[[`} {
+		f.Add(seed)
+	}
+	paths := []string{"/v1/chat/completions", "/v1/programs", "/v1/programs/p/calls", "/v1/programs/p/end", "/v1/programs/p/tools/s/o"}
+	f.Fuzz(func(t *testing.T, body string) {
+		d := &fakeDispatcher{answer: wholeAnswer(), tool: dispatch.ToolAnswer{Status: 200, Body: json.RawMessage("{}")}}
+		h := newTestAPI(d)
+		for _, path := range paths {
+			w := ask(h, "POST", path, body, key)
+			if w.Code >= http.StatusBadRequest {
+				var e verdict.Error
+				assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &e), path)
+				assert.Equal(t, e.Verdict(), verdict.NotRun)
+				assert.Assert(t, !strings.ContainsAny(e.Message(), "\r\n"))
+			}
+		}
+		for _, c := range d.models {
+			assert.Assert(t, c.Model != "" && len(c.Messages) > 0 && c.MaxTokens > 0 && c.Fingerprint != "")
+		}
+	})
+}
+
+func ExampleNew() {
+	d := &fakeDispatcher{answer: wholeAnswer()}
+	server := httptest.NewServer(newTestAPI(d))
+	defer server.Close()
+	client := NewClient([]string{server.URL}, "paws")
+	program, err := client.Open(context.Background(), "open-1", "", openBody{Budget: ledger.Budget{Tokens: 100, Calls: 1}})
+	fmt.Println(program.Status, err)
+	answer, err := client.Model(context.Background(), program.Program, "call-1", ModelStep{
+		Model: "m", Messages: []ledger.Message{{Role: "user", Content: "Which size fits?"}},
+	})
+	fmt.Println(answer.Text, err)
+	http.DefaultClient.CloseIdleConnections()
+	// Output:
+	// open <nil>
+	// size "M" <nil>
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -40,6 +40,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		req := &request{Request: r, id: p.requestID(r)}
 		w.Header().Set(verdict.HeaderRequestID, req.id)
+		p.limitBodyTime(w, r)
 		err := p.authenticate(req)
 		if err == nil {
 			err = h(w, req)
@@ -51,6 +52,20 @@
 	})
 }
 
+// limitBodyTime bounds the arrival of the body. The bound stays in force if
+// the request is refused before its body is read, because the HTTP server
+// reads what is left of it.
+func (p *api) limitBodyTime(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		setReadDeadline(w, p.now().Add(p.bodyTimeout))
+	}
+}
+
+func setReadDeadline(w http.ResponseWriter, t time.Time) {
+	// Recorders in tests have no deadlines, which does no harm.
+	_ = http.NewResponseController(w).SetReadDeadline(t)
+}
+
 func (p *api) authenticate(r *request) error {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
@@ -145,22 +160,29 @@
 	if r.ContentLength > p.bodyBytes {
 		return nil, p.tooLarge(fmt.Sprintf("%d bytes", r.ContentLength))
 	}
-	control := http.NewResponseController(w)
-	// Recorders in tests have no deadlines, which does no harm.
-	_ = control.SetReadDeadline(p.now().Add(p.bodyTimeout))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.bodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		setReadDeadline(w, time.Time{})
 		return data, nil
 	case errors.As(err, &tooLarge):
 		return nil, p.tooLarge("more than the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, notRun(verdict.Timeout, "the request body took longer than %s", p.bodyTimeout)
+		return nil, r.unread(verdict.Timeout, fmt.Sprintf("the request body took longer than %s", p.bodyTimeout))
 	default:
-		return nil, notRun(verdict.BadRequest, "the request body ends too early: %s", err)
+		return nil, r.unread(verdict.BadRequest, "the request body ends too early: "+err.Error())
+	}
+}
+
+// unread refuses a request whose body did not arrive. An earlier send of its
+// key may have arrived whole.
+func (r *request) unread(reason verdict.Reason, message string) error {
+	v := verdict.NotRun
+	if r.Header.Get(HeaderKey) != "" {
+		v = verdict.MayHaveRun
 	}
+	return verdict.New(v, reason, message)
 }
 
 func (p *api) tooLarge(size string) error {
--- a/caller/tool.go
+++ b/caller/tool.go
@@ -23,6 +23,9 @@
 	if err != nil {
 		return err
 	}
+	if answer.Status < http.StatusOK || answer.Status > 599 {
+		return verdict.Newf(verdict.Ran, verdict.ServerFailed, "service %s answered with the invalid status %d", call.Service, answer.Status)
+	}
 	return writeTool(w, call.Program, answer)
 }
 
--- a/strictjson/nearest.go
+++ b/strictjson/nearest.go
@@ -1,11 +1,13 @@
 package strictjson
 
+import "strings"
+
 // nearest returns the name closest to key, or "" if none is close enough to
-// be a likely misspelling.
+// be a likely misspelling. Keys that differ in case only are the closest.
 func nearest(key string, names []string) string {
 	best, bestDistance := "", len(key)/3+2
 	for _, name := range names {
-		if d := editDistance(key, name); d < bestDistance {
+		if d := editDistance(strings.ToLower(key), name); d < bestDistance {
 			best, bestDistance = name, d
 		}
 	}
