Connect crash reports, suspects, releases and postponed admission

A crash is reported to the configuration group before the call is tried again; other hosts learn it with their next heartbeat. A prompt is identified by model and whole history, since short messages are equal in many programs.

--- a/board/board.go
+++ b/board/board.go
@@ -17,6 +17,7 @@
 type Board struct {
 	mu              sync.RWMutex
 	servers         map[string]membership.Server
+	suspects        map[string]membership.Suspect
 	memberRevision  int64
 	hosts           int
 	entries         map[string]tree.Entry
@@ -40,10 +41,11 @@
 // New returns an empty board without a lease.
 func New() *Board {
 	return &Board{
-		servers: make(map[string]membership.Server),
-		entries: make(map[string]tree.Entry),
-		config:  newConfig(nil),
-		hosts:   1,
+		servers:  make(map[string]membership.Server),
+		suspects: make(map[string]membership.Suspect),
+		entries:  make(map[string]tree.Entry),
+		config:   newConfig(nil),
+		hosts:    1,
 	}
 }
 
@@ -69,6 +71,7 @@
 	}
 	if d.Full {
 		b.servers = make(map[string]membership.Server, len(d.Servers))
+		b.suspects = make(map[string]membership.Suspect, len(d.Suspects))
 	}
 	for _, v := range d.Servers {
 		if v.Gone {
@@ -77,6 +80,13 @@
 		}
 		b.servers[v.Server] = v
 	}
+	for _, v := range d.Suspects {
+		if v.Crashes == 0 {
+			delete(b.suspects, v.Fingerprint)
+			continue
+		}
+		b.suspects[v.Fingerprint] = v
+	}
 	b.memberRevision = d.Revision
 	b.hosts = max(1, d.Hosts)
 	b.mu.Unlock()
@@ -163,6 +173,17 @@
 	return all
 }
 
+// Suspects returns the requests that were in flight on crashed servers.
+func (b *Board) Suspects() []membership.Suspect {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	all := make([]membership.Suspect, 0, len(b.suspects))
+	for _, v := range b.suspects {
+		all = append(all, v)
+	}
+	return all
+}
+
 // Service returns a server of the named plain service and the operation's
 // announcement.
 func (b *Board) Service(service, operation string) (op membership.Operation, found bool) {
--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/settings"
 )
 
@@ -24,6 +25,7 @@
 			return err
 		}
 		var host *control.Host
+		engines := engine.NewClient()
 		life.Append(fx.Hook{
 			OnStart: func(context.Context) error {
 				listener, err := listen(s.Listen)
@@ -32,7 +34,7 @@
 				}
 				host, err = control.StartHost(control.HostConfig{
 					ID: s.ID, Hosts: controlAddresses(s.ControlHosts), ProgramGroups: s.GroupCount,
-					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key,
+					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key, Engines: control.NewEngineReleaser(engines),
 				}, listener, logger)
 				if err != nil {
 					return err
@@ -42,6 +44,7 @@
 				return nil
 			},
 			OnStop: func(context.Context) error {
+				defer engines.Close()
 				return host.Close()
 			},
 		})
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -111,7 +111,7 @@
 func newDispatcher(life fx.Lifecycle, s settings.Entry, p dispatchParts) *dispatch.Dispatcher {
 	d := dispatch.New(dispatch.Parts{
 		Host: s.ID, Incarnation: rand.Text(),
-		Ledger: control.NewPrograms(p.Client), Engines: p.Engines, Services: p.Services,
+		Ledger: control.NewPrograms(p.Client), Engines: p.Engines, Services: p.Services, Crashes: p.Client,
 		Board: p.Board, Clock: p.Clock, Seed: uint64(time.Now().UnixNano()),
 	}, dispatch.WithLogger(p.Logger), dispatch.WithMetrics(p.Metrics.scope))
 	life.Append(fx.StopHook(d.Close))
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -44,6 +45,11 @@
 	Call(ctx context.Context, address, operation string, id backend.CallID, body []byte) (status int, answer []byte, err error)
 }
 
+// Crashes records which requests were in flight on servers that crashed.
+type Crashes interface {
+	ReportCrash(ctx context.Context, c membership.ReportCrash) error
+}
+
 // Timeouts of a call where nothing else is set.
 const (
 	defaultModelTimeout = 10 * time.Minute
@@ -53,6 +59,8 @@
 	// settleTimeout is longer, since an answer that was paid for is lost with
 	// its settlement.
 	settleTimeout = time.Minute
+	// crashReportTimeout bounds how long a crash holds up the retry.
+	crashReportTimeout = 2 * time.Second
 )
 
 // Dispatcher runs the calls of one entry host.
@@ -62,6 +70,7 @@
 	ledger      Ledger
 	engines     Engines
 	services    Services
+	crashes     Crashes
 	queue       *Queue
 	board       *board.Board
 	clock       Clock
@@ -98,6 +107,7 @@
 	Ledger      Ledger
 	Engines     Engines
 	Services    Services
+	Crashes     Crashes
 	Board       *board.Board
 	Clock       Clock
 	Seed        uint64 // of the scheduler's random source
@@ -111,6 +121,7 @@
 		ledger:      p.Ledger,
 		engines:     p.Engines,
 		services:    p.Services,
+		crashes:     p.Crashes,
 		board:       p.Board,
 		clock:       p.Clock,
 		logger:      zap.NewNop(),
@@ -174,6 +185,7 @@
 func (d *Dispatcher) syncServers() {
 	servers := d.board.Servers()
 	hosts := d.board.Hosts()
+	suspects := schedulerSuspects(d.board.Suspects())
 	d.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
 		known := make(map[string]bool, len(servers))
 		for _, v := range servers {
@@ -186,6 +198,7 @@
 			}
 		}
 		s.SetHosts(now, hosts)
+		s.SetSuspects(now, suspects)
 	})
 }
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -214,10 +214,29 @@
 	}
 	x.logger.Warn("send failed", zap.Int("call", x.c.state.Call), zap.String("server", x.server.Server),
 		zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
-	x.finished(r.usage, endOf(err))
+	end := endOf(err)
+	if end == schedule.Crashed {
+		x.reportCrash(work)
+	}
+	x.finished(r.usage, end)
 	return x.c.broken(err, x.d.queue.MayRetry(x.open.Team))
 }
 
+// reportCrash tells the other entry hosts, before the call is tried again,
+// that it was in flight on a server that crashed.
+func (x *execution) reportCrash(work context.Context) {
+	ctx, cancel := context.WithTimeout(work, crashReportTimeout)
+	defer cancel()
+	err := x.d.crashes.ReportCrash(ctx, membership.ReportCrash{
+		Server:            x.server.Server,
+		ServerIncarnation: x.server.Incarnation,
+		Fingerprints:      []string{fingerprintText(x.request.Fingerprint)},
+	})
+	if err != nil {
+		x.logger.Warn("crash not reported", zap.String("server", x.server.Server), zap.Error(err))
+	}
+}
+
 // endOf tells the scheduler what a failed send says of the server.
 func endOf(err error) schedule.End {
 	v := verdict.From(err)
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -80,7 +80,7 @@
 			Team: m.Team, Model: m.Model, Version: m.Version, Adapter: m.Adapter,
 			PromptTokens: promptTokens, MaxTokens: m.MaxTokens,
 			PrefixTokens: tokenBound(recorded),
-			Idempotent:   true, Fingerprint: fingerprint(m.Fingerprint),
+			Idempotent:   true, Fingerprint: promptFingerprint(m.Model, prompt),
 		},
 		logger: d.callLogger(m.RequestID, m.Program, m.Team, m.Model),
 	}
--- a/dispatch/program.go
+++ b/dispatch/program.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
@@ -51,13 +53,23 @@
 	return nil
 }
 
-// admit asks the scheduler. A program that an earlier request has opened stays
-// open whatever the load is now.
+// admit asks the scheduler, for as long as it postpones the decision. A program
+// that an earlier request has opened stays open whatever the load is now.
 func (d *Dispatcher) admit(ctx context.Context, c ledger.OpenProgram) error {
-	a := d.queue.Admit(schedule.Program{
+	p := schedule.Program{
 		ID: c.Program, Team: c.Team, Class: schedulerClass(c.Class),
 		Deadline: d.clock() + time.Until(time.UnixMilli(c.Deadline)),
-	})
+	}
+	a := d.queue.Admit(p)
+	for !a.Admitted && a.Wait > 0 {
+		if !pause(ctx, a.Wait) {
+			d.queue.EndProgram(c.Program)
+			return verdict.New(verdict.NotRun, verdict.Cancelled, "the caller went away before the program was admitted")
+		}
+		a = d.queue.Admit(p)
+	}
+	d.logger.Info("program admission", zap.String("program", c.Program), zap.String("team", c.Team),
+		zap.String("class", string(c.Class)), zap.Bool("admitted", a.Admitted), zap.String("reason", a.Reason))
 	if a.Admitted {
 		return nil
 	}
@@ -117,4 +129,36 @@
 	return s
 }
 
-func fingerprint(text string) uint64 { return xxhash.Sum64String(text) }
+// schedulerSuspects leaves one crash of a request that was never alone on the
+// server that crashed: any of the requests beside it may be the cause.
+func schedulerSuspects(all []membership.Suspect) []schedule.Suspect {
+	suspects := make([]schedule.Suspect, 0, len(all))
+	for _, v := range all {
+		f, err := strconv.ParseUint(v.Fingerprint, 16, 64)
+		if err != nil {
+			continue
+		}
+		n := v.Crashes
+		if v.Alone == 0 {
+			n = min(n, 1)
+		}
+		suspects = append(suspects, schedule.Suspect{Fingerprint: f, Crashes: n})
+	}
+	return suspects
+}
+
+func fingerprintText(f uint64) string { return strconv.FormatUint(f, 16) }
+
+// promptFingerprint is the same for the same model and prompt, whatever the
+// program or the key.
+func promptFingerprint(model string, prompt []ledger.Message) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(model)
+	for _, m := range prompt {
+		// The separators keep different prompts from having the same bytes.
+		_, _ = h.WriteString("\x00" + m.Role + "\x00" + m.Content)
+	}
+	return h.Sum64()
+}
+
+func bodyFingerprint(text string) uint64 { return xxhash.Sum64String(text) }
--- a/dispatch/tool.go
+++ b/dispatch/tool.go
@@ -54,7 +54,7 @@
 		},
 		request: schedule.Request{
 			Team: t.Team, Service: t.Service, Idempotent: idempotent,
-			Fingerprint: fingerprint(t.Fingerprint),
+			Fingerprint: bodyFingerprint(t.Fingerprint),
 		},
 		logger: d.callLogger(t.RequestID, t.Program, t.Team, name),
 	}
--- a/schedule/suspects.go
+++ b/schedule/suspects.go
@@ -20,15 +20,15 @@
 // servers.
 type suspect struct {
 	own    int // crashes seen by this host
-	remote int // crashes seen by other hosts
+	remote int // crashes that all hosts have reported, this one included
 	server string
 	at     time.Duration // of the last crash
 }
 
-func (u *suspect) crashes() int { return u.own + u.remote }
+func (u *suspect) crashes() int { return max(u.own, u.remote) }
 
-// SetSuspects sets the suspects that other entry hosts know, and the servers
-// that they keep free for them.
+// SetSuspects sets the suspects that all entry hosts together have reported,
+// and the servers that are kept free for them.
 func (s *Scheduler) SetSuspects(now time.Duration, l []Suspect) {
 	s.advance(now)
 	for f, u := range s.suspects {
@@ -39,7 +39,7 @@
 	}
 	kept := map[string]bool{}
 	for _, n := range l {
-		s.suspect(now, n.Fingerprint).remote += n.Crashes
+		s.suspect(now, n.Fingerprint).remote = n.Crashes
 		kept[n.Server] = true
 	}
 	for _, v := range s.serverOrder {
