dispatch: tell a crash from a broken answer, and run suspects alone on all hosts

Cause: with one engine that sends half answers, every program failed with crashed-servers, and with one request that crashes engines, an innocent request beside it was refused. A broken stream counted as a crash, each host counted alone, and two hosts could run two suspects on the same server.

After a broken answer the server is now asked whether the same incarnation still runs. A host takes the sole right to run suspects on a server from the configuration group, so that a second crash under a suspect names the cause. The refusal of such a request waits for one lease time, after which every host with a live lease knows of the crash.

Load reports and cache events now reach the scheduler.

--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -112,12 +112,38 @@
 	d := dispatch.New(dispatch.Parts{
 		Host: s.ID, Incarnation: rand.Text(),
 		Ledger: control.NewPrograms(p.Client), Engines: p.Engines, Services: p.Services, Crashes: p.Client,
+		Prober: serverProber{engines: p.Engines}, LeaseTTL: s.LeaseTTL.D(),
 		Board: p.Board, Clock: p.Clock, Seed: uint64(time.Now().UnixNano()),
 	}, dispatch.WithLogger(p.Logger), dispatch.WithMetrics(p.Metrics.scope))
 	life.Append(fx.StopHook(d.Close))
+	watchers := dispatch.NewWatchers(p.Board, d.Queue(), func(address string, every time.Duration, r engine.Reports) dispatch.Watcher {
+		return engine.NewWatcher(p.Engines, address, every, r)
+	})
+	life.Append(fx.StopHook(watchers.Close))
 	return d
 }
 
+// serverProber asks backend servers whether they still run.
+type serverProber struct {
+	engines *engine.Client
+}
+
+// Alive implements dispatch.Prober. Plain services have no report that names
+// their incarnation; one that accepts connections is taken to be alive.
+func (p serverProber) Alive(ctx context.Context, v membership.Server) bool {
+	if v.Kind == membership.Engine {
+		l, err := p.engines.Load(ctx, v.Address)
+		return err == nil && l.Incarnation == v.Incarnation
+	}
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", v.Address)
+	if err != nil {
+		return false
+	}
+	nc.Close()
+	return true
+}
+
 type entryParts struct {
 	fx.In
 	Logger      *zap.Logger
--- a/control/crash.go
+++ b/control/crash.go
@@ -11,14 +11,39 @@
 
 // ReportCrash records which requests were in flight on a server that crashed.
 func (c *Client) ReportCrash(ctx context.Context, r membership.ReportCrash) error {
-	command := configCommand{Member: &membership.Command{ReportCrash: &r}}
-	res, err := Propose[membership.Result](ctx, c, ConfigGroup, command)
-	if err == nil && res.Refusal != nil {
-		err = verdict.New(verdict.NotRun, res.Refusal.Reason, res.Refusal.Message)
+	_, err := c.proposeMember(ctx, membership.Command{ReportCrash: &r})
+	return err
+}
+
+// Quarantine asks for the sole right to run suspects on a server. It is refused
+// while another live host has it.
+func (c *Client) Quarantine(ctx context.Context, host, incarnation, server string) (membership.Grant, error) {
+	r, err := c.proposeMember(ctx, membership.Command{Acquire: &membership.Acquire{
+		Resource: "/quarantine/" + server, Server: server, Host: host, HostIncarnation: incarnation,
+	}})
+	if err != nil {
+		return membership.Grant{}, err
+	}
+	if r.Grant == nil {
+		return membership.Grant{}, incomplete("grant")
 	}
+	return *r.Grant, nil
+}
+
+// EndQuarantine gives the right up.
+func (c *Client) EndQuarantine(ctx context.Context, g membership.Grant) error {
+	_, err := c.proposeMember(ctx, membership.Command{Yield: &membership.Yield{Resource: g.Resource, Fencing: g.Fencing}})
 	return err
 }
 
+func (c *Client) proposeMember(ctx context.Context, m membership.Command) (membership.Result, error) {
+	r, err := Propose[membership.Result](ctx, c, ConfigGroup, configCommand{Member: &m})
+	if err == nil && r.Refusal != nil {
+		err = verdict.New(verdict.NotRun, r.Refusal.Reason, r.Refusal.Message)
+	}
+	return r, err
+}
+
 // EngineReleaser asks engines to release memory through their client.
 type EngineReleaser struct {
 	client *engine.Client
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,7 +15,6 @@
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/ledger"
-	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -45,11 +44,6 @@
 	Call(ctx context.Context, address, operation string, id backend.CallID, body []byte) (status int, answer []byte, err error)
 }
 
-// Crashes records which requests were in flight on servers that crashed.
-type Crashes interface {
-	ReportCrash(ctx context.Context, c membership.ReportCrash) error
-}
-
 // Timeouts of a call where nothing else is set.
 const (
 	defaultModelTimeout = 10 * time.Minute
@@ -59,8 +53,6 @@
 	// settleTimeout is longer, since an answer that was paid for is lost with
 	// its settlement.
 	settleTimeout = time.Minute
-	// crashReportTimeout bounds how long a crash holds up the retry.
-	crashReportTimeout = 2 * time.Second
 )
 
 // Dispatcher runs the calls of one entry host.
@@ -71,6 +63,8 @@
 	engines     Engines
 	services    Services
 	crashes     Crashes
+	prober      Prober
+	leaseTTL    time.Duration
 	queue       *Queue
 	board       *board.Board
 	clock       Clock
@@ -108,6 +102,8 @@
 	Engines     Engines
 	Services    Services
 	Crashes     Crashes
+	Prober      Prober
+	LeaseTTL    time.Duration // of entry hosts
 	Board       *board.Board
 	Clock       Clock
 	Seed        uint64 // of the scheduler's random source
@@ -122,6 +118,8 @@
 		engines:     p.Engines,
 		services:    p.Services,
 		crashes:     p.Crashes,
+		prober:      p.Prober,
+		leaseTTL:    p.LeaseTTL,
 		board:       p.Board,
 		clock:       p.Clock,
 		logger:      zap.NewNop(),
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -49,6 +49,8 @@
 	assignment schedule.Assignment
 	server     membership.Server
 	result     sendResult
+	quarantine *membership.Grant // held while a suspect is sent
+	crashKnown time.Time         // when every host knows of a crash under this call
 }
 
 // run carries the call to its end. When the caller goes away, a call that is
@@ -78,6 +80,7 @@
 			return x.c.state, nil
 		case actFail:
 			x.logFailure()
+			x.awaitCrashKnown(caller)
 			return x.c.state, x.c.err
 		}
 	}
@@ -145,7 +148,7 @@
 	r.Avoid = x.c.failed
 	r.Deadline = x.d.clock() + time.Until(x.until)
 	queuedAt := x.d.clock()
-	a, err := x.d.queue.Submit(ctx, r)
+	a, err := x.submit(ctx, r)
 	if err != nil {
 		return x.refused(caller, err)
 	}
@@ -214,7 +217,7 @@
 	}
 	x.logger.Warn("send failed", zap.Int("call", x.c.state.Call), zap.String("server", x.server.Server),
 		zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
-	end := endOf(err)
+	end := x.endOf(work, err)
 	if end == schedule.Crashed {
 		x.reportCrash(work)
 	}
@@ -222,36 +225,10 @@
 	return x.c.broken(err, x.d.queue.MayRetry(x.open.Team))
 }
 
-// reportCrash tells the other entry hosts, before the call is tried again,
-// that it was in flight on a server that crashed.
-func (x *execution) reportCrash(work context.Context) {
-	ctx, cancel := context.WithTimeout(work, crashReportTimeout)
-	defer cancel()
-	err := x.d.crashes.ReportCrash(ctx, membership.ReportCrash{
-		Server:            x.server.Server,
-		ServerIncarnation: x.server.Incarnation,
-		Fingerprints:      []string{fingerprintText(x.request.Fingerprint)},
-	})
-	if err != nil {
-		x.logger.Warn("crash not reported", zap.String("server", x.server.Server), zap.Error(err))
-	}
-}
-
-// endOf tells the scheduler what a failed send says of the server.
-func endOf(err error) schedule.End {
-	v := verdict.From(err)
-	switch {
-	case v.Verdict() == verdict.NotRun && v.Reason() == verdict.ServerFailed:
-		return schedule.FailedUnsent
-	case v.Reason() == verdict.ServerFailed:
-		return schedule.Crashed
-	default:
-		return schedule.Rejected
-	}
-}
-
+// finished reports the end of a run to the scheduler.
 func (x *execution) finished(u schedule.Usage, e schedule.End) {
 	x.d.queue.Finished(x.assignment.ID, x.assignment.Server, u, e)
+	x.endQuarantine(context.Background())
 }
 
 func (x *execution) doSettle(caller context.Context) action {
--- a/schedule/suspects.go
+++ b/schedule/suspects.go
@@ -184,7 +184,7 @@
 			if u != nil {
 				u.server = v.ID
 			}
-			return s.start(now, c, choice{server: v, reason: "suspect-alone"}), true
+			return s.start(now, c, choice{server: v, reason: ReasonSuspectAlone}), true
 		}
 	}
 	return Assignment{}, false
