--- a/ledger/call.go
+++ b/ledger/call.go
@@ -32,12 +32,14 @@
 // running is what is needed of the running call only. A program has at most
 // one.
 type running struct {
-	Call     int       `json:"call"`
-	Request  string    `json:"request,omitempty"` // proposal that started the attempt
-	Worst    int64     `json:"worst"`             // tokens reserved for the attempt
-	Until    int64     `json:"until"`             // bound of the attempt, Unix milliseconds
-	Timeout  int64     `json:"timeout"`
-	Messages []Message `json:"messages,omitempty"`
+	Call    int    `json:"call"`
+	Request string `json:"request,omitempty"` // proposal that started the attempt
+	// SentRequest is the request of the last mark-sent.
+	SentRequest string    `json:"sent-request,omitempty"`
+	Worst       int64     `json:"worst"` // tokens reserved for the attempt
+	Until       int64     `json:"until"` // bound of the attempt, Unix milliseconds
+	Timeout     int64     `json:"timeout"`
+	Messages    []Message `json:"messages,omitempty"`
 	// EarlierSent means that an attempt before this one may have been sent.
 	EarlierSent bool `json:"earlier-sent,omitempty"`
 }
@@ -75,18 +77,23 @@
 	}
 	p.Running = &running{
 		Call: k.Number, Request: c.Request, Worst: c.WorstTokens, Messages: c.Messages,
-		Timeout: timeout, Until: m.clock + timeout + m.options.settleGrace,
+		Timeout: timeout, Until: m.boundOf(p, timeout),
 	}
 	p.addCall(k)
 	m.touch(p)
 	return granted(p, k)
 }
 
+// boundOf returns when an attempt that starts now is given up. Its entry host
+// cancels it at the timeout or at the program's deadline.
+func (m *Machine) boundOf(p *program, timeout int64) int64 {
+	return min(m.clock+timeout, p.Deadline) + m.options.settleGrace
+}
+
 func (m *Machine) checkOpenCall(p *program, c *OpenCall) *Refusal {
 	switch {
 	case p.Dropped:
-		// The record of the key may be among those that were dropped.
-		return newRefusal(verdict.MayHaveRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+		return p.dropped()
 	case p.Status != ProgramOpen:
 		return newRefusal(verdict.NotRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
 	case p.Deadline <= m.clock:
@@ -126,7 +133,8 @@
 		return Result{Refusal: refusal}
 	}
 	place := place{c.Server, c.ServerIncarnation}
-	again := k.Sent && k.Server == c.Server && k.ServerIncarnation == c.ServerIncarnation
+	again := k.Sent && k.Server == c.Server && k.ServerIncarnation == c.ServerIncarnation &&
+		p.Running.SentRequest == c.Request
 	switch {
 	case again:
 		return Result{Call: p.callState(k)}
@@ -134,11 +142,12 @@
 		return refuse(verdict.MayHaveRun, verdict.OutcomeUnknown,
 			"call %d of program %q is not idempotent and was sent to server %q", k.Number, p.ID, k.Server)
 	case p.Status != ProgramOpen:
-		return refuse(p.sentVerdict(k), verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+		return refuse(k.unsentVerdict(), verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
 	case m.memory.isGone(place):
-		return refuse(p.sentVerdict(k), verdict.NoServer, "server %q incarnation %q is gone", c.Server, c.ServerIncarnation)
+		return refuse(k.unsentVerdict(), verdict.NoServer, "server %q incarnation %q is gone", c.Server, c.ServerIncarnation)
 	}
 	k.Sent, k.Server, k.ServerIncarnation = true, c.Server, c.ServerIncarnation
+	p.Running.SentRequest = c.Request
 	if k.Kind == ModelCall {
 		p.LastServer = c.Server
 		m.memory.hold(p, place)
@@ -147,12 +156,17 @@
 	return Result{Call: p.callState(k)}
 }
 
-// sentVerdict is the verdict of a refusal to send the running call.
-func (p *program) sentVerdict(k *call) verdict.Verdict {
-	if k.Sent || p.Running.EarlierSent {
-		return verdict.MayHaveRun
+// provenUnsent says whether the running attempt is known not to have been
+// sent. Only a non-idempotent call must be marked before it is sent, so only
+// there a missing mark is a proof.
+func (k *call) provenUnsent() bool { return !k.Idempotent && !k.Sent }
+
+// unsentVerdict is the verdict of a refusal to send the running call.
+func (k *call) unsentVerdict() verdict.Verdict {
+	if k.provenUnsent() {
+		return verdict.NotRun
 	}
-	return verdict.NotRun
+	return verdict.MayHaveRun
 }
 
 // findAttempt returns the call whose running attempt is named, or a refusal.
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -122,6 +122,9 @@
 	Attempt           int    `json:"attempt"`
 	Server            string `json:"server"`
 	ServerIncarnation string `json:"server-incarnation"`
+	// Request is chosen for each intent to send. It tells a repeated proposal
+	// from a second sending, which a non-idempotent call does not get.
+	Request string `json:"request,omitempty"`
 }
 
 // SettleCall records the outcome of an attempt, its cost and its answer in
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -20,7 +20,7 @@
 	r = m.ApplyCommand(3, openTestCall("p", "k2", 10))
 	assert.Equal(t, r.Refusal.Reason, verdict.CallInProgress)
 
-	m.ApplyCommand(4, Command{MarkSent: &MarkSent{"p", 1, 1, "s1", "i1"}})
+	m.ApplyCommand(4, Command{MarkSent: &MarkSent{"p", 1, 1, "s1", "i1", ""}})
 	settle := Command{SettleCall: &SettleCall{
 		Program: "p", Call: 1, Attempt: 1, Status: CallOK, Tokens: 40,
 		Answer: json.RawMessage(`"sized"`), History: []Message{{"assistant", "sized"}},
--- a/ledger/option.go
+++ b/ledger/option.go
@@ -22,7 +22,7 @@
 		maxLifetime: (24 * time.Hour).Milliseconds(),
 		maxClosed:   20_000,
 		maxGone:     4_096,
-		tickBatch:   1_000,
+		tickBatch:   4_000,
 	}
 }
 
@@ -47,8 +47,8 @@
 	return func(o *options) { o.settleGrace = d.Milliseconds() }
 }
 
-// WithRetention keeps calls and history of an ended program for d, and at
-// most count ended programs, oldest dropped first. The bare program id stays
+// WithRetention keeps calls and history of a program for d after it has ended
+// and its cost is final, and of at most count such programs, latest first. The bare program id stays
 // until the program's deadline, so that a late open-program cannot start it
 // again.
 func WithRetention(d time.Duration, count int) Option {
--- a/ledger/outcome.go
+++ b/ledger/outcome.go
@@ -94,20 +94,14 @@
 
 func (m *Machine) startAttempt(p *program, k *call, c *TakeOver) Result {
 	r := p.Running
-	// Only a non-idempotent call must be marked before it is sent, so only
-	// there a missing mark proves that nothing was sent.
-	proven := !k.Idempotent && !k.Sent
-	mayHaveRun := verdict.MayHaveRun
-	if proven {
-		mayHaveRun = verdict.NotRun
-	}
+	proven := k.provenUnsent()
 	switch {
 	case p.Status != ProgramOpen:
-		return refuse(mayHaveRun, verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
+		return refuse(k.unsentVerdict(), verdict.ProgramEnded, "program %q is %s", p.ID, p.Status)
 	case p.Deadline <= m.clock:
-		return refuse(mayHaveRun, verdict.DeadlineExceeded, "deadline of program %q has passed", p.ID)
+		return refuse(k.unsentVerdict(), verdict.DeadlineExceeded, "deadline of program %q has passed", p.ID)
 	case !proven && !p.affords(Budget{Tokens: r.Worst}):
-		return refuse(mayHaveRun, verdict.BudgetExceeded, "program %q cannot pay another attempt of %d tokens", p.ID, r.Worst)
+		return refuse(k.unsentVerdict(), verdict.BudgetExceeded, "program %q cannot pay another attempt of %d tokens", p.ID, r.Worst)
 	}
 	if !proven {
 		p.Lost = append(p.Lost, lost{Call: k.Number, Attempt: k.Attempt, Worst: r.Worst, Until: r.Until})
@@ -118,7 +112,7 @@
 	k.Host, k.HostIncarnation = c.Host, c.HostIncarnation
 	k.Sent, k.Server, k.ServerIncarnation = false, "", ""
 	r.Request = c.Request
-	r.Until = m.clock + r.Timeout + m.options.settleGrace
+	r.Until = m.boundOf(p, r.Timeout)
 	m.touch(p)
 	return granted(p, k)
 }
@@ -127,7 +121,7 @@
 // its reservation.
 func (m *Machine) lose(p *program, k *call, reason verdict.Reason) {
 	k.Reason = reason
-	if !k.Sent && !k.Idempotent {
+	if k.provenUnsent() {
 		m.finish(p, k, CallNotSent, 0)
 		return
 	}
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -19,11 +19,11 @@
 	Reserved Budget        `json:"reserved"`
 	Deadline int64         `json:"deadline"`
 	Touched  int64         `json:"touched"` // last activity, for the idle timeout
-	Ended    int64         `json:"ended,omitempty"`
 	// Children counts sub-programs whose cost is not settled yet.
 	Children int `json:"children,omitempty"`
 	// Closed means that the program has ended and its cost is final.
-	Closed bool `json:"closed,omitempty"`
+	Closed   bool  `json:"closed,omitempty"`
+	ClosedAt int64 `json:"closed-at,omitempty"`
 	// Dropped means that calls and history are no longer kept.
 	Dropped    bool      `json:"dropped,omitempty"`
 	Calls      []*call   `json:"calls,omitempty"`
@@ -107,7 +107,7 @@
 }
 
 func (m *Machine) end(p *program, status ProgramStatus, reason string) {
-	p.Status, p.Reason, p.Ended = status, reason, m.clock
+	p.Status, p.Reason = status, reason
 	m.update(p)
 }
 
@@ -136,8 +136,8 @@
 	if p.Closed || p.Status == ProgramOpen || p.Running != nil || len(p.Lost) > 0 || p.Children > 0 {
 		return nil
 	}
-	p.Closed = true
-	m.closed.Set(timer{p.Ended, p.ID})
+	p.Closed, p.ClosedAt = true, m.clock
+	m.closed.Set(timer{p.ClosedAt, p.ID})
 	parent := m.programs[p.Parent]
 	if parent == nil {
 		return nil
@@ -158,6 +158,13 @@
 	return newRefusal(v, verdict.UnknownProgram, "program %q is unknown", id)
 }
 
+// dropped refuses a request that needs records which are no longer kept. The
+// request may have run under one of them.
+func (p *program) dropped() *Refusal {
+	return newRefusal(verdict.MayHaveRun, verdict.ProgramEnded,
+		"program %q is %s and its records are no longer kept", p.ID, p.Status)
+}
+
 func (p *program) state() *ProgramState {
 	return &ProgramState{
 		Program: p.ID, Team: p.Team, Class: p.Class, Status: p.Status, Reason: p.Reason,
--- a/ledger/query.go
+++ b/ledger/query.go
@@ -25,7 +25,7 @@
 		})
 	case q.History != nil:
 		return m.onProgram(q.History.Program, q.History.Team, func(p *program) QueryResult {
-			return QueryResult{Program: p.state(), History: page(p.History, q.History.From, q.History.Limit)}
+			return p.historyPage(q.History.From, q.History.Limit)
 		})
 	case q.Call != nil:
 		return m.onProgram(q.Call.Program, q.Call.Team, func(p *program) QueryResult {
@@ -50,16 +50,22 @@
 
 func (p *program) callOf(key string) QueryResult {
 	number, ok := p.keys[key]
+	if !ok && p.Dropped {
+		return QueryResult{Refusal: p.dropped()}
+	}
 	if !ok {
-		v := verdict.NotRun
-		if p.Dropped {
-			v = verdict.MayHaveRun
-		}
-		return QueryResult{Refusal: newRefusal(v, UnknownKey, "program %q has no record of key %q", p.ID, key)}
+		return QueryResult{Refusal: newRefusal(verdict.NotRun, UnknownKey, "program %q has no record of key %q", p.ID, key)}
 	}
 	return QueryResult{Call: p.callState(p.Calls[number-1])}
 }
 
+func (p *program) historyPage(from, limit int) QueryResult {
+	if p.Dropped {
+		return QueryResult{Program: p.state(), Refusal: p.dropped()}
+	}
+	return QueryResult{Program: p.state(), History: page(p.History, from, limit)}
+}
+
 func page(history []Message, from, limit int) []Message {
 	from = min(max(from, 0), len(history))
 	to := len(history)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -99,7 +99,7 @@
 		m.memory.held.Set(Release{at.Server, at.Incarnation, p.ID})
 	}
 	if p.Closed && !p.Dropped {
-		m.closed.Set(timer{p.Ended, p.ID})
+		m.closed.Set(timer{p.ClosedAt, p.ID})
 	}
 	m.reschedule(p)
 	return nil
--- a/ledger/timer.go
+++ b/ledger/timer.go
@@ -27,7 +27,7 @@
 // nextDue returns when tick has to look at the program, or 0 for never.
 func (m *Machine) nextDue(p *program) int64 {
 	if p.Closed {
-		kept := p.Ended + m.options.retention
+		kept := p.ClosedAt + m.options.retention
 		if p.Dropped {
 			return max(kept, p.Deadline)
 		}
@@ -82,23 +82,21 @@
 	}
 }
 
+// expire does the one thing that is due for a program. If more is due, the
+// program's timer is still due afterwards.
 func (m *Machine) expire(p *program) {
-	if p.Closed {
+	r := p.Running
+	switch {
+	case p.Closed:
 		m.drop(p)
-		return
-	}
-	if r := p.Running; r != nil && r.Until <= m.clock {
+	case r != nil && r.Until <= m.clock:
 		m.lose(p, p.Calls[r.Call-1], verdict.Timeout)
-	}
-	m.boundLost(p)
-	if p.Status != ProgramOpen {
-		return
-	}
-	switch {
-	case p.Deadline <= m.clock:
+	case p.Status == ProgramOpen && p.Deadline <= m.clock:
 		m.end(p, ProgramExpired, "deadline")
-	case p.idle() && p.Touched+m.options.idle <= m.clock:
+	case p.Status == ProgramOpen && p.idle() && p.Touched+m.options.idle <= m.clock:
 		m.end(p, ProgramExpired, "idle")
+	default:
+		m.boundLost(p)
 	}
 }
 
@@ -120,9 +118,9 @@
 	if !p.Dropped {
 		p.Dropped = true
 		p.Calls, p.History, p.keys = nil, nil, nil
-		m.closed.Delete(timer{p.Ended, p.ID})
+		m.closed.Delete(timer{p.ClosedAt, p.ID})
 	}
-	if max(p.Deadline, p.Ended+m.options.retention) > m.clock {
+	if max(p.Deadline, p.ClosedAt+m.options.retention) > m.clock {
 		m.reschedule(p)
 		return
 	}
--- a/membership/main_test.go
+++ b/membership/main_test.go
@@ -5,15 +5,20 @@
 	"os"
 	"testing"
 
-	_ "pgregory.net/rapid" // defines the flag
+	_ "pgregory.net/rapid" // defines the flags
 )
 
+// TestMain makes the property tests repeatable unless a flag says otherwise.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := [][2]string{{"rapid.seed", "20261204"}, {"rapid.checks", "1000"}, {"rapid.steps", "60"}}
+	for _, d := range defaults {
+		if given[d[0]] {
+			continue
+		}
+		if err := flag.Set(d[0], d[1]); err != nil {
 			panic(err)
 		}
 	}
