--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -187,7 +187,8 @@
 		Attempt:           s.Attempt,
 		Server:            x.server.Server,
 		ServerIncarnation: x.server.Incarnation,
-		PreviousUnsent:    !x.c.mayHave,
+		PreviousUnsent:    x.c.sends > 0 && !x.c.mayHave,
+		Request:           x.d.newRequest(),
 	})
 	if err != nil {
 		x.finished(schedule.Usage{}, schedule.FailedUnsent)
