--- /dev/null
+++ b/engine/sse_test.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+func readEvents(r io.Reader, maxBytes int) ([]string, error) {
+	e := newEventReader(r, maxBytes)
+	var events []string
+	for {
+		data, err := e.next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, string(data))
+	}
+}
+
+// Guards against events that are read wrongly from allowed forms of the
+// stream.
+func TestEventReader(t *testing.T) {
+	long := strings.Repeat("x", 9000) // above the buffer size
+	tests := []struct {
+		in   string
+		want []string
+	}{
+		{"", nil},
+		{"data: a\n\ndata:b\r\n\r\n", []string{"a", "b"}},
+		{"data: a\ndata: b\n\n", []string{"a\nb"}},
+		{": comment\nevent: token\nid: 7\ndata: a\n\n\n\n", []string{"a"}},
+		{"data\n\n", []string{""}},
+		{"data: a\n\ndata: not ended\n", []string{"a"}},
+		{"data: a\n\ndata: cut", []string{"a"}},
+		{"data: " + long + "\n\n", []string{long}},
+	}
+	for _, tt := range tests {
+		got, err := readEvents(strings.NewReader(tt.in), 10_000)
+		assert.Equal(t, err, io.EOF)
+		assert.DeepEqual(t, got, tt.want)
+	}
+}
+
+// Guards against panics, events above the bound, and events that depend on
+// how the stream is split into reads.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata:b\r\n\r\n: c\n"))
+	f.Add([]byte("data\ndata:\ndata: [DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		const maxBytes = 64
+		whole, err := readEvents(bytes.NewReader(in), maxBytes)
+		split, splitErr := readEvents(iotest.OneByteReader(bytes.NewReader(in)), maxBytes)
+		assert.DeepEqual(t, whole, split)
+		assert.Equal(t, errors.Is(err, io.EOF), errors.Is(splitErr, io.EOF))
+		for _, e := range whole {
+			assert.Assert(t, len(e) <= maxBytes)
+		}
+	})
+}
+
+// Guards against panics in the reading of answers, and against an answer that
+// is taken for whole without [DONE].
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(`data: {"id":"p-1/1/1","offset":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"))
+	f.Add([]byte(`data: {"id":"p-1/1/1","choices":[{"finish_reason":"stop"}],"usage":{"completion_tokens":0}}` + "\n\ndata: [DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		want := 0
+		emit := func(token Token) error {
+			assert.Equal(t, token.Offset, want)
+			want++
+			return nil
+		}
+		a := newAnswer("127.0.0.1:1", testCall(), emit, func(Drop) {})
+		err := a.read(t.Context(), newEventReader(bytes.NewReader(in), 1<<16))
+		if err == nil {
+			assert.Assert(t, bytes.Contains(in, []byte("[DONE]")))
+			assert.Equal(t, a.finish.Usage.OutputTokens, want)
+		}
+	})
+}
