Add the weight store client and its stand-in

Placement is limited by the rate of the weight store. The client shares one token bucket among all fetches, resumes a broken transfer by range under the entity tag of the first response, and checks the whole against it. Joining parts by offset alone was ruled out: weights replaced between two transfers would be mixed.

--- /dev/null
+++ b/weightstore/bucket.go
@@ -0,0 +1,34 @@
+// Package weightstore fetches model weights from the weight store within a
+// rate, and has the stand-in that serves them.
+package weightstore
+
+import "time"
+
+// Bucket is a token bucket of bytes. It is deterministic: time is passed in,
+// as the duration since any fixed moment.
+type Bucket struct {
+	perSecond float64
+	burst     float64
+	level     float64 // below zero, bytes that are still to be waited for
+	filled    time.Duration
+}
+
+// NewBucket returns a full bucket that fills by perSecond bytes up to burst.
+func NewBucket(perSecond, burst int64) *Bucket {
+	return &Bucket{perSecond: float64(perSecond), burst: float64(burst), level: float64(burst)}
+}
+
+// Take takes n bytes and returns how long to wait before using them. Waits are
+// given out in order of the calls. Time that runs backwards counts as standing
+// still.
+func (b *Bucket) Take(now time.Duration, n int64) time.Duration {
+	if now > b.filled {
+		b.level = min(b.burst, b.level+b.perSecond*(now-b.filled).Seconds())
+		b.filled = now
+	}
+	b.level -= float64(n)
+	if b.level >= 0 {
+		return 0
+	}
+	return time.Duration(-b.level / b.perSecond * float64(time.Second))
+}
--- /dev/null
+++ b/weightstore/client.go
@@ -0,0 +1,238 @@
+package weightstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	defaultAttempts = 5
+	firstBackoff    = 100 * time.Millisecond
+	maxBackoff      = 5 * time.Second
+	pieceBytes      = 64 << 10
+)
+
+// Weights names the weights of a model or of one of its adapters.
+type Weights struct {
+	Model   string `json:"model"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+}
+
+func (w Weights) path() string {
+	q := url.Values{"model": {w.Model}, "version": {w.Version}, "adapter": {w.Adapter}}
+	return "/weights?" + q.Encode()
+}
+
+// Client fetches weights. All fetches together stay within the rate. It is
+// safe for concurrent use.
+type Client struct {
+	address   string
+	transport *http.Transport
+	attempts  int
+	start     time.Time
+
+	mu     sync.Mutex
+	bucket *Bucket
+	random *rand.Rand
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithAttempts sets how often in a row a fetch may fail without a byte of
+// progress. The default is 5.
+func WithAttempts(n int) Option { return func(c *Client) { c.attempts = n } }
+
+// WithRandom replaces the random source of retry delays.
+func WithRandom(r *rand.Rand) Option { return func(c *Client) { c.random = r } }
+
+// NewClient returns a client of the weight store at address (host:port) that
+// reads at most perSecond bytes a second.
+func NewClient(address string, perSecond int64, opts ...Option) *Client {
+	c := &Client{
+		address:   address,
+		transport: backend.NewTransport(nil),
+		attempts:  defaultAttempts,
+		start:     time.Now(),
+		bucket:    NewBucket(perSecond, min(perSecond, pieceBytes)),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Close closes idle connections. Fetches in progress end with their contexts.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Fetch writes weights to out and returns their size in bytes. A broken
+// transfer is resumed where it broke. Errors are *verdict.Error; after an
+// error, out holds a part of the weights.
+func (c *Client) Fetch(ctx context.Context, w Weights, out io.Writer) (int64, error) {
+	f := &fetch{client: c, weights: w, out: out, digest: xxhash.New()}
+	for failures := 0; ; {
+		before := f.size
+		err := f.transfer(ctx)
+		if err == nil {
+			return f.size, nil
+		}
+		if f.size > before {
+			failures = 0
+		}
+		failures++
+		var final *finalError
+		if errors.As(err, &final) || failures >= c.attempts || ctx.Err() != nil {
+			return f.size, verdict.From(err)
+		}
+		if wait(ctx, c.backoff(failures, verdict.From(err).RetryAfter())) != nil {
+			return f.size, verdict.From(err)
+		}
+	}
+}
+
+// backoff is a random part of a delay that doubles with every failure, and at
+// least the hint of the store.
+func (c *Client) backoff(failures int, hint time.Duration) time.Duration {
+	limit := min(maxBackoff, firstBackoff<<min(failures-1, 10))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(hint, time.Duration(c.random.Int64N(int64(limit))))
+}
+
+// take waits for the rate to allow n more bytes.
+func (c *Client) take(ctx context.Context, n int) error {
+	c.mu.Lock()
+	d := c.bucket.Take(time.Since(c.start), int64(n))
+	c.mu.Unlock()
+	return wait(ctx, d)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// finalError is an error that a retry cannot mend.
+type finalError struct{ cause *verdict.Error }
+
+func (e *finalError) Error() string { return e.cause.Error() }
+func (e *finalError) Unwrap() error { return e.cause }
+
+// fetch is one fetch over all its transfers.
+type fetch struct {
+	client  *Client
+	weights Weights
+	out     io.Writer
+	digest  *xxhash.Digest
+	size    int64
+	tag     string // entity tag of the first response
+}
+
+func (f *fetch) transfer(ctx context.Context) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.client.address+f.weights.path(), nil)
+	if err != nil {
+		return f.final(verdict.BadRequest, "request cannot be written", err)
+	}
+	if f.size > 0 {
+		r.Header.Set("Range", fmt.Sprintf("bytes=%d-", f.size))
+		r.Header.Set("If-Match", f.tag)
+	}
+	resp, err := backend.Do(f.client.transport, r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := f.check(resp); err != nil {
+		return err
+	}
+	if err := f.copy(ctx, resp.Body); err != nil {
+		return err
+	}
+	if got := entityTag(f.digest.Sum64()); got != f.tag {
+		return f.final(verdict.ServerFailed, fmt.Sprintf("checksum is %s: want %s", got, f.tag), nil)
+	}
+	return nil
+}
+
+// check returns nil for a response that goes on where the fetch stands.
+func (f *fetch) check(resp *http.Response) error {
+	want := http.StatusOK
+	if f.size > 0 {
+		want = http.StatusPartialContent
+	}
+	switch resp.StatusCode {
+	case want:
+	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return backend.Refusal(resp)
+	case http.StatusPreconditionFailed:
+		return f.final(verdict.Conflict, "weights have changed during the fetch", nil)
+	default:
+		return &finalError{backend.Refusal(resp)}
+	}
+	if f.size == 0 {
+		f.tag = resp.Header.Get("ETag")
+	}
+	if resp.Header.Get("ETag") != f.tag {
+		return f.final(verdict.Conflict, "weights have changed during the fetch", nil)
+	}
+	var from int64
+	if f.size > 0 {
+		if _, err := fmt.Sscanf(resp.Header.Get("Content-Range"), "bytes %d-", &from); err != nil || from != f.size {
+			return f.final(verdict.ServerFailed, fmt.Sprintf("content range %q: want bytes from %d", resp.Header.Get("Content-Range"), f.size), nil)
+		}
+	}
+	return nil
+}
+
+func (f *fetch) copy(ctx context.Context, body io.Reader) error {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := body.Read(piece)
+		if n > 0 {
+			if _, writeErr := f.out.Write(piece[:n]); writeErr != nil {
+				return f.final(verdict.Internal, "weights cannot be written", writeErr)
+			}
+			_, _ = f.digest.Write(piece[:n])
+			f.size += int64(n)
+			if waitErr := f.client.take(ctx, n); waitErr != nil {
+				return backend.Failure(ctx, verdict.MayHaveRun, f.client.address, "fetch was stopped", waitErr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return backend.Failure(ctx, verdict.MayHaveRun, f.client.address, "transfer broke", err)
+		}
+	}
+}
+
+func (f *fetch) final(reason verdict.Reason, message string, cause error) error {
+	return &finalError{verdict.New(verdict.MayHaveRun, reason, "weight store "+f.client.address+": "+message, verdict.WithCause(cause))}
+}
+
+// entityTag is the form of a checksum (xxhash64) in the ETag header.
+func entityTag(sum uint64) string { return fmt.Sprintf("%q", fmt.Sprintf("%016x", sum)) }
--- /dev/null
+++ b/weightstore/standin.go
@@ -0,0 +1,201 @@
+package weightstore
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamoreline/sycamoreline/standin"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// StandInSettings are the settings of a stand-in weight store.
+type StandInSettings struct {
+	// Listen is the address (host:port) to listen on.
+	Listen  string        `json:"listen"`
+	Weights []SizedWeight `json:"weights"`
+	// BytesPerSecond bounds all transfers together; 0 means no bound.
+	BytesPerSecond int64 `json:"bytes-per-second,omitempty"`
+	// Transfers is how many run at once; more are refused.
+	Transfers int `json:"transfers"`
+	// CutEvery breaks every nth transfer in the middle; 0 means none.
+	CutEvery int64 `json:"cut-every,omitempty"`
+}
+
+// SizedWeight is a set of weights with its size in bytes.
+type SizedWeight struct {
+	Weights
+	Bytes int64 `json:"bytes"`
+}
+
+// Check returns an error that names the field, its value and what is allowed.
+func (s StandInSettings) Check() error {
+	if len(s.Weights) == 0 {
+		return fmt.Errorf("field \"weights\": empty: want at least one entry")
+	}
+	ranges := []standin.Range{
+		{Field: "bytes-per-second", Value: s.BytesPerSecond, Min: 0, Max: 1 << 40},
+		{Field: "transfers", Value: int64(s.Transfers), Min: 1, Max: 100_000},
+		{Field: "cut-every", Value: s.CutEvery, Min: 0, Max: 1 << 40},
+	}
+	for i, w := range s.Weights {
+		if w.Model == "" {
+			return fmt.Errorf("field \"weights[%d].model\": empty: want a model name", i)
+		}
+		ranges = append(ranges, standin.Range{Field: fmt.Sprintf("weights[%d].bytes", i), Value: w.Bytes, Min: 1, Max: 1 << 30})
+	}
+	return standin.CheckRanges(ranges)
+}
+
+// StandIn is a weight store with made-up weights. It is an http.Handler.
+type StandIn struct {
+	settings  StandInSettings
+	tags      map[Weights]string
+	sizes     map[Weights]int64
+	transfers chan struct{}
+	served    atomic.Int64
+	start     time.Time
+
+	mu     sync.Mutex
+	bucket *Bucket // nil means no bound
+}
+
+// NewStandIn returns a stand-in weight store. It returns an error when the
+// settings are not valid.
+func NewStandIn(s StandInSettings) (*StandIn, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	t := &StandIn{
+		settings:  s,
+		tags:      map[Weights]string{},
+		sizes:     map[Weights]int64{},
+		transfers: make(chan struct{}, s.Transfers),
+		start:     time.Now(),
+	}
+	if s.BytesPerSecond > 0 {
+		t.bucket = NewBucket(s.BytesPerSecond, min(s.BytesPerSecond, pieceBytes))
+	}
+	for _, w := range s.Weights {
+		d := xxhash.New()
+		if _, err := io.Copy(d, newContent(w.Weights, w.Bytes)); err != nil {
+			return nil, err
+		}
+		t.tags[w.Weights], t.sizes[w.Weights] = entityTag(d.Sum64()), w.Bytes
+	}
+	return t, nil
+}
+
+// ServeHTTP answers GET /weights, whole or from an offset on.
+func (t *StandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/weights" {
+		http.NotFound(w, r)
+		return
+	}
+	q := r.URL.Query()
+	name := Weights{Model: q.Get("model"), Version: q.Get("version"), Adapter: q.Get("adapter")}
+	size, ok := t.sizes[name]
+	if !ok {
+		verdict.Newf(verdict.NotRun, verdict.UnknownModel, "no weights of model %q version %q adapter %q", name.Model, name.Version, name.Adapter).Write(w)
+		return
+	}
+	select {
+	case t.transfers <- struct{}{}:
+		defer func() { <-t.transfers }()
+		t.transfer(w, r, name, size)
+	default:
+		verdict.New(verdict.NotRun, verdict.Overloaded, "all transfers are in use", verdict.WithRetryAfter(time.Second)).Write(w)
+	}
+}
+
+func (t *StandIn) transfer(w http.ResponseWriter, r *http.Request, name Weights, size int64) {
+	out := &pacedWriter{ResponseWriter: w, store: t, r: r, left: size}
+	if n := t.served.Add(1); t.settings.CutEvery > 0 && n%t.settings.CutEvery == 0 {
+		out.left = size / 2
+	}
+	w.Header().Set("ETag", t.tags[name])
+	w.Header().Set("Content-Type", "application/octet-stream")
+	http.ServeContent(out, r, "", time.Time{}, newContent(name, size))
+	if out.left < 0 {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// pacedWriter keeps to the rate of the store and breaks off after a number of
+// bytes.
+type pacedWriter struct {
+	http.ResponseWriter
+	store *StandIn
+	r     *http.Request
+	left  int64
+}
+
+var errCut = errors.New("transfer was cut")
+
+func (p *pacedWriter) Write(data []byte) (int, error) {
+	if p.store.bucket != nil {
+		p.store.mu.Lock()
+		d := p.store.bucket.Take(time.Since(p.store.start), int64(len(data)))
+		p.store.mu.Unlock()
+		if err := wait(p.r.Context(), d); err != nil {
+			return 0, err
+		}
+	}
+	allowed := min(int64(len(data)), max(0, p.left))
+	p.left -= int64(len(data))
+	n, err := p.ResponseWriter.Write(data[:allowed])
+	if err == nil && p.left < 0 {
+		err = errCut
+	}
+	return n, err
+}
+
+// content is made-up data that depends only on the name and the offset.
+type content struct {
+	seed   uint64
+	size   int64
+	offset int64
+}
+
+func newContent(w Weights, size int64) *content {
+	return &content{seed: xxhash.Sum64String(w.path()), size: size}
+}
+
+// Read implements io.Reader.
+func (c *content) Read(p []byte) (int, error) {
+	if c.offset >= c.size {
+		return 0, io.EOF
+	}
+	n := 0
+	for n < len(p) && c.offset < c.size {
+		var word [8]byte
+		binary.LittleEndian.PutUint64(word[:], (c.seed+uint64(c.offset/8))*0x9e3779b97f4a7c15)
+		m := copy(p[n:], word[c.offset%8:])
+		m = int(min(int64(m), c.size-c.offset))
+		n += m
+		c.offset += int64(m)
+	}
+	return n, nil
+}
+
+// Seek implements io.Seeker.
+func (c *content) Seek(offset int64, whence int) (int64, error) {
+	switch whence {
+	case io.SeekCurrent:
+		offset += c.offset
+	case io.SeekEnd:
+		offset += c.size
+	}
+	if offset < 0 {
+		return 0, fmt.Errorf("seek to %d: want 0 or more", offset)
+	}
+	c.offset = offset
+	return offset, nil
+}
