--- a/engine/answer.go
+++ b/engine/answer.go
@@ -8,6 +8,7 @@
 	"unicode/utf8"
 
 	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/sse"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -53,9 +54,9 @@
 }
 
 // read passes on events until [DONE].
-func (a *answer) read(ctx context.Context, events *eventReader) error {
+func (a *answer) read(ctx context.Context, events *sse.Reader) error {
 	for {
-		data, err := events.next()
+		data, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return backend.Failure(ctx, verdict.MayHaveRun, a.address, "stream ended without [DONE]", nil)
 		}
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/sse"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -108,7 +109,7 @@
 		return Finish{}, err
 	}
 	a := newAnswer(address, call, emit, c.onDrop)
-	if err := a.read(ctx, newEventReader(resp.Body, c.maxEventBytes)); err != nil {
+	if err := a.read(ctx, sse.NewReader(resp.Body, c.maxEventBytes)); err != nil {
 		return Finish{}, err
 	}
 	drain(resp.Body, cancel)
