Add the open-loop load generator

Calls after the first count from the moment when their pause ended.

The generator uses the caller's client and measures streams in an HTTP transport below it, so that resends are the client's and are counted too. Arrivals above max-running are counted as not started, not delayed, which would turn the open loop into a closed one.

--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxMicroseconds   = int64(24 * time.Hour / time.Microsecond)
+	significantDigits = 3
+)
+
+// Result is the outcome of a run.
+type Result struct {
+	Workload    Workload `json:"workload"`
+	Seed        uint64   `json:"seed"`
+	Interrupted bool     `json:"interrupted,omitempty"`
+	Programs    Programs `json:"programs"`
+	// Crest counts the programs that arrived during the crest.
+	Crest Programs `json:"crest"`
+	// Calls counts calls by outcome: ok or a verdict.
+	Calls map[string]int64 `json:"calls"`
+	// Responses counts HTTP responses, with those to resent requests:
+	// answered, connection-failed or the verdict of a refusal.
+	Responses map[string]int64   `json:"responses"`
+	Kinds     map[Kind]Latencies `json:"kinds"`
+
+	kinds map[Kind]*histograms
+}
+
+// Programs counts programs by outcome.
+type Programs struct {
+	Scheduled  int64 `json:"scheduled"`
+	InDeadline int64 `json:"in-deadline"` // of the finished ones
+	Finished   int64 `json:"finished"`
+	Refused    int64 `json:"refused"` // not opened, with the verdict not-run
+	Failed     int64 `json:"failed"`
+	NotStarted int64 `json:"not-started"` // above max-running
+}
+
+// Latencies are the latencies of one kind of program.
+type Latencies struct {
+	// Program is the time from the scheduled arrival to the end, without the
+	// pauses of the caller; of finished programs only.
+	Program Quantiles `json:"program"`
+	// FirstToken is the time from the moment when a model call was due.
+	FirstToken Quantiles `json:"first-token"`
+	TokenGap   Quantiles `json:"token-gap"`
+}
+
+// Quantiles summarise a histogram, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean-ms"`
+	P50   float64 `json:"p50-ms"`
+	P90   float64 `json:"p90-ms"`
+	P95   float64 `json:"p95-ms"`
+	P99   float64 `json:"p99-ms"`
+	P999  float64 `json:"p999-ms"`
+	Max   float64 `json:"max-ms"`
+}
+
+type histograms struct{ program, firstToken, tokenGap *hdrhistogram.Histogram }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxMicroseconds, significantDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(maxMicroseconds, max(1, d.Microseconds()))) // in range, so never an error
+}
+
+func milliseconds(microseconds int64) float64 { return float64(microseconds) / 1000 }
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(),
+		Mean:  h.Mean() / 1000,
+		P50:   milliseconds(h.ValueAtQuantile(50)),
+		P90:   milliseconds(h.ValueAtQuantile(90)),
+		P95:   milliseconds(h.ValueAtQuantile(95)),
+		P99:   milliseconds(h.ValueAtQuantile(99)),
+		P999:  milliseconds(h.ValueAtQuantile(99.9)),
+		Max:   milliseconds(h.Max()),
+	}
+}
+
+// recorder collects the figures of a run.
+type recorder struct {
+	mu     sync.Mutex
+	result Result
+}
+
+func newRecorder(s Settings) *recorder {
+	return &recorder{result: Result{
+		Workload:  s.Workload,
+		Seed:      s.Seed,
+		Calls:     map[string]int64{},
+		Responses: map[string]int64{},
+		kinds:     map[Kind]*histograms{},
+	}}
+}
+
+func (r *recorder) kind(k Kind) *histograms {
+	h, ok := r.result.kinds[k]
+	if !ok {
+		h = &histograms{program: newHistogram(), firstToken: newHistogram(), tokenGap: newHistogram()}
+		r.result.kinds[k] = h
+	}
+	return h
+}
+
+func (r *recorder) response(outcome string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Responses[outcome]++
+}
+
+func (r *recorder) call(outcome string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Calls[outcome]++
+}
+
+func (r *recorder) token(s *streamTimes, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.last.IsZero() {
+		record(r.kind(s.kind).firstToken, now.Sub(s.due))
+	} else {
+		record(r.kind(s.kind).tokenGap, now.Sub(s.last))
+	}
+	s.last = now
+}
+
+// count changes the counts of a program, in those of the crest as well when it
+// arrived then.
+func (r *recorder) count(crest bool, change func(*Programs)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.result.Programs)
+	if crest {
+		change(&r.result.Crest)
+	}
+}
+
+func (r *recorder) finished(k Kind, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.kind(k).program, latency)
+}
+
+func (r *recorder) programs() Programs {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result.Programs
+}
+
+// summary returns the result. The recorder must not be used afterwards.
+func (r *recorder) summary(interrupted bool) Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Interrupted = interrupted
+	r.result.Kinds = map[Kind]Latencies{}
+	for k, h := range r.result.kinds {
+		r.result.Kinds[k] = Latencies{
+			Program: quantiles(h.program), FirstToken: quantiles(h.firstToken), TokenGap: quantiles(h.tokenGap),
+		}
+	}
+	return r.result
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,262 @@
+package load
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	progressEvery = time.Second
+	// overtime is how long after its deadline a program is still followed.
+	overtime       = 10 * time.Second
+	abandonTimeout = 2 * time.Second
+	// tokenBudget covers 88 turns that repeat their history.
+	tokenBudget = 4_000_000
+	maxIdle     = 4096
+)
+
+// Option configures a run.
+type Option func(*generator)
+
+// WithTransport replaces TCP.
+func WithTransport(t http.RoundTripper) Option {
+	return func(g *generator) { g.transport = t }
+}
+
+// generator runs the programs of a plan.
+type generator struct {
+	settings  Settings
+	transport http.RoundTripper
+	client    *caller.Client
+	recorder  *recorder
+	run       string
+	running   chan struct{} // one entry for each program
+	start     time.Time
+}
+
+// Run runs the programs of the plan and writes a line of progress every
+// second. When ctx ends, it returns what it has so far.
+func Run(ctx context.Context, s Settings, progress io.Writer, opts ...Option) (Result, error) {
+	if err := s.Check(); err != nil {
+		return Result{}, err
+	}
+	credential, err := readCredential(s.CredentialFile)
+	if err != nil {
+		return Result{}, err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	g := &generator{
+		settings:  s,
+		transport: transport,
+		recorder:  newRecorder(s),
+		run:       s.Run,
+		running:   make(chan struct{}, s.MaxRunning),
+		start:     time.Now(),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	if g.run == "" {
+		g.run = rand.Text()
+	}
+	g.client = caller.NewClient(s.EntryHosts, credential, caller.WithAttempts(s.Attempts),
+		caller.WithHTTPClient(&http.Client{Transport: &meter{next: g.transport, recorder: g.recorder}}))
+	stop := g.showProgress(progress)
+	g.all(ctx, Plan(s))
+	stop()
+	return g.recorder.summary(ctx.Err() != nil), nil
+}
+
+func readCredential(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("field \"credential-file\": %w", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// all starts every program at its time and waits for all of them.
+func (g *generator) all(ctx context.Context, plan []Arrival) {
+	var programs sync.WaitGroup
+	defer programs.Wait()
+	for n, a := range plan {
+		if wait(ctx, time.Until(g.start.Add(a.At))) != nil {
+			return
+		}
+		crest := g.settings.inCrest(a.At)
+		g.recorder.count(crest, func(p *Programs) { p.Scheduled++ })
+		select {
+		case g.running <- struct{}{}:
+			programs.Go(func() {
+				defer func() { <-g.running }()
+				g.program(ctx, n, a, crest)
+			})
+		default:
+			g.recorder.count(crest, func(p *Programs) { p.NotStarted++ })
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// program runs one program and counts its outcome.
+func (g *generator) program(ctx context.Context, n int, a Arrival, crest bool) {
+	deadline := g.settings.Deadline.D()
+	arrived := g.start.Add(a.At)
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(deadline+overtime))
+	defer cancel()
+	p := &program{generator: g, arrival: a, key: fmt.Sprintf("%s-%d", g.run, n), due: arrived}
+	err := p.run(ctx)
+	elapsed := time.Since(arrived)
+	switch {
+	case err == nil:
+		g.recorder.finished(a.Kind, elapsed-p.paused)
+		g.recorder.count(crest, func(c *Programs) {
+			c.Finished++
+			if elapsed <= deadline {
+				c.InDeadline++
+			}
+		})
+	case p.id == "" && verdict.Of(err) == verdict.NotRun:
+		g.recorder.count(crest, func(c *Programs) { c.Refused++ })
+	default:
+		g.recorder.count(crest, func(c *Programs) { c.Failed++ })
+	}
+}
+
+// program is one program in progress.
+type program struct {
+	*generator
+	arrival Arrival
+	key     string
+	id      string
+	due     time.Time // when the next request is to be made
+	paused  time.Duration
+}
+
+func (p *program) run(ctx context.Context) error {
+	state, err := p.client.Open(ctx, p.key+"-open", "", struct {
+		Class    ledger.Class  `json:"class"`
+		Budget   ledger.Budget `json:"budget"`
+		Deadline float64       `json:"deadline-seconds"`
+	}{p.arrival.Kind.class(), ledger.Budget{Tokens: tokenBudget, Calls: int64(len(p.arrival.Steps))}, p.settings.Deadline.D().Seconds()})
+	if err != nil {
+		return err
+	}
+	p.id = state.Program
+	for i, s := range p.arrival.Steps {
+		if err := p.step(ctx, i, s); err != nil {
+			p.abandon(ctx)
+			return err
+		}
+	}
+	_, err = p.client.End(ctx, p.id, ledger.ProgramDone)
+	return err
+}
+
+// abandon ends a failed program, so that it holds no engine memory until its
+// deadline.
+func (p *program) abandon(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonTimeout)
+	defer cancel()
+	_, _ = p.client.End(ctx, p.id, ledger.ProgramFailed)
+}
+
+// class is interactive where a person waits at a counter.
+func (k Kind) class() ledger.Class {
+	if k == KioskLookup {
+		return ledger.Interactive
+	}
+	return ledger.Standard
+}
+
+func (p *program) step(ctx context.Context, i int, s Step) error {
+	if i > 0 {
+		p.due = time.Now().Add(s.Pause)
+		p.paused += s.Pause
+	}
+	if err := wait(ctx, time.Until(p.due)); err != nil {
+		return err
+	}
+	err := p.call(ctx, fmt.Sprintf("%s-%d", p.key, i+1), s)
+	outcome := "ok"
+	if err != nil {
+		outcome = verdict.Of(err).String()
+	}
+	p.recorder.call(outcome)
+	return err
+}
+
+var errToolFailed = errors.New("tool call failed")
+
+func (p *program) call(ctx context.Context, key string, s Step) error {
+	if s.Operation != "" {
+		body := map[string]string{"program": p.key}
+		answer, err := p.client.Tool(ctx, p.id, key, p.settings.Service, s.Operation, &s.Idempotent, body)
+		if err == nil && answer.Status >= http.StatusBadRequest {
+			err = errToolFailed
+		}
+		return err
+	}
+	times := &streamTimes{kind: p.arrival.Kind, due: p.due}
+	_, err := p.client.Model(withStreamTimes(ctx, times), p.id, key, struct {
+		Model     string           `json:"model"`
+		Messages  []ledger.Message `json:"messages"`
+		MaxTokens int              `json:"max-tokens"`
+		Stream    bool             `json:"stream"`
+	}{p.settings.Model, []ledger.Message{{Role: "user", Content: s.Content}}, p.settings.MaxTokens, true})
+	return err
+}
+
+// showProgress writes a line every second until the returned function is
+// called, which waits.
+func (g *generator) showProgress(w io.Writer) func() {
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(progressEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				p := g.recorder.programs()
+				fmt.Fprintf(w, "%3.0fs: %d arrived, %d finished, %d refused, %d failed, %d not started, %d running\n",
+					time.Since(g.start).Seconds(), p.Scheduled, p.Finished, p.Refused, p.Failed, p.NotStarted, len(g.running))
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+	}
+}
