--- /dev/null
+++ b/balancer/health.go
@@ -0,0 +1,28 @@
+package balancer
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Health answers the load balancer's checks: 200 while new requests are
+// welcome, 503 otherwise.
+func (g *Gate) Health() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		body := struct {
+			Ready  bool   `json:"ready"`
+			Phase  Phase  `json:"phase"`
+			Reason string `json:"reason,omitempty"`
+		}{Phase: g.Phase()}
+		status := http.StatusServiceUnavailable
+		if err := g.ready(); err != nil {
+			body.Reason = err.Error()
+		} else if body.Phase == Serving {
+			body.Ready, status = true, http.StatusOK
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Cache-Control", "no-store")
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	})
+}
