--- a/control/client.go
+++ b/control/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	methodHeartbeat = "heartbeat"
 	methodAnnounce  = "announce"
 	methodReplica   = "replica-message"
+	methodPresence  = "presence"
+	methodTakeOver  = "take-over"
+	methodInForce   = "in-force"
 	methodStatus    = "status"
 
 	// ConfigGroup is the log group of configuration, leases and fencing
@@ -44,6 +48,7 @@
 	groups int
 	self   string
 	tls    *tls.Config
+	dial   DialFunc
 
 	mu      sync.Mutex
 	leaders map[int]int // group to index in peers
@@ -57,6 +62,11 @@
 	return func(c *Client) { c.tls = config }
 }
 
+// WithClientDial replaces TCP.
+func WithClientDial(d DialFunc) ClientOption {
+	return func(c *Client) { c.dial = d }
+}
+
 // NewClient returns a client that calls itself self and knows the given
 // control hosts. programGroups is the number of program groups, at least 1.
 func NewClient(self string, key Key, hosts []Address, programGroups int, opts ...ClientOption) *Client {
@@ -65,7 +75,7 @@
 		o(c)
 	}
 	for _, h := range hosts {
-		c.peers = append(c.peers, newPeer(h.ID, h.Address, self, key, c.tls))
+		c.peers = append(c.peers, newPeer(h.ID, h.Address, self, key, c.tls, c.dial))
 	}
 	return c
 }
@@ -80,8 +90,11 @@
 // GroupOf returns the log group of a program.
 func (c *Client) GroupOf(program string) int { return groupOf(program, c.groups) }
 
+// groupOf hashes the id up to the first "~", so that a sub-program is in the
+// group of its parent, whose budget it uses.
 func groupOf(program string, programGroups int) int {
-	return 1 + int(xxhash.Sum64String(program)%uint64(programGroups))
+	root, _, _ := strings.Cut(program, "~")
+	return 1 + int(xxhash.Sum64String(root)%uint64(programGroups))
 }
 
 type groupRequest struct {
@@ -135,6 +148,8 @@
 		var unsent *unsentError
 		var v *verdict.Error
 		switch {
+		case verdict.From(err).Reason() == verdict.Unauthorised:
+			return err
 		case errors.As(err, &notLeader):
 			if i := c.peerIndex(notLeader.leader); i >= 0 && i != target {
 				target = i
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -253,18 +253,22 @@
 func (c *call) settled(s ledger.CallState) action {
 	c.state = s
 	c.step = stepDone
-	if c.err != nil {
-		return actFail
+	if c.err == nil {
+		return actReply
+	}
+	if c.err.Verdict() == verdict.NotRun && s.Verdict != verdict.NotRun {
+		// An attempt on another host, before this one, may have been sent.
+		c.err = verdict.New(s.Verdict, c.err.Reason(), c.err.Message(), verdict.WithRetryAfter(c.err.RetryAfter()))
 	}
-	return actReply
+	return actFail
 }
 
 // settleFailed handles an outcome that could not be recorded. The answer is
 // withheld, since a resend might be given another one.
 func (c *call) settleFailed(err error) action {
 	v := verdict.From(err)
-	if c.err != nil && c.err.Verdict() == verdict.NotRun && v.Reason() != verdict.StaleAttempt {
-		// Nothing was sent, whether or not the record says so.
+	if c.err != nil && c.err.Verdict() == verdict.NotRun && c.state.Attempt == 1 && v.Reason() != verdict.StaleAttempt {
+		// The first attempt was not sent, whether or not the record says so.
 		c.step = stepDone
 		return actFail
 	}
@@ -280,13 +284,13 @@
 // recordedError is the error that a resend of a failed call receives.
 func recordedError(s ledger.CallState) *verdict.Error {
 	reason := s.Reason
-	switch {
-	case s.Status == ledger.CallUnknown:
+	switch s.Status {
+	case ledger.CallUnknown:
 		if reason == "" {
 			reason = verdict.OutcomeUnknown
 		}
 		return verdict.New(verdict.MayHaveRun, reason, "the call was sent and its outcome is not known")
-	case s.Status == ledger.CallNotSent:
+	case ledger.CallNotSent:
 		return verdict.New(verdict.NotRun, reason, "the call was not sent")
 	default:
 		return verdict.New(s.Verdict, reason, "the call failed")
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -24,7 +28,8 @@
 	OpenCall(ctx context.Context, c ledger.OpenCall) (ledger.CallState, error)
 	MarkSent(ctx context.Context, c ledger.MarkSent) (ledger.CallState, error)
 	SettleCall(ctx context.Context, c ledger.SettleCall) (ledger.CallState, error)
-	TakeOver(ctx context.Context, c ledger.TakeOver) (ledger.CallState, error)
+	// TakeOver takes a call over from the host that the present state names.
+	TakeOver(ctx context.Context, present ledger.CallState, c ledger.TakeOver) (ledger.CallState, error)
 	Program(ctx context.Context, q ledger.ProgramQuery) (ledger.ProgramState, error)
 	Call(ctx context.Context, q ledger.CallQuery) (ledger.CallState, error)
 	History(ctx context.Context, q ledger.HistoryQuery) ([]ledger.Message, error)
@@ -37,14 +42,12 @@
 
 // Services makes calls of plain services.
 type Services interface {
-	Call(ctx context.Context, address, operation string, id ServiceCall, body []byte) (status int, answer []byte, err error)
+	Call(ctx context.Context, address, operation string, id backend.CallID, body []byte) (status int, answer []byte, err error)
 }
 
-// ServiceCall names one send of a tool call.
-type ServiceCall struct {
-	Program string
-	Call    int
-	Attempt int
+// Crashes records which requests were in flight on servers that crashed.
+type Crashes interface {
+	ReportCrash(ctx context.Context, c membership.ReportCrash) error
 }
 
 // Timeouts of a call where nothing else is set.
@@ -56,6 +59,8 @@
 	// settleTimeout is longer, since an answer that was paid for is lost with
 	// its settlement.
 	settleTimeout = time.Minute
+	// crashReportTimeout bounds how long a crash holds up the retry.
+	crashReportTimeout = 2 * time.Second
 )
 
 // Dispatcher runs the calls of one entry host.
@@ -65,6 +70,7 @@
 	ledger      Ledger
 	engines     Engines
 	services    Services
+	crashes     Crashes
 	queue       *Queue
 	board       *board.Board
 	clock       Clock
@@ -72,11 +78,19 @@
 	metrics     tally.Scope
 	histories   *histories
 
+	requests atomic.Uint64
+
 	mu     sync.Mutex
 	closed bool
 	wait   sync.WaitGroup
 }
 
+// newRequest names one open or take-over, so that a repeated proposal whose
+// first answer was lost still gets the grant.
+func (d *Dispatcher) newRequest() string {
+	return strconv.FormatUint(d.requests.Add(1), 36)
+}
+
 // Option sets an optional part of a Dispatcher.
 type Option func(*Dispatcher)
 
@@ -93,6 +107,7 @@
 	Ledger      Ledger
 	Engines     Engines
 	Services    Services
+	Crashes     Crashes
 	Board       *board.Board
 	Clock       Clock
 	Seed        uint64 // of the scheduler's random source
@@ -106,6 +121,7 @@
 		ledger:      p.Ledger,
 		engines:     p.Engines,
 		services:    p.Services,
+		crashes:     p.Crashes,
 		board:       p.Board,
 		clock:       p.Clock,
 		logger:      zap.NewNop(),
@@ -133,6 +149,9 @@
 // Queue gives status pages and load readers the scheduler.
 func (d *Dispatcher) Queue() *Queue { return d.queue }
 
+// Incarnation names this process among those that ran under the host's name.
+func (d *Dispatcher) Incarnation() string { return d.incarnation }
+
 // begin counts a running call. It refuses when the host may take no new work.
 func (d *Dispatcher) begin(firstSend bool) error {
 	v := verdict.MayHaveRun
@@ -166,6 +185,7 @@
 func (d *Dispatcher) syncServers() {
 	servers := d.board.Servers()
 	hosts := d.board.Hosts()
+	suspects := schedulerSuspects(d.board.Suspects())
 	d.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
 		known := make(map[string]bool, len(servers))
 		for _, v := range servers {
@@ -178,6 +198,7 @@
 			}
 		}
 		s.SetHosts(now, hosts)
+		s.SetSuspects(now, suspects)
 	})
 }
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -118,7 +118,8 @@
 func (x *execution) doTakeOver(work context.Context) action {
 	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
 	defer cancel()
-	s, err := x.d.ledger.TakeOver(ctx, ledger.TakeOver{
+	s, err := x.d.ledger.TakeOver(ctx, x.c.state, ledger.TakeOver{
+		Request:         x.open.Request,
 		Program:         x.open.Program,
 		Call:            x.c.state.Call,
 		Attempt:         x.c.state.Attempt,
@@ -183,6 +184,7 @@
 		Attempt:           s.Attempt,
 		Server:            x.server.Server,
 		ServerIncarnation: x.server.Incarnation,
+		PreviousUnsent:    !x.c.mayHave,
 	})
 	if err != nil {
 		x.finished(schedule.Usage{}, schedule.FailedUnsent)
@@ -212,10 +214,29 @@
 	}
 	x.logger.Warn("send failed", zap.Int("call", x.c.state.Call), zap.String("server", x.server.Server),
 		zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
-	x.finished(r.usage, endOf(err))
+	end := endOf(err)
+	if end == schedule.Crashed {
+		x.reportCrash(work)
+	}
+	x.finished(r.usage, end)
 	return x.c.broken(err, x.d.queue.MayRetry(x.open.Team))
 }
 
+// reportCrash tells the other entry hosts, before the call is tried again,
+// that it was in flight on a server that crashed.
+func (x *execution) reportCrash(work context.Context) {
+	ctx, cancel := context.WithTimeout(work, crashReportTimeout)
+	defer cancel()
+	err := x.d.crashes.ReportCrash(ctx, membership.ReportCrash{
+		Server:            x.server.Server,
+		ServerIncarnation: x.server.Incarnation,
+		Fingerprints:      []string{fingerprintText(x.request.Fingerprint)},
+	})
+	if err != nil {
+		x.logger.Warn("crash not reported", zap.String("server", x.server.Server), zap.Error(err))
+	}
+}
+
 // endOf tells the scheduler what a failed send says of the server.
 func endOf(err error) schedule.End {
 	v := verdict.From(err)
--- a/dispatch/tool.go
+++ b/dispatch/tool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -48,12 +49,12 @@
 		open: ledger.OpenCall{
 			Program: t.Program, Team: t.Team, Key: t.Key, Fingerprint: t.Fingerprint,
 			Kind: ledger.ToolCall, Name: name, Idempotent: idempotent,
-			Host: d.host, HostIncarnation: d.incarnation,
+			Host: d.host, HostIncarnation: d.incarnation, Request: d.newRequest(),
 			Timeout: timeout.Milliseconds(),
 		},
 		request: schedule.Request{
 			Team: t.Team, Service: t.Service, Idempotent: idempotent,
-			Fingerprint: fingerprint(t.Fingerprint),
+			Fingerprint: bodyFingerprint(t.Fingerprint),
 		},
 		logger: d.callLogger(t.RequestID, t.Program, t.Team, name),
 	}
@@ -67,7 +68,7 @@
 }
 
 func (s *toolSender) send(ctx context.Context, a attempt) (sendResult, error) {
-	id := ServiceCall{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
+	id := backend.CallID{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
 	status, body, err := s.d.services.Call(ctx, a.server.Address, s.request.Operation, id, s.request.Body)
 	if err != nil {
 		return sendResult{}, err
--- /dev/null
+++ b/replica/writer.go
@@ -0,0 +1,144 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+// errChunk is wrapped by errors that concern only a received snapshot.
+var errChunk = errors.New("received snapshot")
+
+// fullRetry is the pause between attempts to write to a full disk.
+const fullRetry = 200 * time.Millisecond
+
+// write is a Persist with the messages that wait for it.
+type write struct {
+	persist Persist
+	after   []Message
+	err     error
+}
+
+// simple returns whether the write can share one sync with its neighbours.
+func (w write) simple() bool { return w.persist.Reset == nil && w.persist.Chunk == nil }
+
+func (w write) batch(b disk.Batch) disk.Batch {
+	if w.persist.HardState != nil {
+		b.HardState = w.persist.HardState
+	}
+	b.Entries = append(b.Entries, w.persist.Entries...)
+	return b
+}
+
+// writer owns the log of a store.
+type writer struct {
+	store    *disk.Store
+	received *disk.SnapshotWriter // what the leader sends, nil when nothing
+}
+
+// writeNext carries out the first of the pending writes, and those after it
+// that can share its sync. It returns how many; the error concerns all.
+func (w *writer) writeNext(pending []write) (int, error) {
+	var b disk.Batch
+	k := 0
+	for k < len(pending) && pending[k].simple() {
+		b = pending[k].batch(b)
+		k++
+	}
+	if k > 0 {
+		return k, w.store.Write(b)
+	}
+	return 1, w.writeOther(pending[0].persist)
+}
+
+func (w *writer) writeOther(p Persist) error {
+	var err error
+	if p.Reset != nil {
+		err = w.store.Compact(*p.Reset, p.HardState, p.Entries)
+	} else {
+		err = w.store.Write(disk.Batch{HardState: p.HardState, Entries: p.Entries})
+	}
+	if err != nil || p.Chunk == nil {
+		return err
+	}
+	if err := w.receive(*p.Chunk); err != nil {
+		w.drop()
+		return fmt.Errorf("%w: %w", errChunk, err)
+	}
+	return nil
+}
+
+// receive stores a part of a snapshot.
+func (w *writer) receive(c Chunk) error {
+	if c.Offset == 0 {
+		w.drop()
+		received, err := w.store.ReceiveSnapshot(c.Info)
+		if err != nil {
+			return err
+		}
+		w.received = received
+	}
+	if w.received == nil {
+		return errors.New("a part is missing")
+	}
+	if _, err := w.received.Write(c.Data); err != nil {
+		return err
+	}
+	if !c.Last {
+		return nil
+	}
+	_, err := w.received.Finish()
+	w.received = nil
+	return err
+}
+
+func (w *writer) drop() {
+	if w.received != nil {
+		_ = w.received.Close()
+		w.received = nil
+	}
+}
+
+// runWriter writes what the loop queued. Writes that queued up while the disk
+// was busy share one sync.
+func (g *Group) runWriter() {
+	defer g.workers.Done()
+	w := writer{store: g.store}
+	defer w.drop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-g.writes.ready:
+		}
+		for pending := g.writes.take(); len(pending) > 0; {
+			k, err := g.writeSome(&w, pending)
+			for _, x := range pending[:k] {
+				x.err = err
+				g.written.put(x)
+			}
+			pending = pending[k:]
+		}
+	}
+}
+
+// writeSome waits while the disk is full. A leader steps down meanwhile, as it
+// does with a slow disk.
+func (g *Group) writeSome(w *writer, pending []write) (int, error) {
+	for {
+		k, err := w.writeNext(pending)
+		if !errors.Is(err, disk.ErrFull) {
+			return k, err
+		}
+		g.options.logger.Error("disk is full", zap.Error(err))
+		select {
+		case <-g.stop:
+			return k, err
+		case <-time.After(fullRetry):
+		}
+	}
+}
