operator: add the API, its client and plan, apply, get, watch and status

A change is written to the settings directory before it is sent and removed when its outcome is known, so a resend after a lost response has the same id and content. Deleting paths that have no file needs -prune: an apply of the wrong directory would otherwise delete the whole configuration.

--- /dev/null
+++ b/cmd/sycamoreline/apply.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"github.com/sycamoreline/sycamoreline/operator"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// folderCommand is what plan and apply have in common.
+type folderCommand struct {
+	output
+	connection
+	prune bool
+}
+
+func (c *folderCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.BoolVar(&c.prune, "prune", false, "delete paths that only the tree has")
+}
+
+// plan compares the folder of the arguments with the tree.
+func (c *folderCommand) plan(ctx context.Context, client *operator.Client, root string) (operator.Plan, error) {
+	folder, err := operator.ReadFolder(root)
+	if err != nil {
+		return operator.Plan{}, err
+	}
+	current, err := client.Get(ctx, "")
+	if err != nil {
+		return operator.Plan{}, err
+	}
+	return operator.NewPlan(folder, current.Entries, c.prune), nil
+}
+
+// client checks the command line and connects.
+func (c *folderCommand) client(name string, f *flag.FlagSet) (*operator.Client, subcommands.ExitStatus) {
+	if f.NArg() != 1 || !c.complete() {
+		return nil, c.usage("%s: want -entry, -credential and one settings directory; see sycamoreline help %s", name, name)
+	}
+	token, client, err := c.open()
+	if err != nil {
+		return nil, c.usage("%s: %s", name, err)
+	}
+	return operator.NewClient(c.urls(), token, client), subcommands.ExitSuccess
+}
+
+type planCommand struct{ folderCommand }
+
+func (*planCommand) Name() string     { return "plan" }
+func (*planCommand) Synopsis() string { return "show what apply would change" }
+func (*planCommand) Usage() string {
+	return `sycamoreline plan -entry URL[,URL...] -credential FILE [-prune] DIRECTORY
+
+Compares a directory of settings files with the configuration tree. The file
+teams/tailor-paws/limits.json holds the value of /teams/tailor-paws/limits.
+
+Example:
+  sycamoreline plan -entry http://127.0.0.1:7211 \
+    -credential examples/local/operator.credential examples/local/settings
+
+Flags:
+`
+}
+
+func (c *planCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	client, status := c.client("plan", f)
+	if client == nil {
+		return status
+	}
+	plan, err := c.plan(ctx, client, f.Arg(0))
+	if err != nil {
+		return c.fault(err)
+	}
+	plan.Print(c.out)
+	return subcommands.ExitSuccess
+}
+
+type applyCommand struct{ folderCommand }
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "change the configuration tree to match a directory" }
+
+func (*applyCommand) Usage() string {
+	return `sycamoreline apply -entry URL[,URL...] -credential FILE [-prune] DIRECTORY
+
+Sends the difference that plan shows as one change. It is applied as a whole,
+or not at all if any of its paths was changed meanwhile. The change is kept in
+the directory until its outcome is known; if the response is lost, the next
+apply sends the same change again and learns its outcome.
+
+Example:
+  sycamoreline apply -entry http://127.0.0.1:7211 \
+    -credential examples/local/operator.credential examples/local/settings
+
+Flags:
+`
+}
+
+func (c *applyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	client, status := c.client("apply", f)
+	if client == nil {
+		return status
+	}
+	pending := operator.NewPending(f.Arg(0))
+	change, err := pending.Load()
+	if err != nil {
+		return c.fault(err)
+	}
+	if change != nil {
+		fmt.Fprintf(c.out, "sending change %s again, whose outcome is not known\n", change.ChangeID)
+		if status := c.send(ctx, client, pending, *change, true); status != subcommands.ExitSuccess {
+			return status
+		}
+	}
+	plan, err := c.plan(ctx, client, f.Arg(0))
+	if err != nil {
+		return c.fault(err)
+	}
+	plan.Print(c.out)
+	if len(plan.Steps) == 0 {
+		return subcommands.ExitSuccess
+	}
+	next := tree.Change{ChangeID: "change-" + rand.Text(), Writes: plan.Writes()}
+	if err := pending.Save(next); err != nil {
+		return c.failure(err)
+	}
+	return c.send(ctx, client, pending, next, false)
+}
+
+// send sends a change and forgets it once its outcome is known. The refusal of
+// a resend tells nothing about the first send.
+func (c *applyCommand) send(ctx context.Context, client *operator.Client, pending operator.Pending, change tree.Change, resend bool) subcommands.ExitStatus {
+	outcome, err := client.Apply(ctx, change)
+	if err != nil && (resend || verdict.Of(err) == verdict.MayHaveRun) {
+		fmt.Fprintf(c.errs, "%s\nthe outcome is not known: run apply again, which sends change %s again\n", err, change.ChangeID)
+		return subcommands.ExitFailure
+	}
+	if clearErr := pending.Clear(); clearErr != nil {
+		return c.failure(clearErr)
+	}
+	if err != nil {
+		return c.failure(err)
+	}
+	if !outcome.Applied {
+		fmt.Fprintf(c.errs, "change %s was not applied: %s: %s\n", change.ChangeID, outcome.Reason, outcome.Message)
+		for _, e := range outcome.Conflicts {
+			fmt.Fprintf(c.errs, "  %s is at version %d, set by change %s: %s\n", e.Path, e.Version, e.ChangeID, e.Value)
+		}
+		return subcommands.ExitFailure
+	}
+	fmt.Fprintf(c.out, "change %s applied at revision %d\n", change.ChangeID, outcome.Revision)
+	return subcommands.ExitSuccess
+}
--- a/cmd/sycamoreline/check.go
+++ b/cmd/sycamoreline/check.go
@@ -17,10 +17,12 @@
 
 // checks reads a file of each kind.
 var checks = map[string]func(path string) error{
-	"entry":       reads(settings.Read[settings.Entry]),
-	"control":     reads(settings.Read[settings.Control]),
-	"program":     reads(caller.ReadProgram),
-	"credentials": reads(func(path string) (*credential.Store, error) { return credential.Open(path) }),
+	"entry":            reads(settings.Read[settings.Entry]),
+	"control":          reads(settings.Read[settings.Control]),
+	"stand-in-engine":  reads(settings.Read[engineSettings]),
+	"stand-in-service": reads(settings.Read[serviceSettings]),
+	"program":          reads(caller.ReadProgram),
+	"credentials":      reads(func(path string) (*credential.Store, error) { return credential.Open(path) }),
 }
 
 func reads[T any](read func(string) (T, error)) func(string) error {
--- a/cmd/sycamoreline/commands.go
+++ b/cmd/sycamoreline/commands.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
 )
 
 // Groups of the list of commands.
@@ -33,6 +36,11 @@
 		{&runCommand{output: o}, groupCaller},
 		{&checkCommand{output: o}, groupOperator},
 		{&versionCommand{output: o}, groupOperator},
+		{&planCommand{folderCommand{output: o}}, groupOperator},
+		{&applyCommand{folderCommand{output: o}}, groupOperator},
+		{&getCommand{inspectCommand{output: o}}, groupOperator},
+		{&watchCommand{inspectCommand: inspectCommand{output: o}}, groupOperator},
+		{&statusCommand{inspectCommand{output: o}}, groupOperator},
 	}
 }
 
@@ -58,3 +66,12 @@
 	fmt.Fprintln(o.errs, err)
 	return subcommands.ExitFailure
 }
+
+// fault reports invalid files as invalid settings, anything else as failure.
+func (o output) fault(err error) subcommands.ExitStatus {
+	var invalid *strictjson.Error
+	if errors.As(err, &invalid) {
+		return o.usage("%s", err)
+	}
+	return o.failure(err)
+}
--- /dev/null
+++ b/cmd/sycamoreline/connection.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+)
+
+// connection is how a command reaches the entry hosts.
+type connection struct {
+	entries    string
+	credential string
+	ca         string
+}
+
+func (c *connection) setFlags(f *flag.FlagSet) {
+	f.StringVar(&c.entries, "entry", "", "base URLs of the entry hosts, separated by commas")
+	f.StringVar(&c.credential, "credential", "", "file with the credential on its first line")
+	f.StringVar(&c.ca, "ca", "", "file with the certificates to trust, in PEM (default: those of the system)")
+}
+
+func (c *connection) complete() bool { return c.entries != "" && c.credential != "" }
+
+func (c *connection) urls() []string { return strings.Split(c.entries, ",") }
+
+// open reads the credential and prepares an HTTP client.
+func (c *connection) open() (token string, client *http.Client, err error) {
+	data, err := os.ReadFile(c.credential)
+	if err != nil {
+		return "", nil, err
+	}
+	token, _, _ = strings.Cut(string(data), "\n")
+	if token = strings.TrimSpace(token); token == "" {
+		return "", nil, fmt.Errorf("%s: want a credential on the first line", c.credential)
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if c.ca != "" {
+		if transport.TLSClientConfig, err = trust(c.ca); err != nil {
+			return "", nil, err
+		}
+	}
+	return token, &http.Client{Transport: transport}, nil
+}
+
+func trust(path string) (*tls.Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("%s: want certificates in PEM", path)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
--- a/cmd/sycamoreline/run.go
+++ b/cmd/sycamoreline/run.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"os"
-	"strings"
 
 	"github.com/google/subcommands"
 
@@ -16,16 +14,15 @@
 
 type runCommand struct {
 	output
-	entries    string
-	credential string
-	key        string
-	json       bool
+	connection
+	key  string
+	json bool
 }
 
 func (*runCommand) Name() string     { return "run" }
 func (*runCommand) Synopsis() string { return "run a program file as a caller" }
 func (*runCommand) Usage() string {
-	return `sycamoreline run -entry URL[,URL...] -credential FILE [-key KEY] [-json] PROGRAM.json
+	return `sycamoreline run -entry URL[,URL...] -credential FILE [-ca FILE] [-key KEY] [-json] PROGRAM.json
 
 Opens the program, runs its steps in order and ends it, printing each step and
 its answer. Requests that fail are resent under the same idempotency key, to
@@ -41,47 +38,33 @@
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.entries, "entry", "", "base URLs of the entry hosts, separated by commas")
-	f.StringVar(&c.credential, "credential", "", "file with the caller's credential")
+	c.setFlags(f)
 	f.StringVar(&c.key, "key", "", "prefix of the idempotency keys (default: random)")
 	f.BoolVar(&c.json, "json", false, "print one JSON object per line")
 }
 
 func (c *runCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 1 || c.entries == "" || c.credential == "" {
+	if f.NArg() != 1 || !c.complete() {
 		return c.usage("run: want -entry, -credential and one program file; see sycamoreline help run")
 	}
 	program, err := caller.ReadProgram(f.Arg(0))
 	if err != nil {
 		return c.usage("%s", err)
 	}
-	token, err := readToken(c.credential)
+	token, client, err := c.open()
 	if err != nil {
 		return c.usage("run: %s", err)
 	}
 	if c.key == "" {
 		c.key = "run-" + rand.Text()
 	}
-	client := caller.NewClient(strings.Split(c.entries, ","), token)
-	if err := caller.NewRunner(client, c.key, c.report).Run(ctx, program); err != nil {
+	entries := caller.NewClient(c.urls(), token, caller.WithHTTPClient(client))
+	if err := caller.NewRunner(entries, c.key, c.report).Run(ctx, program); err != nil {
 		return c.failure(err)
 	}
 	return subcommands.ExitSuccess
 }
 
-// readToken reads a credential, which is the first line of its file.
-func readToken(path string) (string, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return "", err
-	}
-	token, _, _ := strings.Cut(string(data), "\n")
-	if token = strings.TrimSpace(token); token == "" {
-		return "", fmt.Errorf("%s: want a credential on the first line", path)
-	}
-	return token, nil
-}
-
 func (c *runCommand) report(e caller.Event) {
 	if c.json {
 		// Events consist of strings and numbers and can always be written.
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// Client calls the operator API of entry hosts. It implements Backend. A
+// request that one entry host does not answer is sent to the next; changes
+// are safe to send again, because they carry ids.
+type Client struct {
+	entries    []string
+	credential string
+	http       *http.Client
+}
+
+// NewClient returns a client of the entry hosts with these base URLs.
+func NewClient(entries []string, credential string, c *http.Client) *Client {
+	return &Client{entries: entries, credential: credential, http: c}
+}
+
+// Apply sends a change.
+func (c *Client) Apply(ctx context.Context, change tree.Change) (tree.Outcome, error) {
+	data, err := json.Marshal(change)
+	if err != nil {
+		return tree.Outcome{}, err
+	}
+	return send[tree.Outcome](ctx, c, http.MethodPost, "/v1/operator/changes", data)
+}
+
+// Get returns the entries below a prefix; an empty prefix means all that the
+// credential may read.
+func (c *Client) Get(ctx context.Context, prefix string) (tree.Difference, error) {
+	return send[tree.Difference](ctx, c, http.MethodGet, "/v1/operator/tree?prefix="+url.QueryEscape(prefix), nil)
+}
+
+// Since returns what changed after a revision, and waits for a change for as
+// long as the server allows.
+func (c *Client) Since(ctx context.Context, revision int64) (tree.Difference, error) {
+	path := "/v1/operator/changes?wait=" + maxWait.String() + "&since=" + strconv.FormatInt(revision, 10)
+	return send[tree.Difference](ctx, c, http.MethodGet, path, nil)
+}
+
+// Status returns the state of the deployment.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return send[Status](ctx, c, http.MethodGet, "/v1/operator/status", nil)
+}
+
+func send[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
+	var answer T
+	var err error
+	unsure := false
+	for _, entry := range c.entries {
+		if err = sendOnce(ctx, c, method, strings.TrimSuffix(entry, "/")+path, body, &answer); !tryNext(err) {
+			break
+		}
+		unsure = unsure || verdict.Of(err) == verdict.MayHaveRun
+	}
+	if unsure && verdict.Of(err) == verdict.NotRun {
+		// Only the last host refused; an earlier one may have passed it on.
+		e := verdict.From(err)
+		err = verdict.New(verdict.MayHaveRun, e.Reason(), e.Message())
+	}
+	return answer, err
+}
+
+// tryNext says whether another entry host may do better.
+func tryNext(err error) bool {
+	if err == nil {
+		return false
+	}
+	e := verdict.From(err)
+	return e.Status() >= http.StatusInternalServerError
+}
+
+func sendOnce[T any](ctx context.Context, c *Client, method, address string, body []byte, answer *T) error {
+	r, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return notRun(verdict.BadRequest, "%s", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.credential)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(r)
+	if err != nil {
+		return broken(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return broken(err)
+	}
+	if response.Header.Get(verdict.HeaderVerdict) != "" {
+		var e verdict.Error
+		if err := json.Unmarshal(data, &e); err == nil {
+			return &e
+		}
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return verdict.Newf(verdict.MayHaveRun, verdict.Internal, "the entry host answered with status %d: %s", response.StatusCode, err)
+	}
+	return nil
+}
+
+func broken(err error) error {
+	return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "the connection to the entry host failed", verdict.WithCause(err))
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,298 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/credential"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// treeBackend is the real tree machine without replication.
+type treeBackend struct {
+	mu      sync.Mutex
+	tree    *tree.Machine
+	changes int
+	err     error // of Apply, after the change was made
+}
+
+func newTreeBackend() *treeBackend { return &treeBackend{tree: tree.New()} }
+
+func (b *treeBackend) Apply(_ context.Context, c tree.Change) (tree.Outcome, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.changes++
+	return b.tree.ApplyChange(0, c), b.err
+}
+
+func (b *treeBackend) Get(ctx context.Context, prefix string) (tree.Difference, error) {
+	d, err := b.Since(ctx, 0)
+	d.Entries = within(d.Entries, prefix)
+	return d, err
+}
+
+func (b *treeBackend) Since(_ context.Context, revision int64) (tree.Difference, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tree.Difference(revision), nil
+}
+
+func (b *treeBackend) Status(context.Context) (Status, error) {
+	return Status{
+		Revision: 3, InForce: 2,
+		ControlHosts: []ControlStatus{{Host: "control-1", Leader: true, Applied: 9}},
+		EntryHosts:   []EntryStatus{{Host: "entry-1", DataCentre: "dc-1", Address: "127.0.0.1:7201", LeaseMillis: 900, AppliedRevision: 2}},
+		Servers:      []ServerStatus{{Server: "engine-1", Kind: "engine", DataCentre: "dc-1", Address: "127.0.0.1:7301", Serves: []string{"pattern-7b"}, Slots: 8}},
+	}, nil
+}
+
+type scopes struct{}
+
+func (scopes) Find(token string) (credential.Identity, bool) {
+	switch token {
+	case "operator":
+		return credential.Identity{Name: "op", Scope: credential.Operator}, true
+	case "paws":
+		return credential.Identity{Team: "tailor-paws", Name: "seamstress", Scope: credential.TeamOperator}, true
+	case "caller":
+		return credential.Identity{Team: "tailor-paws", Scope: credential.Caller}, true
+	}
+	return credential.Identity{}, false
+}
+
+func serve(t *testing.T, b Backend) (as func(token string) *Client) {
+	t.Helper()
+	server := httptest.NewServer(New(b, scopes{}))
+	t.Cleanup(server.Close)
+	return func(token string) *Client { return NewClient([]string{server.URL}, token, server.Client()) }
+}
+
+func write(path, value string, version int64) tree.Write {
+	return tree.Write{Path: path, Value: json.RawMessage(value), IfVersion: version}
+}
+
+const paws, sillons = "/teams/tailor-paws/limits", "/teams/trois-sillons/limits"
+
+// Guards against a credential that reads or changes what is not its own, and
+// against values that no role can read.
+func TestRefusedChanges(t *testing.T) {
+	tests := []struct {
+		name, token string
+		write       tree.Write
+		reason      verdict.Reason
+		want        string
+	}{
+		{"unknown credential", "x", write(paws, `{}`, 0), verdict.Unauthorised, "known credential"},
+		{"caller", "caller", write(paws, `{}`, 0), verdict.Forbidden, "want operator or team-operator"},
+		{"other team", "paws", write(sillons, `{}`, 0), verdict.Forbidden, `may change only /teams/tailor-paws/`},
+		{"team with the same beginning", "paws", write("/teams/tailor-paws-2/limits", `{}`, 0), verdict.Forbidden, "may change only"},
+		{"models", "paws", write("/models/m", `{"versions":["v1"]}`, 0), verdict.Forbidden, "may change only"},
+		{"unknown path", "operator", write("/team/x/limits", `{}`, 0), verdict.BadRequest, "want one of /teams/<team>/limits"},
+		{"unknown key", "operator", write(paws, `{"wieght":1}`, 0), verdict.BadRequest, `did you mean "weight"?`},
+		{"wrong type", "operator", write(paws, `{"weight":"1"}`, 0), verdict.BadRequest, `field "weight": value "1"`},
+		{"negative", "operator", write(paws, `{"max-programs":-1}`, 0), verdict.BadRequest, "want 0 or more"},
+		{"no version", "operator", write("/models/m", `{}`, 0), verdict.BadRequest, "at least one version"},
+		{"no timeout", "operator", write("/services/s", `{}`, 0), verdict.BadRequest, "timeout-seconds"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTreeBackend()
+			_, err := serve(t, b)(tt.token).Apply(context.Background(), tree.Change{ChangeID: "c", Writes: []tree.Write{tt.write}})
+			assert.Equal(t, verdict.From(err).Reason(), tt.reason)
+			assert.Equal(t, verdict.Of(err), verdict.NotRun)
+			assert.ErrorContains(t, err, tt.want)
+			assert.Equal(t, b.changes, 0)
+		})
+	}
+}
+
+// Guards against two operators who both believe that their change was made,
+// and against a resend that is made twice.
+func TestConflictAndResend(t *testing.T) {
+	as := serve(t, newTreeBackend())
+	ctx := context.Background()
+	first := tree.Change{ChangeID: "c-1", Writes: []tree.Write{write(paws, `{"weight":1}`, 0)}}
+	second := tree.Change{ChangeID: "c-2", Writes: []tree.Write{write(paws, `{"weight":2}`, 0)}}
+	won, err := as("paws").Apply(ctx, first)
+	assert.NilError(t, err)
+	assert.Assert(t, won.Applied)
+	lost, err := as("operator").Apply(ctx, second)
+	assert.NilError(t, err)
+	assert.Assert(t, !lost.Applied)
+	assert.Equal(t, lost.Reason, verdict.Conflict)
+	assert.Equal(t, lost.Conflicts[0].ChangeID, "c-1")
+	again, err := as("paws").Apply(ctx, first)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, won)
+}
+
+// Guards against a team that sees other teams' settings.
+func TestTeamSeesItsSubtreeOnly(t *testing.T) {
+	as := serve(t, newTreeBackend())
+	ctx := context.Background()
+	_, err := as("operator").Apply(ctx, tree.Change{ChangeID: "c", Writes: []tree.Write{write(paws, `{}`, 0), write(sillons, `{}`, 0)}})
+	assert.NilError(t, err)
+	for token, want := range map[string]int{"paws": 1, "operator": 2} {
+		got, err := as(token).Get(ctx, "")
+		assert.NilError(t, err)
+		assert.Equal(t, len(got.Entries), want)
+		changed, err := as(token).Since(ctx, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(changed.Entries), want)
+	}
+	_, err = as("paws").Get(ctx, "/teams/trois")
+	assert.Equal(t, verdict.From(err).Reason(), verdict.Forbidden)
+	_, err = as("paws").Status(ctx)
+	assert.Equal(t, verdict.From(err).Reason(), verdict.Forbidden)
+}
+
+// Guards against a watch that misses a change made while it waits.
+func TestWatchWaitsForAChange(t *testing.T) {
+	b := newTreeBackend()
+	s := &server{backend: b, auth: scopes{}, interval: time.Microsecond}
+	got := make(chan tree.Difference)
+	go func() {
+		d, _ := s.await(context.Background(), 0, time.Hour, "/")
+		got <- d
+	}()
+	_, err := b.Apply(context.Background(), tree.Change{ChangeID: "c", Writes: []tree.Write{write(paws, `{}`, 0)}})
+	assert.NilError(t, err)
+	d := <-got
+	assert.Equal(t, d.Revision, int64(1))
+	assert.Equal(t, d.Entries[0].Path, paws)
+}
+
+// Guards against a refusal by the second host hiding that the first may have
+// passed the change on.
+func TestClientKeepsDoubt(t *testing.T) {
+	lost := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer lost.Close()
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		verdict.New(verdict.NotRun, verdict.Overloaded, "full").Write(w)
+	}))
+	defer busy.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	c := NewClient([]string{lost.URL, busy.URL}, "operator", &http.Client{Transport: transport})
+	_, err := c.Apply(context.Background(), tree.Change{ChangeID: "c"})
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+}
+
+func makeFolder(t *testing.T, files map[string]string) string {
+	t.Helper()
+	root := t.TempDir()
+	for name, value := range files {
+		path := filepath.Join(root, filepath.FromSlash(name))
+		assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o700))
+		assert.NilError(t, os.WriteFile(path, []byte(value), 0o600))
+	}
+	return root
+}
+
+// Guards against a plan that misses a difference, shows one where only the
+// layout differs, or deletes without being asked to.
+func TestPlan(t *testing.T) {
+	f, err := ReadFolder(makeFolder(t, map[string]string{
+		"teams/tailor-paws/limits.json":   "{\n \"weight\": 1\n}\n",
+		"teams/trois-sillons/limits.json": `{"weight": 3}`,
+		"services/orders.json":            `{"timeout-seconds": 5}`,
+		".git/config":                     "not JSON",
+	}))
+	assert.NilError(t, err)
+	current := []tree.Entry{
+		{Path: paws, Value: json.RawMessage(`{"weight":1}`), Version: 4},
+		{Path: sillons, Value: json.RawMessage(`{"weight":2}`), Version: 7},
+		{Path: "/models/m", Value: json.RawMessage(`{"versions":["v1"]}`), Version: 1},
+		{Path: "/models/gone", Deleted: true, Version: 2},
+	}
+	tests := []struct {
+		prune bool
+		want  string
+	}{
+		{false, `+ /services/orders
+    {"timeout-seconds":5}
+~ /teams/trois-sillons/limits (version 7)
+    from {"weight":2}
+    to   {"weight":3}
+only in the tree, kept without -prune: /models/m
+`},
+		{true, `- /models/m (version 1)
+    {"versions":["v1"]}
++ /services/orders
+    {"timeout-seconds":5}
+~ /teams/trois-sillons/limits (version 7)
+    from {"weight":2}
+    to   {"weight":3}
+`},
+	}
+	for _, tt := range tests {
+		var out bytes.Buffer
+		p := NewPlan(f, current, tt.prune)
+		p.Print(&out)
+		assert.Equal(t, out.String(), tt.want)
+		assert.Equal(t, p.Writes()[len(p.Steps)-1].IfVersion, int64(7))
+	}
+}
+
+// Guards against a file that is left out or accepted with a fault in it.
+func TestReadFolderRejects(t *testing.T) {
+	tests := []struct{ file, value, want string }{
+		{"teams/a/limits.txt", `{}`, "want only files with the ending .json"},
+		{"teams/a/limit.json", `{}`, `field "path": value "/teams/a/limit"`},
+		{"teams/a/limits.json", `{"weight":1`, "ends too early"},
+		{"teams/a/limits.json", `{"weight":-1}`, `limits.json:1:11: field "weight": value -1: want 0 to 1000`},
+	}
+	for _, tt := range tests {
+		_, err := ReadFolder(makeFolder(t, map[string]string{tt.file: tt.value}))
+		assert.ErrorContains(t, err, tt.want)
+	}
+	_, err := ReadFolder(filepath.Join("..", "examples", "local", "settings"))
+	assert.NilError(t, err)
+}
+
+// Guards against a resend whose id or content differs from the first send.
+func TestPending(t *testing.T) {
+	p := NewPending(t.TempDir())
+	none, err := p.Load()
+	assert.NilError(t, err)
+	assert.Assert(t, none == nil)
+	c := tree.Change{ChangeID: "c", Writes: []tree.Write{write(paws, `{"weight":1}`, 2)}}
+	assert.NilError(t, p.Save(c))
+	got, err := p.Load()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *got, c)
+	assert.NilError(t, p.Clear())
+}
+
+func ExampleStatus_Print() {
+	s, _ := newTreeBackend().Status(context.Background())
+	var out bytes.Buffer
+	_ = s.Print(&out)
+	fmt.Print(out.String())
+	// Output:
+	// configuration revision 3, in force everywhere up to 2
+	//
+	// CONTROL HOST  GROUP  ROLE    APPLIED
+	// control-1     0      leader  9
+	//
+	// ENTRY HOST  DATA CENTRE  ADDRESS         LEASE  REVISION  QUEUED  RUNNING
+	// entry-1     dc-1         127.0.0.1:7201  900ms  2         0       0
+	//
+	// SERVER    KIND    DATA CENTRE  ADDRESS         SERVES      RUNNING  SLOTS  STATE
+	// engine-1  engine  dc-1         127.0.0.1:7301  pattern-7b  0        8      serving
+}
--- /dev/null
+++ b/operator/pending.go
@@ -0,0 +1,64 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+	"github.com/sycamoreline/sycamoreline/tree"
+)
+
+// pendingFile holds a change whose outcome is not known.
+const pendingFile = ".sycamoreline-change.json"
+
+// Pending keeps a change in a settings directory from before it is sent until
+// its outcome is known, so that a resend after a lost response or a crash has
+// the same change id and content.
+type Pending struct{ path string }
+
+// NewPending returns the record of a settings directory.
+func NewPending(root string) Pending { return Pending{path: filepath.Join(root, pendingFile)} }
+
+// Load returns the change of unknown outcome, or nil.
+func (p Pending) Load() (*tree.Change, error) {
+	data, err := os.ReadFile(p.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, err := strictjson.Decode[tree.Change](p.path, data)
+	if err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// Save records a change. It returns once the change is on disk.
+func (p Pending) Save(c tree.Change) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	next := p.path + ".next"
+	if err := writeSynced(next, data); err != nil {
+		return err
+	}
+	return os.Rename(next, p.path)
+}
+
+// Clear forgets the change, whose outcome is known.
+func (p Pending) Clear() error { return os.Remove(p.path) }
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	return errors.Join(err, f.Sync(), f.Close())
+}
--- /dev/null
+++ b/operator/schema.go
@@ -0,0 +1,106 @@
+package operator
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
+
+// TeamLimits is the value of /teams/<team>/limits. A limit of 0 means none.
+type TeamLimits struct {
+	Weight       float64 `json:"weight"`       // share of the capacity, relative to other teams
+	MaxPrograms  int     `json:"max-programs"` // open at once
+	MaxTokens    int64   `json:"max-tokens"`   // of a program's budget
+	MaxCalls     int64   `json:"max-calls"`    // of a program's budget
+	DefaultClass string  `json:"default-class"`
+}
+
+// Check rejects limits that cannot be kept.
+func (l *TeamLimits) Check() error {
+	switch {
+	case l.Weight < 0 || l.Weight > 1000:
+		return strictjson.Invalid("weight", l.Weight, "want 0 to 1000")
+	case l.MaxPrograms < 0:
+		return strictjson.Invalid("max-programs", l.MaxPrograms, "want 0 or more")
+	case l.MaxTokens < 0:
+		return strictjson.Invalid("max-tokens", l.MaxTokens, "want 0 or more")
+	case l.MaxCalls < 0:
+		return strictjson.Invalid("max-calls", l.MaxCalls, "want 0 or more")
+	}
+	switch l.DefaultClass {
+	case "", "interactive", "standard", "batch":
+		return nil
+	}
+	return strictjson.Invalid("default-class", l.DefaultClass, "want interactive, standard or batch")
+}
+
+// Model is the value of /models/<model>.
+type Model struct {
+	Versions   []string `json:"versions"` // newest last
+	Adapters   []string `json:"adapters"`
+	MinServers int      `json:"min-servers"`
+}
+
+// Check rejects models without a version.
+func (m *Model) Check() error {
+	if len(m.Versions) == 0 {
+		return strictjson.Invalid("versions", "[]", "want at least one version")
+	}
+	if m.MinServers < 0 {
+		return strictjson.Invalid("min-servers", m.MinServers, "want 0 or more")
+	}
+	return nil
+}
+
+// Service is the value of /services/<service>.
+type Service struct {
+	TimeoutSeconds float64 `json:"timeout-seconds"`
+}
+
+const maxServiceTimeoutSeconds = 3600
+
+// Check rejects timeouts that end no call.
+func (s *Service) Check() error {
+	if s.TimeoutSeconds <= 0 || s.TimeoutSeconds > maxServiceTimeoutSeconds {
+		return strictjson.Invalid("timeout-seconds", s.TimeoutSeconds,
+			fmt.Sprintf("want more than 0 and at most %d", maxServiceTimeoutSeconds))
+	}
+	return nil
+}
+
+// schema is a kind of path with the check of its values.
+type schema struct {
+	pattern string
+	path    *regexp.Regexp
+	check   func(source string, value []byte) error
+}
+
+const name = `[a-z0-9][a-z0-9._-]*`
+
+var schemas = []schema{
+	{"/teams/<team>/limits", regexp.MustCompile(`^/teams/` + name + `/limits$`), checkAs[TeamLimits]},
+	{"/models/<model>", regexp.MustCompile(`^/models/` + name + `$`), checkAs[Model]},
+	{"/services/<service>", regexp.MustCompile(`^/services/` + name + `$`), checkAs[Service]},
+}
+
+func checkAs[T any](source string, value []byte) error {
+	_, err := strictjson.Decode[T](source, value)
+	return err
+}
+
+// CheckValue says what is wrong with the value of a path, if anything. The
+// source names the value in the error.
+func CheckValue(source, path string, value []byte) error {
+	patterns := make([]string, 0, len(schemas))
+	for _, s := range schemas {
+		if s.path.MatchString(path) {
+			return s.check(source, value)
+		}
+		patterns = append(patterns, s.pattern)
+	}
+	e := strictjson.Invalid("path", path, "want one of "+strings.Join(patterns, ", "))
+	e.Source = source
+	return e
+}
