operator: join the status of all entry hosts

One entry host knows its own queue and calls only. The client asks each one it is given and shows hosts that do not answer, instead of adding a control request that collects them.

--- a/operator/backend.go
+++ b/operator/backend.go
@@ -27,21 +27,15 @@
 	Find(credential string) (credential.Identity, bool)
 }
 
-// Status is the state of the deployment.
+// Status is the state of the deployment as one entry host sees it. A Client
+// joins the entry hosts of all that it is given.
 type Status struct {
-	Revision     int64           `json:"revision"` // of the configuration
-	InForce      int64           `json:"in-force"` // applied by every entry host with a lease
-	ControlHosts []ControlStatus `json:"control-hosts"`
-	EntryHosts   []EntryStatus   `json:"entry-hosts"`
-	Servers      []ServerStatus  `json:"servers"`
-}
-
-// ControlStatus is the state of one log group on one control host.
-type ControlStatus struct {
-	Host    string `json:"host"`
-	Group   int    `json:"group"`
-	Leader  bool   `json:"leader"`
-	Applied uint64 `json:"applied"` // index of the last applied entry
+	Revision int64 `json:"revision"` // of the configuration
+	// InForce means that every entry host with a lease has applied the revision.
+	InForce    bool           `json:"in-force"`
+	Waiting    []string       `json:"waiting"` // entry hosts that have not
+	EntryHosts []EntryStatus  `json:"entry-hosts"`
+	Servers    []ServerStatus `json:"servers"`
 }
 
 // EntryStatus is the state of an entry host.
@@ -49,10 +43,12 @@
 	Host            string `json:"host"`
 	DataCentre      string `json:"data-centre"`
 	Address         string `json:"address"`
-	LeaseMillis     int64  `json:"lease-ms"` // what is left of the lease
+	LeaseLive       bool   `json:"lease-live"`
 	AppliedRevision int64  `json:"applied-revision"`
 	Queued          int    `json:"queued"`
 	Running         int    `json:"running"`
+	Phase           string `json:"phase"`           // serving, or how far its shutdown is
+	Error           string `json:"error,omitempty"` // why the host did not answer
 }
 
 // ServerStatus is the state of a backend server.
@@ -62,7 +58,7 @@
 	DataCentre string   `json:"data-centre"`
 	Address    string   `json:"address"`
 	Serves     []string `json:"serves"` // models, or service/operation
-	Running    int      `json:"running"`
+	Running    int      `json:"running"` // calls of the entry hosts that answered
 	Slots      int      `json:"slots"`
 	Leaving    bool     `json:"leaving"`
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,9 +51,46 @@
 	return send[tree.Difference](ctx, c, http.MethodGet, path, nil)
 }
 
-// Status returns the state of the deployment.
+// Status asks every entry host and joins their answers. It fails if none
+// answers or one refuses.
 func (c *Client) Status(ctx context.Context) (Status, error) {
-	return send[Status](ctx, c, http.MethodGet, "/v1/operator/status", nil)
+	var joined Status
+	var failure error
+	answered := false
+	for _, entry := range c.entries {
+		var s Status
+		err := sendOnce(ctx, c, http.MethodGet, strings.TrimSuffix(entry, "/")+"/v1/operator/status", nil, &s)
+		if err != nil && !tryNext(err) {
+			return Status{}, err
+		}
+		if err != nil {
+			failure = err
+			s.EntryHosts = []EntryStatus{{Address: entry, Error: err.Error()}}
+		}
+		joined = joined.join(s, err == nil && !answered)
+		answered = answered || err == nil
+	}
+	if !answered {
+		return Status{}, failure
+	}
+	return joined, nil
+}
+
+// join adds the answer of one more entry host. The first answer tells what
+// all hosts have in common.
+func (s Status) join(other Status, first bool) Status {
+	hosts := append(s.EntryHosts, other.EntryHosts...)
+	if first {
+		other.EntryHosts = hosts
+		return other
+	}
+	s.EntryHosts = hosts
+	for _, v := range other.Servers {
+		if i := slices.IndexFunc(s.Servers, func(o ServerStatus) bool { return o.Server == v.Server }); i >= 0 {
+			s.Servers[i].Running += v.Running
+		}
+	}
+	return s
 }
 
 func send[T any](ctx context.Context, c *Client, method, path string, body []byte) (T, error) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -54,10 +54,9 @@
 
 func (b *treeBackend) Status(context.Context) (Status, error) {
 	return Status{
-		Revision: 3, InForce: 2,
-		ControlHosts: []ControlStatus{{Host: "control-1", Leader: true, Applied: 9}},
-		EntryHosts:   []EntryStatus{{Host: "entry-1", DataCentre: "dc-1", Address: "127.0.0.1:7201", LeaseMillis: 900, AppliedRevision: 2}},
-		Servers:      []ServerStatus{{Server: "engine-1", Kind: "engine", DataCentre: "dc-1", Address: "127.0.0.1:7301", Serves: []string{"pattern-7b"}, Slots: 8}},
+		Revision: 3, Waiting: []string{"entry-2"},
+		EntryHosts: []EntryStatus{{Host: "entry-1", DataCentre: "dc-1", Address: "127.0.0.1:7201", LeaseLive: true, AppliedRevision: 3, Queued: 1, Running: 2, Phase: "serving"}},
+		Servers:      []ServerStatus{{Server: "engine-1", Kind: "engine", DataCentre: "dc-1", Address: "127.0.0.1:7301", Serves: []string{"pattern-7b"}, Running: 2, Slots: 8}},
 	}, nil
 }
 
@@ -281,18 +280,38 @@
 
 func ExampleStatus_Print() {
 	s, _ := newTreeBackend().Status(context.Background())
+	s = s.join(Status{EntryHosts: []EntryStatus{{Address: "http://127.0.0.1:7212", Error: "connection refused"}}}, false)
 	var out bytes.Buffer
 	_ = s.Print(&out)
 	fmt.Print(out.String())
 	// Output:
-	// configuration revision 3, in force everywhere up to 2
+	// configuration revision 3, not yet in force on entry-2
 	//
-	// CONTROL HOST  GROUP  ROLE    APPLIED
-	// control-1     0      leader  9
-	//
-	// ENTRY HOST  DATA CENTRE  ADDRESS         LEASE  REVISION  QUEUED  RUNNING
-	// entry-1     dc-1         127.0.0.1:7201  900ms  2         0       0
+	// ENTRY HOST  DATA CENTRE  ADDRESS                LEASE  REVISION  QUEUED  RUNNING  PHASE
+	// entry-1     dc-1         127.0.0.1:7201         live   3         1       2        serving
+	// ?           ?            http://127.0.0.1:7212  connection refused
 	//
 	// SERVER    KIND    DATA CENTRE  ADDRESS         SERVES      RUNNING  SLOTS  STATE
-	// engine-1  engine  dc-1         127.0.0.1:7301  pattern-7b  0        8      serving
+	// engine-1  engine  dc-1         127.0.0.1:7301  pattern-7b  2        8      serving
+}
+
+// Guards against a host that is down hiding the others, and against calls of
+// one entry host being counted for all.
+func TestStatusJoinsEntryHosts(t *testing.T) {
+	first, second := httptest.NewServer(New(newTreeBackend(), scopes{})), httptest.NewServer(New(newTreeBackend(), scopes{}))
+	defer first.Close()
+	defer second.Close()
+	down := httptest.NewServer(http.NotFoundHandler())
+	down.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	c := NewClient([]string{down.URL, first.URL, second.URL}, "operator", &http.Client{Transport: transport})
+	s, err := c.Status(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, s.Revision, int64(3))
+	assert.Equal(t, len(s.EntryHosts), 3)
+	assert.Assert(t, s.EntryHosts[0].Error != "")
+	assert.Equal(t, s.Servers[0].Running, 4)
+	_, err = NewClient([]string{down.URL}, "operator", &http.Client{Transport: transport}).Status(context.Background())
+	assert.Equal(t, verdict.From(err).Reason(), verdict.ServerFailed)
 }
--- a/operator/table.go
+++ b/operator/table.go
@@ -9,19 +9,16 @@
 
 // Print writes the status as tables.
 func (s Status) Print(w io.Writer) error {
-	fmt.Fprintf(w, "configuration revision %d, in force everywhere up to %d\n\n", s.Revision, s.InForce)
+	fmt.Fprintf(w, "configuration revision %d, %s\n\n", s.Revision, s.inForce())
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "CONTROL HOST\tGROUP\tROLE\tAPPLIED")
-	for _, c := range s.ControlHosts {
-		role := "follower"
-		if c.Leader {
-			role = "leader"
-		}
-		fmt.Fprintf(t, "%s\t%d\t%s\t%d\n", c.Host, c.Group, role, c.Applied)
-	}
-	fmt.Fprintln(t, "\nENTRY HOST\tDATA CENTRE\tADDRESS\tLEASE\tREVISION\tQUEUED\tRUNNING")
+	fmt.Fprintln(t, "ENTRY HOST\tDATA CENTRE\tADDRESS\tLEASE\tREVISION\tQUEUED\tRUNNING\tPHASE")
 	for _, e := range s.EntryHosts {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%dms\t%d\t%d\t%d\n", e.Host, e.DataCentre, e.Address, e.LeaseMillis, e.AppliedRevision, e.Queued, e.Running)
+		if e.Error != "" {
+			fmt.Fprintf(t, "?\t?\t%s\t%s\n", e.Address, e.Error)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n",
+			e.Host, e.DataCentre, e.Address, lease(e.LeaseLive), e.AppliedRevision, e.Queued, e.Running, e.Phase)
 	}
 	fmt.Fprintln(t, "\nSERVER\tKIND\tDATA CENTRE\tADDRESS\tSERVES\tRUNNING\tSLOTS\tSTATE")
 	for _, v := range s.Servers {
@@ -33,3 +30,17 @@
 	}
 	return t.Flush()
 }
+
+func (s Status) inForce() string {
+	if s.InForce {
+		return "in force everywhere"
+	}
+	return "not yet in force on " + strings.Join(s.Waiting, ", ")
+}
+
+func lease(live bool) string {
+	if live {
+		return "live"
+	}
+	return "expired"
+}
