cmd/sycamoreline: serve the operator API, drain on shutdown, TLS for callers

The entry role refused everything at the first signal: its HTTP server was closed before the load balancer had noticed. The gate now stops first. A port in use was reported as 'address already in use' without its address, since the wiring's error was unwrapped to its root; it now names field and address and exits with 2. expect-data is now checked.

--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -28,7 +28,10 @@
 		engines := engine.NewClient()
 		life.Append(fx.Hook{
 			OnStart: func(context.Context) error {
-				listener, err := listen(s.Listen)
+				if err := s.CheckDataFolder(); err != nil {
+					return err
+				}
+				listener, err := listen.open("listen", s.Listen, settings.TLS{})
 				if err != nil {
 					return err
 				}
--- /dev/null
+++ b/cmd/sycamoreline/drain.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/balancer"
+	"github.com/sycamoreline/sycamoreline/board"
+	"github.com/sycamoreline/sycamoreline/dispatch"
+	"github.com/sycamoreline/sycamoreline/settings"
+)
+
+var (
+	errNoLease   = errors.New("the lease has expired: the control hosts cannot be reached")
+	errNoServers = errors.New("no backend server is known")
+)
+
+// newGate returns the gate between the load balancer and callers.
+func newGate(s settings.Entry, b *board.Board, clock dispatch.Clock, logger *zap.Logger) *balancer.Gate {
+	return balancer.NewGate(
+		balancer.WithDelay(s.DrainDelay.D()),
+		balancer.WithLogger(logger),
+		balancer.WithReady(func() error {
+			switch {
+			case !b.LeaseLive(clock()):
+				return errNoLease
+			case len(b.Servers()) == 0:
+				return errNoServers
+			}
+			return nil
+		}),
+		balancer.WithHandOver(func(context.Context) error {
+			b.SetDraining()
+			return nil
+		}),
+	)
+}
+
+// drainOnStop drains the host before anything else of it stops. It must be
+// added to the app's life last. A second signal hastens the drain.
+func drainOnStop(life fx.Lifecycle, g *balancer.Gate) {
+	life.Append(fx.StopHook(func(ctx context.Context) error {
+		again := make(chan os.Signal, 1)
+		signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+		defer signal.Stop(again)
+		g.Signal()
+		for {
+			select {
+			case <-g.Done():
+				return nil
+			case <-again:
+				g.Signal()
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}))
+}
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/caller"
 	"github.com/sycamoreline/sycamoreline/control"
@@ -25,6 +26,7 @@
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/operator"
 	"github.com/sycamoreline/sycamoreline/service"
 	"github.com/sycamoreline/sycamoreline/settings"
 )
@@ -41,6 +43,9 @@
 			func(life fx.Lifecycle) (*control.Client, error) { return newControlClient(life, s) },
 			func() dispatch.Clock { return monotonicClock() },
 			board.New,
+			func(b *board.Board, clock dispatch.Clock, l *zap.Logger) *balancer.Gate {
+				return newGate(s, b, clock, l)
+			},
 			newMetrics,
 			newEngineClient,
 			newServiceClient,
@@ -153,21 +158,23 @@
 	Board       *board.Board
 	Dispatcher  *dispatch.Dispatcher
 	Metrics     metrics
+	Gate        *balancer.Gate
 }
 
 func startEntry(life fx.Lifecycle, s settings.Entry, listen listenFunc, p entryParts) error {
-	callers, err := listen(s.Listen)
+	callers, err := listen.open("listen", s.Listen, s.TLS)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(s.OperatorListen)
+	operators, err := listen.open("operator-listen", s.OperatorListen, s.TLS)
 	if err != nil {
 		callers.Close()
 		return err
 	}
 	keepLease(life, s, callers, p)
-	serveHTTP(life, p.Logger, operators, operatorHandler(p))
+	serveHTTP(life, p.Logger, operators, operatorHandler(s, p))
 	serveHTTP(life, p.Logger, callers, callerHandler(s, p))
+	drainOnStop(life, p.Gate)
 	p.Logger.Info("entry host starting", zap.String("listen", s.Listen), zap.String("operator-listen", s.OperatorListen))
 	return nil
 }
@@ -195,26 +202,26 @@
 func callerHandler(s settings.Entry, p entryParts) http.Handler {
 	r := http.NewServeMux()
 	r.Handle(backend.PathAnnounce, backend.AnnounceHandler(p.Client))
-	r.Handle("/", caller.New(p.Dispatcher,
+	r.Handle("/healthz", p.Gate.Health())
+	r.Handle("/", p.Gate.Wrap(caller.New(p.Dispatcher,
 		caller.WithAuthenticator(p.Credentials),
+		caller.WithGate(p.Gate),
 		caller.WithLogger(p.Logger),
 		caller.WithDefaultMaxTokens(s.DefaultMaxTokens),
 		caller.WithMaxBodyBytes(s.MaxBodyBytes),
-	))
+	)))
 	return r
 }
 
-func operatorHandler(p entryParts) http.Handler {
+func operatorHandler(s settings.Entry, p entryParts) http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/metrics", p.Metrics.handler).Methods(http.MethodGet)
-	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		switch {
-		case !p.Board.LeaseLive(p.Clock()):
-			http.Error(w, "no lease", http.StatusServiceUnavailable)
-		case len(p.Board.Servers()) == 0:
-			http.Error(w, "no backend servers", http.StatusServiceUnavailable)
-		}
-	}).Methods(http.MethodGet)
+	r.Handle("/healthz", p.Gate.Health()).Methods(http.MethodGet)
+	r.Handle("/readyz", p.Gate.Health()).Methods(http.MethodGet)
+	r.PathPrefix("/v1/operator/").Handler(operator.New(&operatorBackend{
+		Configuration: control.NewConfiguration(p.Client),
+		settings:      s, board: p.Board, dispatcher: p.Dispatcher, clock: p.Clock, gate: p.Gate,
+	}, p.Credentials))
 	return r
 }
 
--- a/cmd/sycamoreline/role.go
+++ b/cmd/sycamoreline/role.go
@@ -14,6 +14,9 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/sycamoreline/sycamoreline/settings"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 )
 
 const (
@@ -31,11 +34,26 @@
 	var c net.ListenConfig
 	l, err := c.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %q: %w", address, err)
+		return nil, err
 	}
 	return l, nil
 }
 
+// open opens the port that a field of the settings names. Its error is a fault
+// of the settings.
+func (f listenFunc) open(field, address string, t settings.TLS) (net.Listener, error) {
+	l, err := f(address)
+	if err != nil {
+		return nil, strictjson.Invalid(field, address, "want an address of this machine with a free port: "+rootCause(err).Error())
+	}
+	secured, err := t.Wrap(l)
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // newLogger writes JSON lines.
 func newLogger(out io.Writer, level, role, id string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
@@ -52,12 +70,12 @@
 func runRole(ctx context.Context, o output, modules ...fx.Option) subcommands.ExitStatus {
 	app := fx.New(append(modules, quietFx(), fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout))...)
 	if err := app.Err(); err != nil {
-		return o.failure(rootCause(err))
+		return o.fault(rootCause(err))
 	}
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := app.Start(starting); err != nil {
-		return o.failure(rootCause(err))
+		return o.fault(rootCause(err))
 	}
 	status := subcommands.ExitSuccess
 	select {
@@ -68,7 +86,7 @@
 	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
 	if err := app.Stop(stopping); err != nil {
-		return o.failure(rootCause(err))
+		return o.fault(rootCause(err))
 	}
 	return status
 }
--- a/cmd/sycamoreline/standin.go
+++ b/cmd/sycamoreline/standin.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return err
 		}
-		listener, err := listen(s.Listen)
+		listener, err := listen.open("listen", s.Listen, settings.TLS{})
 		if err != nil {
 			return err
 		}
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -57,7 +57,7 @@
 	Kind       string   `json:"kind"`
 	DataCentre string   `json:"data-centre"`
 	Address    string   `json:"address"`
-	Serves     []string `json:"serves"` // models, or service/operation
+	Serves     []string `json:"serves"`  // models, or service/operation
 	Running    int      `json:"running"` // calls of the entry hosts that answered
 	Slots      int      `json:"slots"`
 	Leaving    bool     `json:"leaving"`
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -56,7 +56,7 @@
 	return Status{
 		Revision: 3, Waiting: []string{"entry-2"},
 		EntryHosts: []EntryStatus{{Host: "entry-1", DataCentre: "dc-1", Address: "127.0.0.1:7201", LeaseLive: true, AppliedRevision: 3, Queued: 1, Running: 2, Phase: "serving"}},
-		Servers:      []ServerStatus{{Server: "engine-1", Kind: "engine", DataCentre: "dc-1", Address: "127.0.0.1:7301", Serves: []string{"pattern-7b"}, Running: 2, Slots: 8}},
+		Servers:    []ServerStatus{{Server: "engine-1", Kind: "engine", DataCentre: "dc-1", Address: "127.0.0.1:7301", Serves: []string{"pattern-7b"}, Running: 2, Slots: 8}},
 	}, nil
 }
 
--- a/settings/control.go
+++ b/settings/control.go
@@ -1,6 +1,10 @@
 package settings
 
-import "github.com/sycamoreline/sycamoreline/strictjson"
+import (
+	"os"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
 
 // Control is the settings of a control host.
 type Control struct {
@@ -50,3 +54,19 @@
 	}
 	return strictjson.Invalid("id", c.ID, `want the id of one of "control-hosts"`)
 }
+
+// CheckDataFolder rejects an empty data folder where data is expected: a host
+// that starts on the wrong disk would lose its replicas without a word.
+func (c *Control) CheckDataFolder() error {
+	if !c.ExpectData {
+		return nil
+	}
+	entries, err := os.ReadDir(c.DataFolder)
+	if err != nil {
+		return strictjson.Invalid("data-folder", c.DataFolder, `want a folder with data, since "expect-data" is true: `+pathless(err).Error())
+	}
+	if len(entries) == 0 {
+		return strictjson.Invalid("data-folder", c.DataFolder, `want a folder with data, since "expect-data" is true: the folder is empty`)
+	}
+	return nil
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -126,3 +126,35 @@
 		assert.DeepEqual(t, e, second)
 	})
 }
+
+// Guards against a control host that starts on an empty disk and forgets what
+// it voted for.
+func TestCheckDataFolder(t *testing.T) {
+	full := filepath.Dir(write(t, "{}"))
+	tests := []struct {
+		folder string
+		expect bool
+		want   string
+	}{
+		{t.TempDir(), false, ""},
+		{full, true, ""},
+		{t.TempDir(), true, "the folder is empty"},
+		{filepath.Join(full, "none"), true, "no such file"},
+	}
+	for _, tt := range tests {
+		err := (&Control{DataFolder: tt.folder, ExpectData: tt.expect}).CheckDataFolder()
+		if tt.want == "" {
+			assert.NilError(t, err)
+		} else {
+			assert.ErrorContains(t, err, tt.want)
+		}
+	}
+}
+
+// Guards against a certificate that does not load and a port left in clear
+// text where the settings name a certificate.
+func TestWrapRejectsBadCertificate(t *testing.T) {
+	file := write(t, "no certificate")
+	_, err := TLS{CertificateFile: file, KeyFile: file}.Wrap(nil)
+	assert.ErrorContains(t, err, `field "tls-certificate-file"`)
+}
