--- /dev/null
+++ b/operator/table.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Print writes the status as tables.
+func (s Status) Print(w io.Writer) error {
+	fmt.Fprintf(w, "configuration revision %d, %s\n\n", s.Revision, s.inForce())
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "ENTRY HOST\tDATA CENTRE\tADDRESS\tLEASE\tREVISION\tQUEUED\tRUNNING\tPHASE")
+	for _, e := range s.EntryHosts {
+		if e.Error != "" {
+			fmt.Fprintf(t, "?\t?\t%s\t%s\n", e.Address, e.Error)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n",
+			e.Host, e.DataCentre, e.Address, lease(e.LeaseLive), e.AppliedRevision, e.Queued, e.Running, e.Phase)
+	}
+	fmt.Fprintln(t, "\nSERVER\tKIND\tDATA CENTRE\tADDRESS\tSERVES\tRUNNING\tSLOTS\tSTATE")
+	for _, v := range s.Servers {
+		state := "serving"
+		if v.Leaving {
+			state = "leaving"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Server, v.Kind, v.DataCentre, v.Address, strings.Join(v.Serves, ","), v.Running, v.Slots, state)
+	}
+	return t.Flush()
+}
+
+func (s Status) inForce() string {
+	if s.InForce {
+		return "in force everywhere"
+	}
+	return "not yet in force on " + strings.Join(s.Waiting, ", ")
+}
+
+func lease(live bool) string {
+	if live {
+		return "live"
+	}
+	return "expired"
+}
