--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -102,6 +102,7 @@
 	case s.Status != ledger.CallRunning:
 		return c.fail(recordedError(s))
 	case s.Granted:
+		c.mayHave = s.EarlierSent
 		c.step = stepQueued
 		return actEnqueue
 	default:
@@ -267,8 +268,8 @@
 // withheld, since a resend might be given another one.
 func (c *call) settleFailed(err error) action {
 	v := verdict.From(err)
-	if c.err != nil && c.err.Verdict() == verdict.NotRun && c.state.Attempt == 1 && v.Reason() != verdict.StaleAttempt {
-		// The first attempt was not sent, whether or not the record says so.
+	if c.err != nil && c.err.Verdict() == verdict.NotRun && v.Reason() != verdict.StaleAttempt {
+		// Nothing was sent, whether or not the record says so.
 		c.step = stepDone
 		return actFail
 	}
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -39,8 +39,9 @@
 	Request string `json:"request,omitempty"` // proposal that started the attempt
 	// SentRequest is the request of the last mark-sent.
 	SentRequest string    `json:"sent-request,omitempty"`
-	Worst       int64     `json:"worst"` // tokens reserved for the attempt
-	Until       int64     `json:"until"` // bound of the attempt, Unix milliseconds
+	Worst       int64     `json:"worst"`           // tokens reserved for the attempt
+	Calls       int64     `json:"calls,omitempty"` // calls reserved; 0 when the key was charged before
+	Until       int64     `json:"until"`           // bound of the attempt, Unix milliseconds
 	Timeout     int64     `json:"timeout"`
 	Messages    []Message `json:"messages,omitempty"`
 	// EarlierSent means that an attempt before this one may have been sent.
@@ -61,13 +62,24 @@
 	if p == nil || p.Team != c.Team {
 		return Result{Refusal: m.unknownProgram(c.Program)}
 	}
-	if number, ok := p.keys[c.Key]; ok && !p.mayRunAgain(p.Calls[number-1], c) {
-		return p.resend(p.Calls[number-1], c)
-	}
-	if refusal := m.checkOpenCall(p, c); refusal != nil {
+	earlierSent := false
+	cost := Budget{Tokens: c.WorstTokens, Calls: 1}
+	if number, ok := p.keys[c.Key]; ok {
+		old := p.Calls[number-1]
+		if !p.mayRunAgain(old, c) {
+			return p.resend(old, c)
+		}
+		if earlierSent = old.Verdict != verdict.NotRun; earlierSent {
+			cost.Calls = 0 // the key has been charged as a call
+		}
+	}
+	if refusal := m.checkOpenCall(p, cost); refusal != nil {
+		if earlierSent {
+			refusal.Verdict = verdict.MayHaveRun
+		}
 		return Result{Refusal: refusal}
 	}
-	p.reserve(Budget{Tokens: c.WorstTokens, Calls: 1})
+	p.reserve(cost)
 	k := &call{
 		Number: len(p.Calls) + 1, Attempt: 1, Key: c.Key, Fingerprint: c.Fingerprint,
 		Kind: c.Kind, Name: c.Name, Idempotent: c.Idempotent, Status: CallRunning,
@@ -80,8 +92,8 @@
 		timeout = m.options.callTimeout
 	}
 	p.Running = &running{
-		Call: k.Number, Request: c.Request, Worst: c.WorstTokens, Messages: c.Messages,
-		Timeout: timeout, Until: m.boundOf(p, timeout),
+		Call: k.Number, Request: c.Request, Worst: c.WorstTokens, Calls: cost.Calls, Messages: c.Messages,
+		EarlierSent: earlierSent, Timeout: timeout, Until: m.boundOf(p, timeout),
 	}
 	p.addCall(k)
 	m.touch(p)
@@ -94,7 +106,7 @@
 	return min(m.clock+timeout, p.Deadline) + m.options.settleGrace
 }
 
-func (m *Machine) checkOpenCall(p *program, c *OpenCall) *Refusal {
+func (m *Machine) checkOpenCall(p *program, cost Budget) *Refusal {
 	switch {
 	case p.Dropped:
 		return p.dropped()
@@ -104,20 +116,22 @@
 		return newRefusal(verdict.NotRun, verdict.DeadlineExceeded, "deadline of program %q has passed", p.ID)
 	case p.Running != nil:
 		return newRefusal(verdict.NotRun, verdict.CallInProgress, "call %d of program %q is running", p.Running.Call, p.ID)
-	case !p.affords(Budget{Tokens: c.WorstTokens, Calls: 1}):
+	case !p.affords(cost):
 		free := p.free()
 		return newRefusal(verdict.NotRun, verdict.BudgetExceeded,
 			"program %q has %d tokens and %d calls left: the call may need %d tokens",
-			p.ID, free.Tokens, free.Calls, c.WorstTokens)
+			p.ID, free.Tokens, free.Calls, cost.Tokens)
 	}
 	return nil
 }
 
-// mayRunAgain says whether a resend opens a new call, since the record proves
-// that the call was not sent. A late copy of the proposal that opened the old
-// call does not: nobody would run what it opens.
+// mayRunAgain says whether a resend opens a new call: the record proves that
+// the call was not sent, or it is idempotent and has no answer. A late copy of
+// the proposal that opened the old call does not: nobody would run what it
+// opens.
 func (p *program) mayRunAgain(k *call, c *OpenCall) bool {
-	return k.Status == CallNotSent && k.Fingerprint == c.Fingerprint && !k.openedBy(c)
+	repeatable := k.Status == CallNotSent || k.Idempotent && (k.Status == CallFailed || k.Status == CallUnknown)
+	return repeatable && k.Fingerprint == c.Fingerprint && !k.openedBy(c)
 }
 
 func (k *call) openedBy(c *OpenCall) bool {
@@ -217,6 +231,7 @@
 func granted(p *program, k *call) Result {
 	state := p.callState(k)
 	state.Granted = true
+	state.EarlierSent = p.Running.EarlierSent
 	return Result{Call: state}
 }
 
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -214,15 +214,18 @@
 
 // CallState is the wire form of a call.
 type CallState struct {
-	Program         string          `json:"program"`
-	Call            int             `json:"call"`
-	Attempt         int             `json:"attempt"`
-	Kind            CallKind        `json:"kind"`
-	Name            string          `json:"name"`
-	Idempotent      bool            `json:"idempotent"`
-	Status          CallStatus      `json:"status"`
-	Granted         bool            `json:"granted"` // true when this command started the attempt
-	Sent            bool            `json:"sent"`
+	Program    string     `json:"program"`
+	Call       int        `json:"call"`
+	Attempt    int        `json:"attempt"`
+	Kind       CallKind   `json:"kind"`
+	Name       string     `json:"name"`
+	Idempotent bool       `json:"idempotent"`
+	Status     CallStatus `json:"status"`
+	Granted    bool       `json:"granted"` // true when this command started the attempt
+	Sent       bool       `json:"sent"`
+	// EarlierSent is set on a grant when an attempt of the same key before this
+	// one may have been sent.
+	EarlierSent     bool            `json:"earlier-sent,omitempty"`
 	Host            string          `json:"host"`
 	HostIncarnation string          `json:"host-incarnation"`
 	Server          string          `json:"server,omitempty"`
--- a/ledger/outcome.go
+++ b/ledger/outcome.go
@@ -34,7 +34,7 @@
 		status = CallUnknown
 	}
 	k.Status = status
-	spent := Budget{Tokens: tokens, Calls: 1}
+	spent := Budget{Tokens: tokens, Calls: r.Calls}
 	switch status {
 	case CallOK:
 		k.Verdict = verdict.Ran
@@ -48,7 +48,7 @@
 			k.Verdict = verdict.MayHaveRun
 		}
 	}
-	k.Tokens = p.settle(Budget{Tokens: r.Worst, Calls: 1}, spent).Tokens
+	k.Tokens = p.settle(Budget{Tokens: r.Worst, Calls: r.Calls}, spent).Tokens
 	p.Running = nil
 	m.touch(p)
 }
