--- /dev/null
+++ b/tree/property_test.go
@@ -0,0 +1,214 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// treeModel is two operators, readers that follow differences, and what the
+// tree must hold.
+type treeModel struct {
+	m, replica *Machine
+	values     map[string]string // by path
+	changes    []Change
+	outcomes   map[string]Outcome
+	seen       map[string]Entry // last entry that an operator read
+	// used has every (path, version) ever given, with its value.
+	used    map[string]string
+	readers []*reader
+}
+
+// reader keeps a copy of the tree up to date by differences, as an entry host.
+type reader struct {
+	revision int64
+	values   map[string]string
+}
+
+func (r *reader) follow(m *Machine) {
+	d := m.Difference(r.revision)
+	if d.Full {
+		r.values = map[string]string{}
+	}
+	for _, e := range d.Entries {
+		if e.Deleted {
+			delete(r.values, e.Path)
+			continue
+		}
+		r.values[e.Path] = string(e.Value)
+	}
+	r.revision = d.Revision
+}
+
+func treeOptions() []Option { return []Option{WithTombstones(3), WithOutcomes(1_000)} }
+
+func newTreeModel() *treeModel {
+	return &treeModel{
+		m: New(treeOptions()...), replica: New(treeOptions()...),
+		values: map[string]string{}, outcomes: map[string]Outcome{}, seen: map[string]Entry{}, used: map[string]string{},
+		readers: []*reader{{values: map[string]string{}}, {values: map[string]string{}}},
+	}
+}
+
+func (w *treeModel) apply(t *rapid.T, c Change) Outcome {
+	got := w.m.ApplyChange(1, c)
+	assert.DeepEqual(t, w.replica.ApplyChange(1, c), got)
+	return got
+}
+
+// change writes one to three paths under the versions that were read last,
+// which another operator may have changed since.
+func (w *treeModel) change(t *rapid.T) {
+	c := Change{ChangeID: fmt.Sprint("c", len(w.changes))}
+	for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 1, 3, rapid.ID[int]).Draw(t, "paths") {
+		path := fmt.Sprint("/models/", n)
+		write := Write{Path: path, IfVersion: 0, Delete: rapid.IntRange(0, 2).Draw(t, "delete") == 0}
+		if e, ok := w.seen[path]; ok && !e.Deleted {
+			write.IfVersion = e.Version
+		}
+		if !write.Delete {
+			write.Value = json.RawMessage(fmt.Sprintf("%q", c.ChangeID))
+		}
+		c.Writes = append(c.Writes, write)
+	}
+	w.changes = append(w.changes, c)
+	if rapid.IntRange(0, 4).Draw(t, "delayed") > 0 {
+		w.send(t, c)
+	}
+}
+
+// resend applies a change again, or for the first time after others.
+func (w *treeModel) resend(t *rapid.T) {
+	if len(w.changes) == 0 {
+		t.Skip("no change")
+	}
+	w.send(t, rapid.SampledFrom(w.changes).Draw(t, "change"))
+}
+
+func (w *treeModel) send(t *rapid.T, c Change) {
+	got := w.apply(t, c)
+	if first, ok := w.outcomes[c.ChangeID]; ok {
+		assert.DeepEqual(t, got, first)
+		return
+	}
+	w.outcomes[c.ChangeID] = got
+	for _, e := range got.Conflicts {
+		w.seen[e.Path] = e
+	}
+	if !got.Applied {
+		assert.Assert(t, len(got.Conflicts) > 0, "refused without a conflict: %s", got.Message)
+		return
+	}
+	for _, wr := range c.Writes {
+		w.write(t, wr)
+	}
+}
+
+func (w *treeModel) write(t *rapid.T, wr Write) {
+	_, exists := w.values[wr.Path]
+	assert.Equal(t, exists, wr.IfVersion != 0, "rule 10: %s written under version %d", wr.Path, wr.IfVersion)
+	if exists {
+		value := w.used[fmt.Sprint(wr.Path, " ", wr.IfVersion)]
+		assert.Equal(t, w.values[wr.Path], value, "rule 10: change against version %d reverts %s", wr.IfVersion, wr.Path)
+	}
+	if wr.Delete {
+		delete(w.values, wr.Path)
+		return
+	}
+	w.values[wr.Path] = string(wr.Value)
+	e, ok := w.m.current(wr.Path)
+	assert.Assert(t, ok)
+	name := fmt.Sprint(wr.Path, " ", e.Version)
+	assert.Equal(t, w.used[name], "", "rule 10: version given twice: %s", name)
+	w.used[name] = string(e.Value)
+}
+
+func (w *treeModel) read(t *rapid.T) {
+	path := fmt.Sprint("/models/", rapid.IntRange(0, 5).Draw(t, "path"))
+	w.seen[path], _ = w.m.current(path)
+}
+
+func (w *treeModel) follow(t *rapid.T) {
+	rapid.SampledFrom(w.readers).Draw(t, "reader").follow(w.m)
+}
+
+// restore replaces one replica by the snapshot of the other, after both have
+// given the same snapshot.
+func (w *treeModel) restore(t *rapid.T) {
+	var a, b bytes.Buffer
+	assert.NilError(t, w.m.Snapshot(&a))
+	assert.NilError(t, w.replica.Snapshot(&b))
+	assert.Equal(t, a.String(), b.String())
+	w.replica = New(treeOptions()...)
+	assert.NilError(t, w.replica.Restore(&a))
+}
+
+func (w *treeModel) check(t *rapid.T) {
+	late := &reader{values: map[string]string{}}
+	late.follow(w.replica)
+	assert.DeepEqual(t, late.values, w.values)
+}
+
+// Guards rule 10 under operators that race with equal versions, resent and
+// late changes, readers that missed many changes, and restores.
+func TestConfigurationNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTreeModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"change": w.change, "change-2": w.change, "resend": w.resend, "read": w.read,
+			"read-2": w.read, "follow": w.follow, "restore": w.restore, "": w.check,
+		})
+		for _, r := range w.readers {
+			r.follow(w.m)
+			assert.DeepEqual(t, r.values, w.values)
+		}
+		w.restore(t)
+	})
+}
+
+// Guards against a reader that is wrong or gets everything after a restart
+// that missed 500 changes.
+func TestDifferenceAfter500Changes(t *testing.T) {
+	m := New()
+	r := &reader{values: map[string]string{}}
+	for i := range 1_000 {
+		m.ApplyChange(1, set(fmt.Sprint("a", i), fmt.Sprint("/models/", i), `1`, 0))
+	}
+	r.follow(m)
+	for i := range 500 {
+		m.ApplyChange(1, remove(fmt.Sprint("b", i), fmt.Sprint("/models/", i)))
+	}
+	d := m.Difference(r.revision)
+	assert.Assert(t, !d.Full)
+	assert.Equal(t, len(d.Entries), 500)
+	r.follow(m)
+	assert.Equal(t, len(r.values), 500)
+}
+
+// Guards against bad input that panics or changes the tree.
+func FuzzApply(f *testing.F) {
+	f.Add(`{"change":{"change-id":"c","writes":[{"path":"/a","value":1,"if-version":0}]}}`)
+	f.Add(`{"change":{"change-id":"c","team":"a","writes":[{"path":"/teams/a/b","delete":true,"if-version":-1}]}}`)
+	f.Add(`{"change":{"change-id":"","writes":[]}}`)
+	f.Add(`{"get":{"path":"/a"},"difference":{"since":-1}}`)
+	f.Fuzz(func(t *testing.T, command string) {
+		m := New(WithTombstones(1), WithOutcomes(2))
+		m.ApplyChange(1, set("first", "/a", `1`, 0))
+		var before, after bytes.Buffer
+		assert.NilError(t, m.Snapshot(&before))
+		var o Outcome
+		assert.NilError(t, json.Unmarshal(m.Apply(2, []byte(command)), &o))
+		m.Query([]byte(command))
+		assert.NilError(t, m.Snapshot(&after))
+		if o.Reason == "bad-request" {
+			assert.Equal(t, before.String(), after.String())
+		}
+		n := New(WithTombstones(1), WithOutcomes(2))
+		assert.NilError(t, n.Restore(bytes.NewReader(after.Bytes())))
+		_ = n.Restore(bytes.NewReader([]byte(command)))
+	})
+}
