--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -76,3 +76,89 @@
 }
 
 func expire(members ...Member) Command { return Command{Expire: &Expire{members}} }
+
+// Guards against two owners at once, a fencing number given twice, and an
+// owner that is not a member.
+func TestAcquire(t *testing.T) {
+	m := New(WithOrderLifetime(time.Second))
+	acquire := func(host string) Result {
+		return m.ApplyCommand(1, Command{Acquire: &Acquire{"r", "s", host, "1"}})
+	}
+	assert.Equal(t, acquire("h1").Refusal.Reason, UnknownHost)
+	m.ApplyCommand(1, join("h1", "1"))
+	m.ApplyCommand(1, join("h2", "1"))
+	first := acquire("h1").Grant
+	assert.Equal(t, first.Wait, int64(0))
+	assert.DeepEqual(t, acquire("h1").Grant, first)
+	held := acquire("h2")
+	assert.Equal(t, held.Refusal.Reason, Held)
+	assert.Equal(t, held.Grant.Host, "h1")
+	m.ApplyCommand(1, Command{Yield: &Yield{"r", first.Fencing}})
+	second := acquire("h2").Grant
+	assert.Assert(t, second.Fencing > first.Fencing)
+	m.ApplyCommand(1, Command{Yield: &Yield{"r", first.Fencing}}) // late
+	assert.DeepEqual(t, acquire("h2").Grant, second)
+	m.ApplyCommand(2, expire(Member{HostMember, "h2", "1"}))
+	assert.Equal(t, acquire("h2").Refusal.Reason, UnknownHost)
+	assert.Equal(t, acquire("h1").Grant.Wait, int64(1000))
+
+	fenced := announce("s2", "1", false)
+	fenced.Announce.Fencing = true
+	m.ApplyCommand(2, fenced)
+	m.ApplyCommand(2, join("h2", "1"))
+	m.ApplyCommand(2, Command{Acquire: &Acquire{"r2", "s2", "h2", "1"}})
+	m.ApplyCommand(2, expire(Member{HostMember, "h2", "1"}))
+	r := m.ApplyCommand(2, Command{Acquire: &Acquire{"r2", "s2", "h1", "1"}})
+	assert.Equal(t, r.Grant.Wait, int64(0))
+}
+
+// Guards against a replaced host that stays a member by its heartbeats, and
+// against a host that joined again but cannot renew.
+func TestRenew(t *testing.T) {
+	m := New()
+	older, newer := Member{HostMember, "h", "1"}, Member{HostMember, "h", "2"}
+	l := NewLeases(m, time.Second)
+	m.ApplyCommand(1, join("h", "1"))
+	assert.Assert(t, l.Renew(0, older))
+	m.ApplyCommand(1, join("h", "2"))
+	assert.Assert(t, l.Renew(0, newer))
+	assert.Assert(t, !l.Renew(0, older))
+	assert.Equal(t, m.Difference(0).Hosts, 2)
+	assert.Equal(t, m.ApplyCommand(1, join("h", "1")).Refusal.Reason, StaleIncarnation)
+	m.ApplyCommand(2, expire(newer))
+	m.ApplyCommand(2, join("h", "2"))
+	assert.Assert(t, l.Renew(2*time.Second, newer))
+	assert.DeepEqual(t, l.Expired(2*time.Second), []Member{older})
+}
+
+// Guards against engine memory that counts as lost while its server can come
+// back, or as kept when it cannot.
+func TestAlive(t *testing.T) {
+	m := New(WithReturnWindow(time.Second))
+	m.ApplyCommand(1, announce("s", "1", false))
+	m.ApplyCommand(2, expire(Member{ServerMember, "s", "1"}))
+	assert.Assert(t, m.Alive("s", "1"))
+	m.ApplyCommand(900, announce("s", "1", false))
+	assert.Assert(t, m.Alive("s", "1"))
+	m.ApplyCommand(1000, expire(Member{ServerMember, "s", "1"}))
+	m.ApplyCommand(2000, join("h", "1"))
+	assert.Assert(t, !m.Alive("s", "1"))
+	assert.Equal(t, m.ApplyCommand(2000, announce("s", "1", false)).Refusal.Reason, StaleIncarnation)
+}
+
+// Guards against suspects that stay for ever, or are cleared on some hosts
+// only.
+func TestSuspectsExpire(t *testing.T) {
+	m := New(WithSuspects(time.Second, 10))
+	m.ApplyCommand(0, Command{ReportCrash: &ReportCrash{"s", "1", []string{"a"}}})
+	m.ApplyCommand(500, Command{ReportCrash: &ReportCrash{"s", "2", []string{"a", "b"}}})
+	before := m.Difference(0)
+	assert.Equal(t, before.Suspects[0].Crashes, 2)
+	m.ApplyCommand(1000, join("h", "1"))
+	d := m.Difference(before.Revision)
+	assert.Equal(t, len(d.Suspects), 1)
+	assert.Equal(t, d.Suspects[0].Crashes, 1)
+	m.ApplyCommand(1500, join("h", "1"))
+	assert.Equal(t, len(m.Answer(Query{Suspects: &SuspectsQuery{}}).Suspects), 0)
+	assert.Equal(t, len(m.Difference(d.Revision).Suspects), 2)
+}
--- a/membership/main_test.go
+++ b/membership/main_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"os"
 	"testing"
-
-	_ "pgregory.net/rapid" // defines the flags
 )
 
 // TestMain makes the property tests repeatable unless a flag says otherwise.
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -58,6 +58,10 @@
 	if s.Version != snapshotVersion {
 		return fmt.Errorf("snapshot version %d: want %d", s.Version, snapshotVersion)
 	}
+	if slices.Contains(s.Servers, nil) || slices.Contains(s.Hosts, nil) ||
+		slices.Contains(s.Crashes, nil) || slices.Contains(s.Grants, nil) {
+		return fmt.Errorf("snapshot has an empty record")
+	}
 	n := newMachine(m.options)
 	n.clock, n.revision, n.floor, n.fencing = s.Clock, s.Revision, s.Floor, s.Fencing
 	for _, v := range s.Servers {
