Measure the state machines against the target size

Ledger: a turn (open-call, mark-sent, settle-call) takes 5.5 us with 1,000 and 8.6 us with 140,000 open programs (2.2 kB, 19 and 22 allocations); with JSON in and out 33 us and 30 us. A tick with nothing due takes 26 ns at both sizes. Opening and ending a program takes 4.3 and 4.8 us. An open program without calls takes 470 bytes; with 88 turns of 800 bytes of text 149 kB, of which 70 kB are history, 35 kB answers and 43 kB call records. The id of an ended program takes 486 bytes until its deadline.

--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,159 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	benchDeadline = int64(1) << 40
+	benchTurns    = 88
+	// benchMessage makes 88 turns of two messages about 70 kB per program.
+	benchMessage = 400
+)
+
+// fill opens programs and gives each of them settled calls.
+func fill(m *Machine, programs, turns int) {
+	text := strings.Repeat("x", benchMessage)
+	for i := range programs {
+		id := benchID(i)
+		m.ApplyCommand(1, Command{OpenProgram: &OpenProgram{
+			Program: id, Team: "team", Class: Standard, Key: "open", Deadline: benchDeadline,
+			Budget: Budget{Tokens: 1 << 40, Calls: 1 << 40},
+		}})
+		for turn := range turns {
+			for _, c := range benchTurn(id, turn, strings.Clone(text)) {
+				m.ApplyCommand(2, c)
+			}
+		}
+	}
+}
+
+func benchID(i int) string { return fmt.Sprintf("program-%06d", i) }
+
+func benchTurn(id string, turn int, text string) []Command {
+	key := fmt.Sprint("key-", turn)
+	answer, _ := json.Marshal(text)
+	return []Command{
+		{OpenCall: &OpenCall{
+			Program: id, Team: "team", Key: key, Fingerprint: key, Kind: ModelCall, Name: "model",
+			Idempotent: true, WorstTokens: 1000, Host: "entry-1", HostIncarnation: "1", Timeout: 1 << 30,
+			Messages: []Message{{"user", text}},
+		}},
+		{MarkSent: &MarkSent{id, turn + 1, 1, "server-" + id[len(id)-2:], "1", ""}},
+		{SettleCall: &SettleCall{
+			Program: id, Call: turn + 1, Attempt: 1, Status: CallOK, Tokens: 500, Answer: answer,
+			History: []Message{{"assistant", strings.Clone(text)}}, Verdict: verdict.Ran,
+		}},
+	}
+}
+
+// BenchmarkApply measures one command with many open programs. A turn is
+// open-call, mark-sent and settle-call.
+func BenchmarkApply(b *testing.B) {
+	for _, programs := range []int{1_000, 140_000} {
+		m := New()
+		fill(m, programs, 1)
+		b.Run(fmt.Sprintf("turn/programs=%d", programs), func(b *testing.B) {
+			b.ReportAllocs()
+			commands := 0
+			for i := 0; b.Loop(); i++ {
+				id := benchID(i * 7919 % programs)
+				for _, c := range benchTurn(id, m.programs[id].CallCount, "text") {
+					m.ApplyCommand(3, c)
+					commands++
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(commands), "ns/command")
+		})
+		b.Run(fmt.Sprintf("json-turn/programs=%d", programs), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := benchID(i * 7919 % programs)
+				for _, c := range benchTurn(id, m.programs[id].CallCount, "text") {
+					data, _ := json.Marshal(c)
+					m.Apply(3, data)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("idle-tick/programs=%d", programs), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				m.ApplyCommand(4, Command{Tick: &Tick{}})
+			}
+		})
+		b.Run(fmt.Sprintf("open-and-end/programs=%d", programs), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint("short-", i)
+				m.ApplyCommand(5, Command{OpenProgram: &OpenProgram{Program: id, Team: "team", Key: "open", Deadline: 10}})
+				m.ApplyCommand(5, Command{EndProgram: &EndProgram{Program: id, Status: ProgramDone}})
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+// BenchmarkMemory reports the heap per program: open without calls, open with
+// 88 turns (with and without its text), and kept only as an id after its end.
+func BenchmarkMemory(b *testing.B) {
+	measure := func(name string, programs int, build func(m *Machine)) {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				m := New(WithRetention(0, 0))
+				build(m)
+				b.ReportMetric(float64(heapBytes()-before)/float64(programs), "bytes/program")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+	measure("empty", 140_000, func(m *Machine) { fill(m, 140_000, 0) })
+	measure("turns=88", 2_000, func(m *Machine) { fill(m, 2_000, benchTurns) })
+	measure("ended-id", 140_000, func(m *Machine) {
+		fill(m, 140_000, 1)
+		for i := range 140_000 {
+			m.ApplyCommand(3, Command{EndProgram: &EndProgram{Program: benchID(i), Status: ProgramDone}})
+			m.ApplyCommand(3, Command{ReleaseConfirmed: &ReleaseConfirmed{
+				"server-" + benchID(i)[len(benchID(i))-2:], "1", benchID(i),
+			}})
+		}
+	})
+}
+
+// BenchmarkSnapshot reports time and size of a snapshot and of its restore.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range []struct{ programs, turns int }{{1_000, 1}, {140_000, 1}, {2_000, benchTurns}} {
+		m := New()
+		fill(m, size.programs, size.turns)
+		var snapshot bytes.Buffer
+		b.Run(fmt.Sprintf("write/programs=%d/turns=%d", size.programs, size.turns), func(b *testing.B) {
+			for b.Loop() {
+				snapshot.Reset()
+				if err := m.Snapshot(&snapshot); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(snapshot.Len()), "bytes")
+		})
+		b.Run(fmt.Sprintf("read/programs=%d/turns=%d", size.programs, size.turns), func(b *testing.B) {
+			for b.Loop() {
+				if err := New().Restore(bytes.NewReader(snapshot.Bytes())); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
