--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -148,6 +148,11 @@
 			}
 			b.ReportMetric(float64(snapshot.Len()), "bytes")
 		})
+		b.Run(fmt.Sprintf("capture/programs=%d/turns=%d", size.programs, size.turns), func(b *testing.B) {
+			for b.Loop() {
+				m.Capture()
+			}
+		})
 		b.Run(fmt.Sprintf("read/programs=%d/turns=%d", size.programs, size.turns), func(b *testing.B) {
 			for b.Loop() {
 				if err := New().Restore(bytes.NewReader(snapshot.Bytes())); err != nil {
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -71,3 +71,23 @@
 		Messages: []Message{{"user", key}},
 	}}
 }
+
+// Guards against a captured state that commands change while it is written.
+// It needs the race detector to see all such changes.
+func TestCaptureWhileApplying(t *testing.T) {
+	m := New()
+	fill(m, 50, 3)
+	var want, got bytes.Buffer
+	assert.NilError(t, m.Snapshot(&want))
+	write := m.Capture()
+	done := make(chan error)
+	go func() { done <- write(&got) }()
+	for i := range 50 {
+		for _, c := range benchTurn(benchID(i), 3, "more") {
+			m.ApplyCommand(3, c)
+		}
+		m.ApplyCommand(4, Command{EndProgram: &EndProgram{Program: benchID(i), Status: ProgramDone}})
+	}
+	assert.NilError(t, <-done)
+	assert.Equal(t, got.String(), want.String())
+}
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
+	"strings"
 )
 
 const snapshotVersion = 1
@@ -24,19 +24,46 @@
 
 // Snapshot writes the whole state as JSON records. Equal states give equal
 // bytes.
-func (m *Machine) Snapshot(w io.Writer) error {
-	buffered := bufio.NewWriterSize(w, 64<<10)
-	encoder := json.NewEncoder(buffered)
-	err := encoder.Encode(header{
+func (m *Machine) Snapshot(w io.Writer) error { return m.Capture()(w) }
+
+// Capture returns a function that writes the state as it is now. That
+// function may run on another goroutine while further commands are applied:
+// writing a large state takes seconds, capturing it milliseconds.
+func (m *Machine) Capture() func(io.Writer) error {
+	h := header{
 		Version: snapshotVersion, Clock: m.clock, Programs: len(m.programs), Forgotten: m.forgotten,
 		Due: m.memory.due.Items(), Gone: m.memory.goneOrder,
-	})
-	if err != nil {
+	}
+	programs := make([]program, 0, len(m.programs))
+	for _, p := range m.programs {
+		programs = append(programs, p.capture())
+	}
+	return func(w io.Writer) error { return writeSnapshot(w, h, programs) }
+}
+
+// capture copies what later commands change in place. Settled calls never
+// change, and history only grows behind the end that the copy sees.
+func (p *program) capture() program {
+	c := *p
+	c.Lost, c.Memory, c.keys = slices.Clone(p.Lost), slices.Clone(p.Memory), nil
+	if r := p.Running; r != nil {
+		c.Running = new(*r)
+		c.Calls = slices.Clone(p.Calls)
+		c.Calls[r.Call-1] = new(*p.Calls[r.Call-1])
+	}
+	return c
+}
+
+func writeSnapshot(w io.Writer, h header, programs []program) error {
+	slices.SortFunc(programs, func(a, b program) int { return strings.Compare(a.ID, b.ID) })
+	buffered := bufio.NewWriterSize(w, 64<<10)
+	encoder := json.NewEncoder(buffered)
+	if err := encoder.Encode(h); err != nil {
 		return fmt.Errorf("write snapshot header: %w", err)
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.programs)) {
-		if err := encoder.Encode(m.programs[id]); err != nil {
-			return fmt.Errorf("write program %q: %w", id, err)
+	for i := range programs {
+		if err := encoder.Encode(&programs[i]); err != nil {
+			return fmt.Errorf("write program %q: %w", programs[i].ID, err)
 		}
 	}
 	return buffered.Flush()
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
@@ -22,6 +23,8 @@
 	replica  *Machine // gets the same commands, and is restored from snapshots
 	now      int64
 	inFlight []proposal
+	write    func(io.Writer) error // writes what was captured
+	captured string
 	programs []string
 	budgets  map[string]Budget
 	parents  map[string]string
@@ -392,12 +395,19 @@
 }
 
 // restore replaces one replica by the snapshot of the other, after both have
-// given the same snapshot.
+// given the same snapshot. The state captured at the last restore must still
+// be written as it was then.
 func (w *world) restore(*rapid.T) {
 	var a, b bytes.Buffer
 	assert.NilError(w.t, w.m.Snapshot(&a))
 	assert.NilError(w.t, w.replica.Snapshot(&b))
 	assert.Equal(w.t, a.String(), b.String())
+	if w.write != nil {
+		var late bytes.Buffer
+		assert.NilError(w.t, w.write(&late))
+		assert.Equal(w.t, late.String(), w.captured)
+	}
+	w.write, w.captured = w.m.Capture(), a.String()
 	w.replica = New(worldOptions()...)
 	assert.NilError(w.t, w.replica.Restore(&a))
 }
