--- a/membership/lease.go
+++ b/membership/lease.go
@@ -129,6 +129,20 @@
 	return true, nil
 }
 
+// Hosts returns the entry hosts, sorted, with the configuration revision that
+// each has reported to this leader.
+func (s *Leases) Hosts() []Host {
+	var hosts []Host
+	for _, id := range s.machine.sortedHosts() {
+		h := s.machine.hosts[id].Host
+		if l := s.leases[Member{HostMember, id.host, id.incarnation}]; l != nil {
+			h.AppliedRevision = l.applied
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
 // sync gives members that joined since the last call a lease.
 func (s *Leases) sync(now time.Duration) {
 	if s.synced == s.machine.revision {
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -122,6 +122,8 @@
 	assert.Assert(t, l.Renew(0, older))
 	m.ApplyCommand(1, join("h", "2"))
 	assert.Assert(t, l.Renew(0, newer))
+	l.Applied(newer, 7)
+	assert.Equal(t, l.Hosts()[1].AppliedRevision, int64(7))
 	assert.Assert(t, !l.Renew(0, older))
 	assert.Equal(t, m.Difference(0).Hosts, 2)
 	assert.Equal(t, m.ApplyCommand(1, join("h", "1")).Refusal.Reason, StaleIncarnation)
--- a/membership/member.go
+++ b/membership/member.go
@@ -57,6 +57,7 @@
 	Gone        bool   `json:"gone,omitempty"`
 	Revision    int64  `json:"revision"`
 	// AppliedRevision is the configuration revision the host reported last.
+	// Only Leases.Hosts fills it in, since reports are not replicated.
 	AppliedRevision int64 `json:"applied-revision"`
 }
 
--- a/membership/server.go
+++ b/membership/server.go
@@ -26,19 +26,20 @@
 	} else if s.isRetired(a.Incarnation) || (s.Incarnation == a.Incarnation && !m.canReturn(s)) {
 		return m.refuse(StaleIncarnation, "server %q incarnation %q was replaced or has left", a.Server, a.Incarnation)
 	}
+	next := *a
 	replaces := s.Incarnation != a.Incarnation
 	if !replaces {
 		// A leaving server stays so, whatever a late announcement says.
-		a.Leaving = a.Leaving || s.Leaving
+		next.Leaving = a.Leaving || s.Leaving
 	}
-	if replaces || s.Gone || !reflect.DeepEqual(s.Announcement, *a) {
-		m.replace(s, a)
+	if replaces || s.Gone || !reflect.DeepEqual(s.Announcement, next) {
+		m.replace(s, next)
 	}
 	copied := s.Server
 	return Result{Server: &copied}
 }
 
-func (m *Machine) replace(s *server, a *Announcement) {
+func (m *Machine) replace(s *server, a Announcement) {
 	rejoins := s.Gone || s.Incarnation != a.Incarnation
 	if s.Incarnation != "" && s.Incarnation != a.Incarnation {
 		s.Retired = append(s.Retired, s.Incarnation)
@@ -46,7 +47,7 @@
 			s.Retired = slices.Delete(s.Retired, 0, excess)
 		}
 	}
-	s.Announcement, s.Gone, s.GoneAt = *a, false, 0
+	s.Announcement, s.Gone, s.GoneAt = a, false, 0
 	m.noteServer(s)
 	if rejoins {
 		s.Joined = s.Revision
--- a/tree/machine_test.go
+++ b/tree/machine_test.go
@@ -56,6 +56,37 @@
 	assert.Assert(t, !m.ApplyChange(1, set("late", "/a", `3`, 1)).Applied)
 }
 
+// Guards against change ids that are kept for ever, and against a late
+// conditional change that is applied again once its id was dropped.
+func TestOutcomesAreBounded(t *testing.T) {
+	m := New(WithOutcomes(2))
+	first := set("c1", "/a", `1`, 0)
+	m.ApplyChange(1, first)
+	m.ApplyChange(1, set("c2", "/a", `2`, 1))
+	assert.Assert(t, m.Answer(Query{Outcome: &OutcomeQuery{"c1"}}).Outcome != nil)
+	m.ApplyChange(1, set("c3", "/a", `3`, 2))
+	assert.Assert(t, m.Answer(Query{Outcome: &OutcomeQuery{"c1"}}).Outcome == nil)
+	assert.Equal(t, m.ApplyChange(1, first).Reason, verdict.Conflict)
+}
+
+// Guards against a listing that leaves its prefix or repeats a page.
+func TestList(t *testing.T) {
+	m := New()
+	for _, p := range []string{"/teams/a", "/teams/a/x", "/teams/a/y", "/teams/ab"} {
+		m.ApplyChange(1, set("set"+p, p, `1`, 0))
+	}
+	paths := func(q ListQuery) []string {
+		var found []string
+		for _, e := range m.Answer(Query{List: &q}).Entries {
+			found = append(found, e.Path)
+		}
+		return found
+	}
+	assert.DeepEqual(t, paths(ListQuery{Prefix: "/teams/a", Limit: 2}), []string{"/teams/a", "/teams/a/x"})
+	assert.DeepEqual(t, paths(ListQuery{Prefix: "/teams/a", Limit: 2, After: "/teams/a/x"}), []string{"/teams/a/y"})
+	assert.Equal(t, len(paths(ListQuery{Prefix: "/"})), 4)
+}
+
 // Guards against a snapshot that loses state.
 func TestSnapshotRestore(t *testing.T) {
 	m := New()
