Name the running call when an open-call is refused

A repeated open-call can be granted after its proposer gave up. Nobody works on that call, and its program was blocked until the timeout. The entry host named as its owner now sees it with the next refusal and can settle it as not sent.

--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// BenchmarkExpiringTick measures one tick when 140,000 programs are due.
+func BenchmarkExpiringTick(b *testing.B) {
+	m := New()
+	for i := 0; b.Loop(); i++ {
+		if m.timers.Len() == 0 || i%30 == 0 {
+			b.StopTimer()
+			m = New()
+			fill(m, 140_000, 0)
+			b.StartTimer()
+		}
+		m.ApplyCommand(benchDeadline, Command{Tick: &Tick{}})
+	}
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var s runtime.MemStats
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -62,7 +62,7 @@
 		return p.resend(p.Calls[number-1], c)
 	}
 	if refusal := m.checkOpenCall(p, c); refusal != nil {
-		return Result{Refusal: refusal}
+		return Result{Refusal: refusal, Call: p.runningState()}
 	}
 	p.reserve(Budget{Tokens: c.WorstTokens, Calls: 1})
 	k := &call{
@@ -201,6 +201,16 @@
 	return Result{Call: state}
 }
 
+// runningState is the state of the running call, or nil. An entry host that
+// does not know a running call of its own incarnation can settle it as not
+// sent: a repeated open-call has been granted after its proposer gave up.
+func (p *program) runningState() *CallState {
+	if p.Running == nil {
+		return nil
+	}
+	return p.callState(p.Calls[p.Running.Call-1])
+}
+
 func (p *program) callState(k *call) *CallState {
 	return &CallState{
 		Program: p.ID, Call: k.Number, Attempt: k.Attempt, Kind: k.Kind, Name: k.Name,
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -181,7 +181,10 @@
 type Result struct {
 	Refusal *Refusal      `json:"refusal,omitempty"`
 	Program *ProgramState `json:"program,omitempty"`
-	Call    *CallState    `json:"call,omitempty"`
+	// Call is the call of the command. With a refused open-call it is the
+	// call that is running instead, if any; with another refusal it is the
+	// call as it is.
+	Call *CallState `json:"call,omitempty"`
 }
 
 // Refusal says why a command was not carried out.
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,6 +20,7 @@
 	assert.Assert(t, r.Call.Granted)
 	r = m.ApplyCommand(3, openTestCall("p", "k2", 10))
 	assert.Equal(t, r.Refusal.Reason, verdict.CallInProgress)
+	assert.Equal(t, r.Call.Call, 1)
 
 	m.ApplyCommand(4, Command{MarkSent: &MarkSent{"p", 1, 1, "s1", "i1", ""}})
 	settle := Command{SettleCall: &SettleCall{
@@ -91,3 +93,8 @@
 	assert.NilError(t, <-done)
 	assert.Equal(t, got.String(), want.String())
 }
+
+func ExampleGroupOf() {
+	fmt.Println(GroupOf("fit-1", 4) == GroupOf("fit-1/measure/chest", 4))
+	// Output: true
+}
