--- a/ledger/call.go
+++ b/ledger/call.go
@@ -77,7 +77,7 @@
 		if earlierSent {
 			refusal.Verdict = verdict.MayHaveRun
 		}
-		return Result{Refusal: refusal}
+		return Result{Refusal: refusal, Call: p.runningState()}
 	}
 	p.reserve(cost)
 	k := &call{
@@ -235,6 +235,16 @@
 	return Result{Call: state}
 }
 
+// runningState is the state of the running call, or nil. An entry host that
+// does not know a running call of its own incarnation can settle it as not
+// sent: a repeated open-call has been granted after its proposer gave up.
+func (p *program) runningState() *CallState {
+	if p.Running == nil {
+		return nil
+	}
+	return p.callState(p.Calls[p.Running.Call-1])
+}
+
 func (p *program) callState(k *call) *CallState {
 	return &CallState{
 		Program: p.ID, Call: k.Number, Attempt: k.Attempt, Kind: k.Kind, Name: k.Name,
