--- /dev/null
+++ b/schedule/ablation_test.go
@@ -0,0 +1,73 @@
+package schedule
+
+import (
+	"math"
+	"testing"
+)
+
+// routed changes the default router.
+func routed(f func(e *earliestFinish)) Option {
+	return func(s *Scheduler) {
+		e := s.router.(earliestFinish)
+		f(&e)
+		s.router = e
+	}
+}
+
+// ablations take away one mechanism each.
+var ablations = []struct {
+	name   string
+	option Option
+}{
+	{"complete", func(*Scheduler) {}},
+	{"without-attained-service", func(s *Scheduler) {
+		o := s.order.(LeastAttained)
+		o.MaxPenalty = 0
+		s.order = o
+	}},
+	{"without-aging", func(s *Scheduler) {
+		o := s.order.(LeastAttained)
+		o.MaxPenalty = math.MaxInt64 / 4
+		s.order = o
+	}},
+	{"without-class", func(s *Scheduler) {
+		o := s.order.(LeastAttained)
+		o.ClassPenalty = 0
+		s.order = o
+	}},
+	{"without-team-shares", func(s *Scheduler) { s.shares = false }},
+	{"without-cached-prefix", routed(func(e *earliestFinish) { e.recomputeWeight, e.excess = 0, 0 })},
+	{"without-overcommitment", routed(func(e *earliestFinish) { e.excess = 0 })},
+	{"without-eviction-cost", routed(func(e *earliestFinish) { e.evictWeight = 0 })},
+	{"without-load", routed(func(e *earliestFinish) { e.loadWeight = 0 })},
+	{"without-reports", func(s *Scheduler) { s.ignoreReports = true }},
+	{"without-detection", func(s *Scheduler) { s.detect, s.hedging = false, false }},
+	{"without-hedging", func(s *Scheduler) { s.hedging = false }},
+	{"without-admission", noAdmission},
+	{"without-admission-and-team-shares", func(s *Scheduler) {
+		noAdmission(s)
+		s.shares = false
+	}},
+	{"without-bursts", func(s *Scheduler) {
+		if a, ok := s.admitter.(activeSlots); ok {
+			a.bursts = false
+			s.admitter = a
+		}
+	}},
+}
+
+// BenchmarkAblation reports the figures of section 4.7 with one mechanism off
+// at a time.
+func BenchmarkAblation(b *testing.B) {
+	for _, a := range ablations {
+		b.Run(a.name, func(b *testing.B) {
+			for b.Loop() {
+				for _, m := range measures[:len(measures)-1] {
+					for j, v := range m.figures(a.option) {
+						b.ReportMetric(quantile(v, 0.5), m.names[j])
+					}
+				}
+			}
+		})
+	}
+}
--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -14,7 +14,7 @@
 	teamIdle = 5 * time.Second
 	// shareWindow is the time constant of the mean number of programs of a
 	// team, and burstFactor the multiple of its share that it may reach.
-	shareWindow = 30.0 // seconds
+	shareWindow = 60.0 // seconds
 	burstFactor = 1.5
 	// burstTotal bounds the programs of all teams during such a burst.
 	burstTotal = 1.1
@@ -37,6 +37,8 @@
 	// headroom is the fraction of calls that may wait above the slots, so
 	// that a slot that falls free is used at once.
 	headroom float64
+	// bursts lets a team make up for a quiet time.
+	bursts bool
 }
 
 func (a activeSlots) allows(s *Scheduler, t *team) bool {
@@ -50,7 +52,7 @@
 	if float64(t.programs) < share {
 		return true
 	}
-	return t.mean < share && float64(t.programs) < burstFactor*share &&
+	return a.bursts && t.mean < share && float64(t.programs) < burstFactor*share &&
 		float64(len(s.programs)) < burstTotal*limit
 }
 
--- a/schedule/engine_test.go
+++ b/schedule/engine_test.go
@@ -252,6 +252,7 @@
 	reportLag   time.Duration
 	eventLag    time.Duration
 	eventLoss   float64
+	grant       time.Duration // for a slot by the owner of the server
 }
 
 var lateView = view{
@@ -426,7 +427,11 @@
 	}
 	r := &fakeRun{host: h, call: c, a: a, prompt: c.prompt + a.ResumeFrom, left: c.step.output - a.ResumeFrom}
 	c.runs = append(c.runs, r)
-	h.sim.engines[a.Server].arrive(r)
+	h.sim.after(h.sim.grant, func() {
+		if !r.canceled {
+			h.sim.engines[a.Server].arrive(r)
+		}
+	})
 }
 
 func (h *fakeHost) tokens(r *fakeRun, n int) {
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -7,14 +7,11 @@
 
 // policies are the replaceable decisions of a Scheduler.
 type policies struct {
-	admitter admitter
-	order    Order
-	router   router
-	// lookahead is the number of calls at the front of a queue that are
-	// considered, and recomputeRank the seconds of rank that a second of
-	// recomputation costs.
-	lookahead     int
-	recomputeRank float64
+	admitter      admitter
+	order         Order
+	router        router
+	shares        bool // of teams in the queue
+	ignoreReports bool
 	detect        bool // slowed servers
 	hedging       bool
 	unlimited     bool // calls are sent at once and queue in the engines
@@ -22,13 +19,12 @@
 
 func defaultPolicies() policies {
 	return policies{
-		admitter:      activeSlots{headroom: 0.25},
-		order:         LeastAttained{Penalty: 2 * time.Millisecond, MaxPenalty: 20 * time.Second, ClassPenalty: time.Second},
-		router:        earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5, evictWeight: 1},
-		lookahead:     lookahead,
-		recomputeRank: 1,
-		detect:        true,
-		hedging:       true,
+		admitter: activeSlots{headroom: 0.25, bursts: true},
+		order:    LeastAttained{Penalty: 2 * time.Millisecond, MaxPenalty: 20 * time.Second, ClassPenalty: time.Second},
+		router:   earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5, evictWeight: 1},
+		shares:   true,
+		detect:   true,
+		hedging:  true,
 	}
 }
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -49,7 +49,7 @@
 	if p := s.pools[k]; p != nil {
 		return p
 	}
-	p := &pool{key: k, waiting: -1, costs: newCosts()}
+	p := &pool{key: k, waiting: -1, costs: newCosts(), queue: queue{shares: s.shares}}
 	s.pools[k] = p
 	s.poolOrder = append(s.poolOrder, p)
 	for _, v := range s.serverOrder {
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -9,6 +9,8 @@
 	inFlight int
 	weight   float64
 	length   int
+	// shares is false when teams compete by rank alone.
+	shares bool
 }
 
 // teamQueue is the part of one team.
@@ -105,6 +107,9 @@
 }
 
 func (q *queue) before(a, b *teamQueue) bool {
+	if !q.shares {
+		return byRank(a.calls.head(), b.calls.head())
+	}
 	belowA, belowB := q.belowShare(a), q.belowShare(b)
 	if belowA != belowB {
 		return belowA
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -1,17 +1,11 @@
 package schedule
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // choice is a server for a call.
 type choice struct {
 	server *server
-	// recompute is the time in seconds for the prompt tokens that are believed
-	// not to be cached there.
-	recompute float64
-	reason    string // kebab-case
+	reason string // kebab-case
 }
 
 // router chooses a server among the open ones of the call's pool. It returns a
@@ -54,7 +48,7 @@
 			cost += avoidCost
 		}
 		if best.server == nil || cost < bestCost {
-			best, bestCost = choice{server: v, recompute: recompute, reason: reason}, cost
+			best, bestCost = choice{server: v, reason: reason}, cost
 		}
 	}
 	if v := c.last; v != nil && v.available() && !v.speed.slow {
@@ -117,27 +111,3 @@
 	}
 	return false
 }
-
-// lookahead is the number of calls at the front of a team's queue of which one
-// may be taken out of order because its prefix is cached on an open server.
-const lookahead = 8
-
-// pick chooses the next call of a team and its server. The first entries of a
-// heap are close to the first in rank.
-func (s *Scheduler) pick(t *teamQueue) (*call, choice) {
-	var best *call
-	var bestChoice choice
-	var bestRank time.Duration
-	for i := 0; i < len(t.calls.calls) && i < s.lookahead; i++ {
-		c := t.calls.calls[i]
-		o := s.router.choose(s, c)
-		if o.server == nil {
-			continue
-		}
-		rank := c.rank + time.Duration(o.recompute*s.recomputeRank*float64(time.Second))
-		if best == nil || rank < bestRank {
-			best, bestChoice, bestRank = c, o, rank
-		}
-	}
-	return best, bestChoice
-}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -244,10 +244,8 @@
 		if p == nil {
 			return Assignment{}, false
 		}
-		c, o := s.pick(p.queue.next())
-		if c == nil {
-			return Assignment{}, false
-		}
+		c := p.queue.next().calls.head()
+		o := s.router.choose(s, c)
 		s.unqueue(c)
 		if s.divert(c) {
 			continue
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -148,7 +148,7 @@
 func (s *Scheduler) Report(now time.Duration, id string, l Load) {
 	s.advance(now)
 	v := s.servers[id]
-	if v == nil {
+	if v == nil || s.ignoreReports {
 		return
 	}
 	v.others = max(0, l.Running+l.Queued-v.inFlightBefore(now-l.Age))
