--- /dev/null
+++ b/schedule/slowness_test.go
@@ -0,0 +1,51 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSlowServerLosesItsWork guards against work that stays on a slowed server,
+// and against second runs of calls that must not run twice.
+func TestSlowServerLosesItsWork(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	for i := range 4 {
+		s.SetServer(0, Server{ID: fmt.Sprint("s", i), Slots: 4, Models: []ServerModel{{Name: "m"}}})
+	}
+	runs := map[CallID]string{}
+	for i := range 12 {
+		r := request(fmt.Sprint("p", i), 0)
+		r.Idempotent = i%2 == 0
+		r.MaxTokens = 400
+		s.Enqueue(0, r)
+		a, ok := s.Next(0)
+		assert.Assert(t, ok)
+		runs[a.ID] = a.Server
+	}
+	hedged := map[CallID]bool{}
+	for step := 1; step < 200; step++ {
+		now := time.Duration(step) * 20 * time.Millisecond
+		for i := range 12 {
+			id := request(fmt.Sprint("p", i), 0).ID
+			if runs[id] == "s0" && step%10 != 0 {
+				continue // ten times slower than the others
+			}
+			s.FirstToken(now, id, runs[id])
+			s.Tokens(now, id, runs[id], 1)
+		}
+		for a, ok := s.Next(now); ok; a, ok = s.Next(now) {
+			assert.Assert(t, a.Hedge && a.ResumeFrom > 0 && a.Server != "s0")
+			assert.Assert(t, s.calls[a.ID].Idempotent, "a call that must run once has a second run")
+			assert.Equal(t, runs[a.ID], "s0")
+			hedged[a.ID] = true
+		}
+	}
+	assert.Assert(t, len(hedged) > 0, "no call was resumed elsewhere")
+	for i, v := range s.Snapshot().Servers {
+		assert.Equal(t, v.Speed < slowBelow, i == 0, "%s has speed %.2f", v.ID, v.Speed)
+	}
+}
