schedule: hold back servers that fail at once

A server that refuses connections has no runs and so looks idle: without the hold all of 1,000 calls to two servers went to the failing one (the new test was seen to fail so). New work is now held back for 0.1 s after a failure, doubled with each further one up to 10 s.

Tried and dropped: ranking a call by its deadline once this is near.

--- a/schedule/engine_test.go
+++ b/schedule/engine_test.go
@@ -270,6 +270,8 @@
 	hosts   []*fakeHost
 	open    int
 	slow    func(now time.Duration, id string) float64
+	// deadlines tells the scheduler the deadlines of the programs.
+	deadlines bool
 	result
 }
 
@@ -388,6 +390,9 @@
 		c.prefix, c.prompt = p.history, p.history+step.prompt
 		r.Model, r.PromptTokens, r.PrefixTokens, r.MaxTokens = "m", c.prompt, p.history, 2048
 	}
+	if h.sim.deadlines {
+		r.Deadline = p.arrival + p.deadline
+	}
 	h.calls[c.id] = c
 	h.sim.calls++
 	h.s.Enqueue(h.sim.now, r)
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -51,7 +51,7 @@
 			best, bestCost = choice{server: v, reason: reason}, cost
 		}
 	}
-	if v := c.last; v != nil && v.available() && !v.speed.slow {
+	if v := c.last; v != nil && v.available() && !v.speed.slow && s.now >= v.speed.heldUntil {
 		if m := v.membershipOf(c.pool); m != nil {
 			if excess := v.inFlight - s.limit(v) + 1; excess <= 0 {
 				consider(v, 0, "cached-prefix")
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -25,7 +25,7 @@
 		{crestEnd - crestStart - 2*time.Second, 2.5},
 	}
 	return scenario{
-		fleet: tailorPaws, view: lateView,
+		fleet: tailorPaws, view: lateView, deadlines: true,
 		programs: offer(r, profile, tailorPaws.language, languageEngine, source{fit, 0.7}, source{chat, 0.3}),
 	}
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -373,7 +373,11 @@
 			c.pool.costs.observePrefill(u.PromptTokens-u.CachedTokens, r.first-r.started)
 		}
 		s.cleared(c)
+		r.server.speed.failures = 0
+	case FailedUnsent:
+		r.server.speed.failed(now)
 	case Crashed:
+		r.server.speed.failed(now)
 		s.crashed(now, c)
 		r.server.cache = cache{limit: r.server.cache.limit}
 	}
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -15,6 +15,9 @@
 	// returnStep is the time after which a recovered server gets one more
 	// slot.
 	returnStep = 250 * time.Millisecond
+	// firstHold and maxHold bound the time without new work after a failure.
+	firstHold = 100 * time.Millisecond
+	maxHold   = 10 * time.Second
 	// silence is the shortest time without a token that counts as slow.
 	silence = 600 * time.Millisecond
 )
@@ -28,24 +31,36 @@
 	slots     int // while slow or ramping
 	nextStep  time.Duration
 	nextProbe time.Duration
+	failures  int // runs in a row that did not reach the server or broke
+	heldUntil time.Duration
 }
 
 func newSpeed() speed { return speed{relative: 1} }
 
 // held reports whether the server gets less than its slots.
-func (p *speed) held() bool { return p.slow || p.ramping }
+func (p *speed) held() bool { return p.slow || p.ramping || p.failures > 0 }
 
 func (p *speed) limit(n int) int {
-	if p.held() {
+	if p.slow || p.ramping {
 		return min(n, p.slots)
 	}
 	return n
 }
 
 func (p *speed) mayProbe(now time.Duration, inFlight int) bool {
+	if now < p.heldUntil {
+		return false
+	}
 	return !p.slow || (inFlight == 0 && now >= p.nextProbe)
 }
 
+// failed holds back new work for a time that doubles with each failure in a
+// row: a server that fails at once would otherwise look idle and get all work.
+func (p *speed) failed(now time.Duration) {
+	p.failures++
+	p.heldUntil = now + min(maxHold, firstHold<<min(p.failures-1, 10))
+}
+
 // observe takes in that a run needed some seconds per token for a while.
 func (p *speed) observe(now time.Duration, perToken, during, typical float64) {
 	if p.token == 0 {
--- a/schedule/slowness_test.go
+++ b/schedule/slowness_test.go
@@ -49,3 +49,26 @@
 		assert.Equal(t, v.Speed < slowBelow, i == 0, "%s has speed %.2f", v.ID, v.Speed)
 	}
 }
+
+// TestFailingServerIsHeldBack guards against a server that refuses connections
+// at once, looks idle and takes all calls.
+func TestFailingServerIsHeldBack(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	for i := range 2 {
+		s.SetServer(0, Server{ID: fmt.Sprint("s", i), Slots: 4, Models: []ServerModel{{Name: "m"}}})
+	}
+	failed := 0
+	for i := range 1000 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		s.Enqueue(now, request(fmt.Sprint("p", i), 0))
+		for a, ok := s.Next(now); ok; a, ok = s.Next(now) {
+			end := Succeeded
+			if a.Server == "s0" {
+				failed++
+				end = FailedUnsent
+			}
+			s.Finished(now, a.ID, a.Server, Usage{}, end)
+		}
+	}
+	assert.Assert(t, failed < 10, "%d of 1000 calls went to the failing server", failed)
+}
--- a/schedule/workload_test.go
+++ b/schedule/workload_test.go
@@ -214,13 +214,15 @@
 	programs []programSpec
 	slow     func(now time.Duration, id string) float64
 	teams    map[string]TeamLimits
-	until    time.Duration // 0 to run until all programs have ended
+	// deadlines tells the scheduler the deadlines of the programs.
+	deadlines bool
 }
 
 // simulate runs a scenario with the given policy on every entry host.
 func simulate(sc scenario, seed uint64, opts ...Option) *result {
 	s := &simulation{
-		view: sc.view, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{}, slow: sc.slow,
+		view: sc.view, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*fakeEngine{},
+		slow: sc.slow, deadlines: sc.deadlines,
 	}
 	for i := range sc.hosts {
 		s.hosts = append(s.hosts, &fakeHost{
@@ -250,6 +252,6 @@
 		s.open++
 		s.after(p.arrival, func() { run.host.ask(run) })
 	}
-	s.run(func() bool { return s.open == 0 || (sc.until > 0 && s.now > sc.until) })
+	s.run(func() bool { return s.open == 0 })
 	return &s.result
 }
