--- /dev/null
+++ b/cmd/sycamoreline/commands.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/strictjson"
+)
+
+// Groups of the list of commands.
+const (
+	groupRole     = "roles"
+	groupCaller   = "for callers"
+	groupOperator = "for operators"
+)
+
+// registration is a command with the group that lists it.
+type registration struct {
+	command subcommands.Command
+	group   string
+}
+
+// commands returns all commands but those of the package subcommands.
+func commands(out, errs io.Writer) []registration {
+	o := output{out: out, errs: errs}
+	return []registration{
+		{&entryCommand{output: o}, groupRole},
+		{&controlCommand{output: o}, groupRole},
+		{&standInEngineCommand{output: o}, groupRole},
+		{&standInServiceCommand{output: o}, groupRole},
+		{&demoCommand{output: o}, groupRole},
+		{&runCommand{output: o}, groupCaller},
+		{&checkCommand{output: o}, groupOperator},
+		{&versionCommand{output: o}, groupOperator},
+		{&planCommand{folderCommand{output: o}}, groupOperator},
+		{&applyCommand{folderCommand{output: o}}, groupOperator},
+		{&getCommand{inspectCommand{output: o}}, groupOperator},
+		{&watchCommand{inspectCommand: inspectCommand{output: o}}, groupOperator},
+		{&statusCommand{inspectCommand{output: o}}, groupOperator},
+	}
+}
+
+// output is where a command writes.
+type output struct {
+	out  io.Writer
+	errs io.Writer
+}
+
+// logger returns a constructor of loggers that write to the error output.
+func (o output) logger(level string) func(role, id string) (*zap.Logger, error) {
+	return func(role, id string) (*zap.Logger, error) { return newLogger(o.errs, level, role, id) }
+}
+
+// usage reports invalid usage or settings, with exit code 2.
+func (o output) usage(format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(o.errs, format+"\n", args...)
+	return subcommands.ExitUsageError
+}
+
+// failure reports anything else that went wrong, with exit code 1.
+func (o output) failure(err error) subcommands.ExitStatus {
+	fmt.Fprintln(o.errs, err)
+	return subcommands.ExitFailure
+}
+
+// fault reports invalid files as invalid settings, anything else as failure.
+func (o output) fault(err error) subcommands.ExitStatus {
+	var invalid *strictjson.Error
+	if errors.As(err, &invalid) {
+		return o.usage("%s", err)
+	}
+	return o.failure(err)
+}
