schedule: count programs by activity, spread their calls over the hosts

Cause: the balancer sends the calls of a program to any entry host and its end to one of them. The host that admitted it never heard of the end, so that its admission limit filled up for good. A program now counts on each host where it was active within the last minute; the active fraction follows.

The simulation kept all calls of a program on one host; they now reach a random one. Hosts on which all calls of a program arrive are no longer assumed anywhere.

Further: an unchanged SetServer is cheap and keeps reservations; cache orders that nobody takes are bounded; servers are held back after Unreachable, a new end, because FailedUnsent also covers callers that left before the send.

--- a/schedule/ablation_test.go
+++ b/schedule/ablation_test.go
@@ -38,7 +38,6 @@
 	{"without-team-shares", func(s *Scheduler) { s.shares = false }},
 	{"without-cached-prefix", routed(func(e *earliestFinish) { e.recomputeWeight, e.excess = 0, 0 })},
 	{"without-overcommitment", routed(func(e *earliestFinish) { e.excess = 0 })},
-	{"without-eviction-cost", routed(func(e *earliestFinish) { e.evictWeight = 0 })},
 	{"without-load", routed(func(e *earliestFinish) { e.loadWeight = 0 })},
 	{"without-reports", func(s *Scheduler) { s.ignoreReports = true }},
 	{"without-detection", func(s *Scheduler) { s.detect, s.hedging = false, false }},
--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -136,12 +136,6 @@
 	s.team(name).limits = l
 }
 
-// program is an admitted program.
-type program struct {
-	team     *team
-	cachedOn []*server
-}
-
 // AdmitProgram decides whether a new program may start. The calls of an
 // admitted program are not refused for load.
 func (s *Scheduler) AdmitProgram(now time.Duration, p Program) Admission {
@@ -159,8 +153,7 @@
 		return s.postpone(now, p, t)
 	}
 	t.stopAsking(p.ID)
-	s.programs[p.ID] = &program{team: t}
-	t.change(now, 1)
+	s.present(p.ID, t)
 	return Admission{Admitted: true, Reason: "capacity"}
 }
 
@@ -192,18 +185,6 @@
 	return Admission{RetryAfter: hint, Reason: reason}
 }
 
-// EndProgram forgets a program.
-func (s *Scheduler) EndProgram(now time.Duration, id string) {
-	s.advance(now)
-	p := s.programs[id]
-	if p == nil {
-		return
-	}
-	p.team.change(now, -1)
-	s.dropAll(p, id)
-	delete(s.programs, id)
-}
-
 // observeActivity follows the fraction of the programs that run a call, those
 // that wait for a slot aside.
 func (s *Scheduler) observeActivity(elapsed time.Duration) {
--- a/schedule/cache.go
+++ b/schedule/cache.go
@@ -21,17 +21,18 @@
 type cacheEntry struct {
 	program    string
 	tokens     int
+	shrunk     bool // evicted from since the last call here
 	prev, next *cacheEntry
 }
 
-// tokens returns the believed cached tokens of a program, and whether anything
-// is known of it.
-func (k *cache) tokens(program string) (int, bool) {
+// tokens returns the believed cached tokens of a program, and whether an
+// eviction was reported since its last call from this host.
+func (k *cache) tokens(program string) (n int, shrunk bool) {
 	e := k.entries[program]
 	if e == nil {
 		return 0, false
 	}
-	return e.tokens, true
+	return e.tokens, e.shrunk
 }
 
 // set records that the program has tokens cached and was used last.
@@ -43,7 +44,7 @@
 	} else {
 		e = k.allocate(program)
 	}
-	e.tokens = tokens
+	e.tokens, e.shrunk = tokens, false
 	k.used += int64(tokens)
 	k.link(e)
 	for k.head != e && (len(k.entries) > maxCacheEntries || (k.limit > 0 && k.used > k.limit)) {
@@ -59,6 +60,7 @@
 	}
 	lost := min(tokens, e.tokens)
 	e.tokens -= lost
+	e.shrunk = true
 	k.used -= int64(lost)
 }
 
@@ -159,30 +161,21 @@
 	p.cachedOn = append(p.cachedOn, v)
 }
 
+// maxCacheOrders bounds the orders that wait for the driver. Engines evict by
+// themselves, so that surplus orders can be lost.
+const maxCacheOrders = 4096
+
 // maxCopies bounds the servers that keep the prefix of one program; the oldest
 // copy is dropped.
 const maxCopies = 4
 
 func (s *Scheduler) orderDrop(v *server, id string) {
 	v.cache.forget(id)
-	if !v.removed {
+	if !v.removed && len(s.cacheOrders) < maxCacheOrders {
 		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id, Action: Drop})
 	}
 }
 
-// quota is this host's share of a server's cache.
-func (v *server) quota(hosts int) int64 { return v.cache.limit / int64(hosts) }
-
-// evicts estimates the seconds of later prefill that a call causes on a server
-// by pushing the prefixes of other programs out of the cache.
-func (s *Scheduler) evicts(c *call, v *server, missing int) float64 {
-	if c.Service != "" || v.cache.limit == 0 {
-		return 0
-	}
-	over := v.cache.used + int64(missing) - v.quota(s.hosts)
-	return float64(max(0, over)) * c.pool.costs.prefill
-}
-
 // dropAll orders the servers to free the memory of an ended program.
 func (s *Scheduler) dropAll(p *program, id string) {
 	for _, v := range p.cachedOn {
--- a/schedule/engine_test.go
+++ b/schedule/engine_test.go
@@ -252,6 +252,7 @@
 	reportLag   time.Duration
 	eventLag    time.Duration
 	eventLoss   float64
+	sticky      bool          // all calls of a program reach the same entry host
 	grant       time.Duration // for a slot by the owner of the server
 }
 
@@ -484,7 +485,15 @@
 		h.end(p)
 		return
 	}
-	h.sim.after(c.step.pause, func() { h.call(p) })
+	h.sim.after(c.step.pause, func() { h.sim.balance(p).call(p) })
+}
+
+// balance chooses the entry host of the next call of a program.
+func (s *simulation) balance(p *programRun) *fakeHost {
+	if s.sticky {
+		return p.host
+	}
+	return s.hosts[s.random.IntN(len(s.hosts))]
 }
 
 func (h *fakeHost) end(p *programRun) {
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -21,7 +21,7 @@
 	return policies{
 		admitter: activeSlots{headroom: 0.25, bursts: true},
 		order:    LeastAttained{Penalty: 2 * time.Millisecond, MaxPenalty: 20 * time.Second, ClassPenalty: time.Second},
-		router:   earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5, evictWeight: 1},
+		router:   earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5},
 		shares:   true,
 		detect:   true,
 		hedging:  true,
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -29,9 +29,6 @@
 	// excess is the fraction of its slots by which the server of the
 	// program's last call may be overcommitted to save a recomputation.
 	excess float64
-	// evictWeight values a second of prefill that other programs will need
-	// because the call pushes them out of the cache.
-	evictWeight float64
 }
 
 func (e earliestFinish) choose(s *Scheduler, c *call) choice {
@@ -41,9 +38,8 @@
 		if c.runOn(v) != nil {
 			return
 		}
-		missing := c.missing(v)
-		recompute := float64(missing) * c.pool.costs.prefill
-		cost := wait + e.cost(c, v, recompute) + e.evictWeight*s.evicts(c, v, missing)
+		recompute := float64(c.missing(v)) * c.pool.costs.prefill
+		cost := wait + e.cost(c, v, recompute)
 		if c.avoids(v) {
 			cost += avoidCost
 		}
@@ -89,12 +85,12 @@
 	if c.Service != "" {
 		return 0
 	}
-	cached, known := 0, false
-	if c.home == nil || slices.Contains(c.home.cachedOn, v) {
-		cached, known = v.cache.tokens(c.ID.Program)
+	cached, shrunk := 0, false
+	if slices.Contains(c.home.cachedOn, v) {
+		cached, shrunk = v.cache.tokens(c.ID.Program)
 	}
-	if !known && v == c.last {
-		cached = c.PrefixTokens
+	if v == c.last && !shrunk {
+		cached = max(cached, c.PrefixTokens) // another host may have sent the last call
 	}
 	return max(0, c.PromptTokens-cached)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -40,7 +40,8 @@
 	refused  []Refused
 
 	programs  map[string]*program
-	active    float64 // fraction of programs that run a call
+	presence  programList // in order of last activity
+	active    float64     // fraction of programs that run a call
 	teams     map[string]*team
 	teamOrder []*team
 	retries   budget
@@ -60,8 +61,8 @@
 	Request
 	pool     *pool
 	team     *teamQueue
-	home     *program // nil if admitted by another host
-	last     *server  // that ran the program's previous call
+	home     *program
+	last     *server // that ran the program's previous call
 	rank     time.Duration
 	serial   uint64
 	position int // in the queue of its team, or -1
@@ -140,6 +141,7 @@
 	}
 	s.observeActivity(now - s.now)
 	s.now = now
+	s.expirePrograms()
 }
 
 // Enqueue queues a call. A call that is already known is not queued again.
@@ -153,7 +155,8 @@
 	*c = call{Request: r, serial: s.serial, position: -1, expiry: -1}
 	c.pool = s.poolFor(&c.Request)
 	c.team = c.pool.queue.team(r.Team, s.team(r.Team).weight())
-	c.home = s.programs[r.ID.Program]
+	c.home = s.present(r.ID.Program, s.team(r.Team))
+	c.home.calls++
 	c.last = s.servers[r.LastServer]
 	c.rank = s.order.Rank(s.now, &c.Request)
 	s.calls[r.ID] = c
@@ -182,6 +185,8 @@
 // forget ends the life of a call.
 func (s *Scheduler) forget(c *call) {
 	delete(s.calls, c.ID)
+	c.home.calls--
+	s.touch(c.home)
 	if c.hedge == hedgeQueued {
 		s.hedges = slices.DeleteFunc(s.hedges, func(o *call) bool { return o == c })
 	}
@@ -374,7 +379,7 @@
 		}
 		s.cleared(c)
 		r.server.speed.failures = 0
-	case FailedUnsent:
+	case Unreachable:
 		r.server.speed.failed(now)
 	case Crashed:
 		r.server.speed.failed(now)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -334,3 +334,17 @@
 		assert.Assert(t, v <= m.bound, "%s %.3f", m.name, v)
 	}
 }
+
+// TestProgramsThatEndElsewhereDoNotCount guards against an admission limit that
+// fills up with programs whose end was reported to another entry host.
+func TestProgramsThatEndElsewhereDoNotCount(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	s.SetServer(0, Server{ID: "s", Slots: 4, Models: []ServerModel{{Name: "m"}}})
+	var now time.Duration
+	for i := range 100 {
+		now += presenceTime
+		a := s.AdmitProgram(now, Program{ID: fmt.Sprint("p", i), Team: "a"})
+		assert.Assert(t, a.Admitted, "program %d: %v", i, a)
+	}
+	assert.Assert(t, s.Snapshot().Programs <= 2)
+}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // historySize is the number of changes of the own in-flight count that are
 // kept to interpret a late load report.
@@ -102,6 +105,8 @@
 		v = &server{busy: -1, rounding: s.random.Float64(), speed: newSpeed()}
 		s.servers[n.ID] = v
 		s.serverOrder = append(s.serverOrder, v)
+	} else if v.same(&n) {
+		return
 	} else if v.Incarnation != n.Incarnation {
 		v.speed, v.cache, v.others = newSpeed(), cache{}, 0
 	}
@@ -116,6 +121,15 @@
 	}
 }
 
+// same reports whether two descriptions of a server are equal.
+func (v *Server) same(o *Server) bool {
+	return v.ID == o.ID && v.Incarnation == o.Incarnation && v.DataCentre == o.DataCentre &&
+		v.Service == o.Service && v.Slots == o.Slots && v.CacheTokens == o.CacheTokens &&
+		v.Leaving == o.Leaving && slices.EqualFunc(v.Models, o.Models, func(a, b ServerModel) bool {
+		return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+	})
+}
+
 // modelSlots is what the server adds to the capacity that admission counts.
 func (v *Server) modelSlots() int {
 	if v.Service != "" || v.Leaving {
--- a/schedule/slowness_test.go
+++ b/schedule/slowness_test.go
@@ -65,7 +65,7 @@
 			end := Succeeded
 			if a.Server == "s0" {
 				failed++
-				end = FailedUnsent
+				end = Unreachable
 			}
 			s.Finished(now, a.ID, a.Server, Usage{}, end)
 		}
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -141,12 +141,17 @@
 	// Superseded means that the driver cancelled this run because another run
 	// of the same call went ahead.
 	Superseded
+	// Unreachable means that the server refused the connection, so that
+	// nothing reached it. Unlike FailedUnsent, it is a failure of the server.
+	Unreachable
 )
 
 // TeamLimits are the configured limits of a team.
 type TeamLimits struct {
-	Weight      float64 // share of the capacity, relative to other teams
-	MaxPrograms int     // open programs on this entry host; 0 means no limit
+	Weight float64 // share of the capacity, relative to other teams
+	// MaxPrograms bounds the programs that were active on this entry host in
+	// the last minute; 0 means no limit.
+	MaxPrograms int
 }
 
 // Suspect is a request that was in flight on a server when it crashed.
