--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -14,7 +14,7 @@
 	teamIdle = 5 * time.Second
 	// shareWindow is the time constant of the mean number of programs of a
 	// team, and burstFactor the multiple of its share that it may reach.
-	shareWindow = 30.0 // seconds
+	shareWindow = 60.0 // seconds
 	burstFactor = 1.5
 	// burstTotal bounds the programs of all teams during such a burst.
 	burstTotal = 1.1
@@ -37,6 +37,8 @@
 	// headroom is the fraction of calls that may wait above the slots, so
 	// that a slot that falls free is used at once.
 	headroom float64
+	// bursts lets a team make up for a quiet time.
+	bursts bool
 }
 
 func (a activeSlots) allows(s *Scheduler, t *team) bool {
@@ -50,7 +52,7 @@
 	if float64(t.programs) < share {
 		return true
 	}
-	return t.mean < share && float64(t.programs) < burstFactor*share &&
+	return a.bursts && t.mean < share && float64(t.programs) < burstFactor*share &&
 		float64(len(s.programs)) < burstTotal*limit
 }
 
@@ -134,12 +136,6 @@
 	s.team(name).limits = l
 }
 
-// program is an admitted program.
-type program struct {
-	team     *team
-	cachedOn []*server
-}
-
 // AdmitProgram decides whether a new program may start. The calls of an
 // admitted program are not refused for load.
 func (s *Scheduler) AdmitProgram(now time.Duration, p Program) Admission {
@@ -157,8 +153,7 @@
 		return s.postpone(now, p, t)
 	}
 	t.stopAsking(p.ID)
-	s.programs[p.ID] = &program{team: t}
-	t.change(now, 1)
+	s.present(p.ID, t)
 	return Admission{Admitted: true, Reason: "capacity"}
 }
 
@@ -190,18 +185,6 @@
 	return Admission{RetryAfter: hint, Reason: reason}
 }
 
-// EndProgram forgets a program.
-func (s *Scheduler) EndProgram(now time.Duration, id string) {
-	s.advance(now)
-	p := s.programs[id]
-	if p == nil {
-		return
-	}
-	p.team.change(now, -1)
-	s.dropAll(p, id)
-	delete(s.programs, id)
-}
-
 // observeActivity follows the fraction of the programs that run a call, those
 // that wait for a slot aside.
 func (s *Scheduler) observeActivity(elapsed time.Duration) {
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -1,17 +1,11 @@
 package schedule
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // choice is a server for a call.
 type choice struct {
 	server *server
-	// recompute is the time in seconds for the prompt tokens that are believed
-	// not to be cached there.
-	recompute float64
-	reason    string // kebab-case
+	reason string // kebab-case
 }
 
 // router chooses a server among the open ones of the call's pool. It returns a
@@ -35,9 +29,6 @@
 	// excess is the fraction of its slots by which the server of the
 	// program's last call may be overcommitted to save a recomputation.
 	excess float64
-	// evictWeight values a second of prefill that other programs will need
-	// because the call pushes them out of the cache.
-	evictWeight float64
 }
 
 func (e earliestFinish) choose(s *Scheduler, c *call) choice {
@@ -47,17 +38,16 @@
 		if c.runOn(v) != nil {
 			return
 		}
-		missing := c.missing(v)
-		recompute := float64(missing) * c.pool.costs.prefill
-		cost := wait + e.cost(c, v, recompute) + e.evictWeight*s.evicts(c, v, missing)
+		recompute := float64(c.missing(v)) * c.pool.costs.prefill
+		cost := wait + e.cost(c, v, recompute)
 		if c.avoids(v) {
 			cost += avoidCost
 		}
 		if best.server == nil || cost < bestCost {
-			best, bestCost = choice{server: v, recompute: recompute, reason: reason}, cost
+			best, bestCost = choice{server: v, reason: reason}, cost
 		}
 	}
-	if v := c.last; v != nil && v.available() && !v.speed.slow {
+	if v := c.last; v != nil && v.available() && !v.speed.slow && s.now >= v.speed.heldUntil {
 		if m := v.membershipOf(c.pool); m != nil {
 			if excess := v.inFlight - s.limit(v) + 1; excess <= 0 {
 				consider(v, 0, "cached-prefix")
@@ -95,12 +85,12 @@
 	if c.Service != "" {
 		return 0
 	}
-	cached, known := 0, false
-	if c.home == nil || slices.Contains(c.home.cachedOn, v) {
-		cached, known = v.cache.tokens(c.ID.Program)
+	cached, shrunk := 0, false
+	if slices.Contains(c.home.cachedOn, v) {
+		cached, shrunk = v.cache.tokens(c.ID.Program)
 	}
-	if !known && v == c.last {
-		cached = c.PrefixTokens
+	if v == c.last && !shrunk {
+		cached = max(cached, c.PrefixTokens) // another host may have sent the last call
 	}
 	return max(0, c.PromptTokens-cached)
 }
@@ -117,27 +107,3 @@
 	}
 	return false
 }
-
-// lookahead is the number of calls at the front of a team's queue of which one
-// may be taken out of order because its prefix is cached on an open server.
-const lookahead = 8
-
-// pick chooses the next call of a team and its server. The first entries of a
-// heap are close to the first in rank.
-func (s *Scheduler) pick(t *teamQueue) (*call, choice) {
-	var best *call
-	var bestChoice choice
-	var bestRank time.Duration
-	for i := 0; i < len(t.calls.calls) && i < s.lookahead; i++ {
-		c := t.calls.calls[i]
-		o := s.router.choose(s, c)
-		if o.server == nil {
-			continue
-		}
-		rank := c.rank + time.Duration(o.recompute*s.recomputeRank*float64(time.Second))
-		if best == nil || rank < bestRank {
-			best, bestChoice, bestRank = c, o, rank
-		}
-	}
-	return best, bestChoice
-}
