Believe not-run only from a refusal that names the call

A server that crosses its responses could have a call reported as not run by the refusal of another call, and a non-idempotent call would then run twice. Every response to a call now repeats the call id in its header, refusals as well; a refusal without it is may-have-run.

--- a/backend/callid.go
+++ b/backend/callid.go
@@ -9,7 +9,8 @@
 	"strings"
 )
 
-// HeaderCall carries the CallID of a request to a backend server.
+// HeaderCall carries the CallID of a request to a backend server. Every
+// response to a call repeats it.
 const HeaderCall = "Sycamoreline-Call"
 
 // CallID names one attempt of one call of a program.
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -105,11 +105,25 @@
 
 // Refusal reads an error response.
 func Refusal(resp *http.Response) *verdict.Error {
-	address := resp.Request.URL.Host
 	var v verdict.Verdict
 	if v.UnmarshalText([]byte(resp.Header.Get(verdict.HeaderVerdict))) != nil {
 		v = verdict.MayHaveRun
 	}
+	return refusal(resp, v)
+}
+
+// CallRefusal reads an error response to a call. It believes not-run only when
+// the response names the call, so that the refusal of another call is never
+// taken for one of this call.
+func CallRefusal(resp *http.Response, id CallID) *verdict.Error {
+	if resp.Header.Get(HeaderCall) != id.String() {
+		return refusal(resp, verdict.MayHaveRun)
+	}
+	return Refusal(resp)
+}
+
+func refusal(resp *http.Response, v verdict.Verdict) *verdict.Error {
+	address := resp.Request.URL.Host
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	if err == nil {
 		var e verdict.Error
--- a/engine/client.go
+++ b/engine/client.go
@@ -105,7 +105,10 @@
 		return Finish{}, err
 	}
 	defer resp.Body.Close()
-	if err := backend.CheckResponse(resp, "text/event-stream"); err != nil {
+	if resp.StatusCode != http.StatusOK {
+		return Finish{}, backend.CallRefusal(resp, call.ID())
+	}
+	if err := backend.CheckMediaType(resp, "text/event-stream"); err != nil {
 		return Finish{}, err
 	}
 	a := newAnswer(address, call, emit, c.onDrop)
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -7,9 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/standin"
@@ -96,8 +98,9 @@
 	const sse = "text/event-stream"
 	const first = `data: {"id":"p-1/1/1","offset":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
 	const end = `data: {"id":"p-1/1/1","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":1}}` + "\n\n"
-	refuse := func(v verdict.Verdict) http.HandlerFunc {
+	refuse := func(id string, v verdict.Verdict) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderCall, id)
 			verdict.New(v, verdict.Overloaded, "batch is full").Write(w)
 		}
 	}
@@ -108,8 +111,9 @@
 		reason  verdict.Reason
 		message string
 	}{
-		{"refused", refuse(verdict.NotRun), verdict.NotRun, verdict.Overloaded, "batch is full"},
-		{"refused after running", refuse(verdict.MayHaveRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
+		{"refused", refuse("p-1/1/1", verdict.NotRun), verdict.NotRun, verdict.Overloaded, "batch is full"},
+		{"refusal of another call", refuse("p-1/2/1", verdict.NotRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
+		{"refused after running", refuse("p-1/1/1", verdict.MayHaveRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
 		{"status without verdict", func(w http.ResponseWriter, _ *http.Request) {
 			http.Error(w, "oops\nagain", http.StatusInternalServerError)
 		}, verdict.MayHaveRun, verdict.ServerFailed, "status 500: oops again"},
@@ -161,6 +165,21 @@
 	checkVerdict(t, err, verdict.NotRun, verdict.ServerFailed, "cannot connect")
 }
 
+// Guards against a stand-in whose refusals cannot be told from those of other
+// calls, and against may-have-run for a call that was never sent.
+func TestStreamNotRun(t *testing.T) {
+	address, c := serve(t, newStandIn(t, testSettings()))
+	call := testCall()
+	call.Model = "n"
+	_, err := c.Stream(t.Context(), address, call, ignoreToken)
+	checkVerdict(t, err, verdict.NotRun, verdict.UnknownModel, `model "n"`)
+
+	late, cancel := context.WithDeadline(t.Context(), time.Unix(0, 0))
+	defer cancel()
+	_, err = c.Stream(late, address, testCall(), ignoreToken)
+	checkVerdict(t, err, verdict.NotRun, verdict.Timeout, "cannot connect")
+}
+
 // Guards against tokens that are passed on twice or out of order.
 func TestStreamDropsTokensOutOfOrder(t *testing.T) {
 	address, c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/engine/standin_completion.go
+++ b/engine/standin_completion.go
@@ -29,6 +29,7 @@
 }
 
 func (e *StandIn) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderCall, r.Header.Get(backend.HeaderCall))
 	c, body, ok := e.readCompletion(w, r)
 	if !ok {
 		return
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -82,9 +82,14 @@
 		reason  verdict.Reason
 		message string
 	}{
-		{"refused", func(w http.ResponseWriter, _ *http.Request) {
+		{"refused", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(backend.HeaderCall, r.Header.Get(backend.HeaderCall))
 			verdict.New(verdict.NotRun, verdict.Overloaded, "busy").Write(w)
 		}, verdict.NotRun, verdict.Overloaded, "busy"},
+		{"refusal of another call", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderCall, other.String())
+			verdict.New(verdict.NotRun, verdict.Overloaded, "busy").Write(w)
+		}, verdict.MayHaveRun, verdict.Overloaded, "busy"},
 		{"no call id", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "bad gateway", http.StatusBadGateway) }, verdict.MayHaveRun, verdict.ServerFailed, `response is for call ""`},
 		{"other call", answer(other, jsonType, "{}"), verdict.MayHaveRun, verdict.ServerFailed, `response is for call "p-2/3/1": want "p-1/3/1"`},
 		{"wrong content type", answer(testID, "text/html", "<p>"), verdict.MayHaveRun, verdict.ServerFailed, `content type "text/html"`},
@@ -126,6 +131,8 @@
 	s.Faults().Set(standin.Faults{CrashText: "poison"})
 	_, _, err = c.Call(t.Context(), address, "charge", testID, []byte(`{"note":"poison"}`))
 	checkVerdict(t, err, verdict.MayHaveRun, verdict.ServerFailed, "connection lost before a response")
+	_, _, err = c.Call(t.Context(), address, "sew", testID, []byte("{}"))
+	checkVerdict(t, err, verdict.NotRun, verdict.UnknownService, `operation "sew"`)
 	assert.Equal(t, s.Runs()[0], Run{Operation: "charge", Program: "p-1", Call: 3, Attempt: 1, Runs: 1})
 }
 
--- a/service/standin.go
+++ b/service/standin.go
@@ -97,6 +97,7 @@
 }
 
 func (t *StandIn) serveOperation(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderCall, r.Header.Get(backend.HeaderCall))
 	name := mux.Vars(r)["operation"]
 	id, err := backend.ParseCallID(r.Header.Get(backend.HeaderCall))
 	if err != nil {
