engine: end the calls of a released program

A late attempt that still ran when its program was released kept its memory until it ended. Releasing now cancels it; without the cancellation the test ran into its timeout.

--- a/engine/control.go
+++ b/engine/control.go
@@ -34,7 +34,8 @@
 	Tokens int64 `json:"tokens"`
 }
 
-// Released is the confirmation that an engine holds nothing for a program.
+// Released is the confirmation that an engine holds nothing for a program, or
+// will not once a call that is being ended has ended.
 type Released struct {
 	Incarnation string `json:"incarnation"`
 	Tokens      int64  `json:"tokens"` // that were held
@@ -54,7 +55,8 @@
 	return r.Pinned, err
 }
 
-// Release drops what the engine holds for a program.
+// Release ends the calls of a program that still run, and drops what the engine
+// holds for it.
 func (c *Client) Release(ctx context.Context, address, program string) (Released, error) {
 	return backend.Post[Released](ctx, c.transport, address, "/cache/release", programBody{program}, maxAnswerBytes)
 }
--- a/engine/control_test.go
+++ b/engine/control_test.go
@@ -124,19 +124,37 @@
 	close(ended)
 }
 
-// Guards against a cancelled call that goes on, or is taken for a whole answer.
-func TestCancelEndsACall(t *testing.T) {
-	settings := testSettings()
-	settings.AnswerTokens, settings.DecodeMicroseconds = 1_000_000, 1000
-	address, c := serve(t, newStandIn(t, settings))
-	call := testCall()
-	call.MaxTokens = 0
-	var once sync.Once
-	_, err := c.Stream(t.Context(), address, call, func(Token) error {
-		once.Do(func() { assert.NilError(t, c.Cancel(t.Context(), address, call.ID())) })
-		return nil
-	})
-	checkVerdict(t, err, verdict.MayHaveRun, verdict.ServerFailed, "stream ended without [DONE]")
+// Guards against a call that goes on after it was cancelled or its program was
+// released, holds memory, or is taken for a whole answer.
+func TestCancelAndReleaseEndACall(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(*Client, string) error
+		held int
+	}{
+		{"cancel", func(c *Client, address string) error { return c.Cancel(t.Context(), address, testCall().ID()) }, 1},
+		{"release", func(c *Client, address string) error {
+			_, err := c.Release(t.Context(), address, "p-1")
+			return err
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			settings := testSettings()
+			settings.AnswerTokens, settings.DecodeMicroseconds = 1_000_000, 1000
+			e := newStandIn(t, settings)
+			address, c := serve(t, e)
+			call := testCall()
+			call.MaxTokens = 0
+			var once sync.Once
+			_, err := c.Stream(t.Context(), address, call, func(Token) error {
+				once.Do(func() { assert.NilError(t, tt.end(c, address)) })
+				return nil
+			})
+			checkVerdict(t, err, verdict.MayHaveRun, verdict.ServerFailed, "stream ended without [DONE]")
+			assert.Equal(t, len(e.Programs()), tt.held)
+		})
+	}
 }
 
 // Guards against a refusal of control requests that cannot be told from a
--- a/engine/standin.go
+++ b/engine/standin.go
@@ -41,7 +41,10 @@
 	role    string
 }
 
-type runningCall struct{ cancel context.CancelFunc }
+type runningCall struct {
+	program string
+	cancel  context.CancelFunc
+}
 
 // NewStandIn returns a stand-in engine. It returns an error when the settings
 // are not valid.
@@ -148,22 +151,33 @@
 }
 
 // start registers a call, replacing one with the same id whose reader is gone.
-func (i *incarnation) start(id string, cancel context.CancelFunc) *runningCall {
-	c := &runningCall{cancel: cancel}
+func (i *incarnation) start(id backend.CallID, cancel context.CancelFunc) *runningCall {
+	c := &runningCall{program: id.Program, cancel: cancel}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if old, ok := i.running[id]; ok {
+	if old, ok := i.running[id.String()]; ok {
 		old.cancel()
 	}
-	i.running[id] = c
+	i.running[id.String()] = c
 	return c
 }
 
-func (i *incarnation) stop(id string, c *runningCall) {
+func (i *incarnation) stop(id backend.CallID, c *runningCall) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.running[id.String()] == c {
+		delete(i.running, id.String())
+	}
+}
+
+// cancelProgram ends the calls that still run for a program.
+func (i *incarnation) cancelProgram(program string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.running[id] == c {
-		delete(i.running, id)
+	for _, c := range i.running {
+		if c.program == program {
+			c.cancel()
+		}
 	}
 }
 
--- a/engine/standin_completion.go
+++ b/engine/standin_completion.go
@@ -36,7 +36,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	defer c.inc.stop(c.idText, c.inc.start(c.idText, cancel))
+	defer c.inc.stop(c.id, c.inc.start(c.id, cancel))
 	e.faults.HangIfSet(ctx)
 	if c.inc.slots.acquire(ctx, c.priority) != nil {
 		return
--- a/engine/standin_memory.go
+++ b/engine/standin_memory.go
@@ -26,6 +26,7 @@
 		return
 	}
 	i := e.current.Load()
+	i.cancelProgram(body.Program)
 	released := i.cache.release(body.Program)
 	i.recordLoad(e.settings)
 	standin.WriteJSON(w, Released{Incarnation: i.id, Tokens: released})
