--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -7,9 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/standin"
@@ -96,8 +98,9 @@
 	const sse = "text/event-stream"
 	const first = `data: {"id":"p-1/1/1","offset":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
 	const end = `data: {"id":"p-1/1/1","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"completion_tokens":1}}` + "\n\n"
-	refuse := func(v verdict.Verdict) http.HandlerFunc {
+	refuse := func(id string, v verdict.Verdict) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(backend.HeaderCall, id)
 			verdict.New(v, verdict.Overloaded, "batch is full").Write(w)
 		}
 	}
@@ -108,8 +111,9 @@
 		reason  verdict.Reason
 		message string
 	}{
-		{"refused", refuse(verdict.NotRun), verdict.NotRun, verdict.Overloaded, "batch is full"},
-		{"refused after running", refuse(verdict.MayHaveRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
+		{"refused", refuse("p-1/1/1", verdict.NotRun), verdict.NotRun, verdict.Overloaded, "batch is full"},
+		{"refusal of another call", refuse("p-1/2/1", verdict.NotRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
+		{"refused after running", refuse("p-1/1/1", verdict.MayHaveRun), verdict.MayHaveRun, verdict.Overloaded, "batch is full"},
 		{"status without verdict", func(w http.ResponseWriter, _ *http.Request) {
 			http.Error(w, "oops\nagain", http.StatusInternalServerError)
 		}, verdict.MayHaveRun, verdict.ServerFailed, "status 500: oops again"},
@@ -124,6 +128,8 @@
 		{"event too large", text(sse, "data: "+strings.Repeat("x", 5000)+"\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "event is too large"},
 		{"answer too long", text(sse, first+strings.Replace(first, `"offset":0`, `"offset":1`, 1)), verdict.MayHaveRun, verdict.ServerFailed, "answer is longer than max_tokens 1"},
 		{"token without offset", text(sse, strings.Replace(first, `"offset":0,`, "", 1)), verdict.MayHaveRun, verdict.ServerFailed, `field "offset" is missing`},
+		{"tokens after a missing one", text(sse, strings.Replace(first, `"offset":0`, `"offset":1`, 1)+end+"data: [DONE]\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "token 0 is missing"},
+		{"far ahead of a missing one", text(sse, strings.Repeat(strings.Replace(first, `"offset":0`, `"offset":1`, 1), maxAhead+1)), verdict.MayHaveRun, verdict.ServerFailed, "token 0 is missing"},
 		{"error event", text(sse, first+`data: {"error":{"message":"boom","verdict":"not-run"}}`+"\n\n"), verdict.MayHaveRun, verdict.ServerFailed, "boom"},
 		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, verdict.MayHaveRun, verdict.ServerFailed, "connection lost before a response"},
 	}
@@ -159,6 +165,36 @@
 	checkVerdict(t, err, verdict.NotRun, verdict.ServerFailed, "cannot connect")
 }
 
+// Guards against a stand-in whose refusals cannot be told from those of other
+// calls, and against may-have-run for a call that was never sent.
+func TestStreamNotRun(t *testing.T) {
+	address, c := serve(t, newStandIn(t, testSettings()))
+	call := testCall()
+	call.Model = "n"
+	_, err := c.Stream(t.Context(), address, call, ignoreToken)
+	checkVerdict(t, err, verdict.NotRun, verdict.UnknownModel, `model "n"`)
+
+	late, cancel := context.WithDeadline(t.Context(), time.Unix(0, 0))
+	defer cancel()
+	_, err = c.Stream(late, address, testCall(), ignoreToken)
+	checkVerdict(t, err, verdict.NotRun, verdict.Timeout, "cannot connect")
+}
+
+// Guards against tokens that are passed on twice or out of order.
+func TestStreamDropsTokensOutOfOrder(t *testing.T) {
+	address, c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, offset := range []int{0, 0, 2, 1, 0, 2} {
+			writeToken(w, "p-1/1/1", offset)
+		}
+		writeEnd(w, "p-1/1/1", 3)
+	}))
+	var got collector
+	_, err := c.Stream(t.Context(), address, testCall(), got.emit)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.tokens, []Token{{0, " word"}, {1, " word"}, {2, " word"}})
+}
+
 // Guards against tokens of another answer that get into this one, and against
 // an answer that is given up because of them.
 func TestStreamDropsCrossedEvents(t *testing.T) {
