--- a/operator/folder.go
+++ b/operator/folder.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
 	"io/fs"
 	"os"
@@ -50,14 +51,20 @@
 	if err := CheckValue(path, "/"+stem, value); err != nil {
 		return err
 	}
-	f["/"+stem] = compact(value)
+	f["/"+stem] = canonical(value)
 	return nil
 }
 
-// compact returns the value without insignificant space, so that a change of
-// layout is no change.
-func compact(value json.RawMessage) json.RawMessage {
-	data, err := json.Marshal(value)
+// canonical returns the value without insignificant space and with its keys in
+// order, as the tree keeps it, so that a change of layout is no change.
+func canonical(value json.RawMessage) json.RawMessage {
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.UseNumber()
+	var v any
+	if decoder.Decode(&v) != nil {
+		return value
+	}
+	data, err := json.Marshal(v)
 	if err != nil {
 		return value
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -207,14 +207,14 @@
 // layout differs, or deletes without being asked to.
 func TestPlan(t *testing.T) {
 	f, err := ReadFolder(makeFolder(t, map[string]string{
-		"teams/tailor-paws/limits.json":   "{\n \"weight\": 1\n}\n",
+		"teams/tailor-paws/limits.json":   "{\n \"weight\": 1,\n \"max-calls\": 2\n}\n",
 		"teams/trois-sillons/limits.json": `{"weight": 3}`,
 		"services/orders.json":            `{"timeout-seconds": 5}`,
 		".git/config":                     "not JSON",
 	}))
 	assert.NilError(t, err)
 	current := []tree.Entry{
-		{Path: paws, Value: json.RawMessage(`{"weight":1}`), Version: 4},
+		{Path: paws, Value: json.RawMessage(`{"max-calls":2,"weight":1}`), Version: 4},
 		{Path: sillons, Value: json.RawMessage(`{"weight":2}`), Version: 7},
 		{Path: "/models/m", Value: json.RawMessage(`{"versions":["v1"]}`), Version: 1},
 		{Path: "/models/gone", Deleted: true, Version: 2},
@@ -289,10 +289,12 @@
 	//
 	// ENTRY HOST  DATA CENTRE  ADDRESS                LEASE  REVISION  QUEUED  RUNNING  PHASE
 	// entry-1     dc-1         127.0.0.1:7201         live   3         1       2        serving
-	// ?           ?            http://127.0.0.1:7212  connection refused
+	// ?           ?            http://127.0.0.1:7212  ?      ?         ?       ?        no answer
 	//
 	// SERVER    KIND    DATA CENTRE  ADDRESS         SERVES      RUNNING  SLOTS  STATE
 	// engine-1  engine  dc-1         127.0.0.1:7301  pattern-7b  2        8      serving
+	//
+	// http://127.0.0.1:7212: connection refused
 }
 
 // Guards against a host that is down hiding the others, and against calls of
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -39,7 +39,7 @@
 		e := entries[path]
 		if e == nil {
 			p.add(Step{Path: path, Write: tree.Write{Path: path, Value: value}})
-		} else if !bytes.Equal(compact(e.Value), value) {
+		} else if !bytes.Equal(canonical(e.Value), value) {
 			p.add(Step{Path: path, Current: e, Write: tree.Write{Path: path, Value: value, IfVersion: e.Version}})
 		}
 	}
--- a/operator/table.go
+++ b/operator/table.go
@@ -14,7 +14,7 @@
 	fmt.Fprintln(t, "ENTRY HOST\tDATA CENTRE\tADDRESS\tLEASE\tREVISION\tQUEUED\tRUNNING\tPHASE")
 	for _, e := range s.EntryHosts {
 		if e.Error != "" {
-			fmt.Fprintf(t, "?\t?\t%s\t%s\n", e.Address, e.Error)
+			fmt.Fprintf(t, "?\t?\t%s\t?\t?\t?\t?\tno answer\n", e.Address)
 			continue
 		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n",
@@ -28,7 +28,15 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Server, v.Kind, v.DataCentre, v.Address, strings.Join(v.Serves, ","), v.Running, v.Slots, state)
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, e := range s.EntryHosts {
+		if e.Error != "" {
+			fmt.Fprintf(w, "\n%s: %s\n", e.Address, e.Error)
+		}
+	}
+	return nil
 }
 
 func (s Status) inForce() string {
