--- a/ledger/command.go
+++ b/ledger/command.go
@@ -125,6 +125,9 @@
 	// PreviousUnsent asserts that nothing reached the server that this attempt
 	// was marked for before, so that another one may be tried.
 	PreviousUnsent bool `json:"previous-unsent,omitempty"`
+	// Request is chosen for each intent to send. It tells a repeated proposal
+	// from a second sending, which a non-idempotent call does not get.
+	Request string `json:"request,omitempty"`
 }
 
 // SettleCall records the outcome of an attempt, its cost and its answer in
