--- a/caller/caller.go
+++ b/caller/caller.go
@@ -52,6 +52,10 @@
 	defaultDeadline = time.Hour
 	// singleDeadline bounds the program around a single call.
 	singleDeadline = 10 * time.Minute
+	// singleAttempts is how many attempts of a single call its budget covers.
+	// Each time another entry host takes over the call of a host that died, the
+	// ledger reserves the worst cost once more.
+	singleAttempts = 3
 	// endTimeout bounds the ending of a single call's program, which goes on
 	// after the caller has left.
 	endTimeout = 5 * time.Second
--- a/caller/model.go
+++ b/caller/model.go
@@ -134,14 +134,14 @@
 	return true
 }
 
-// singleBudget is at least the worst cost of a call: a token has one byte or
-// more, and each message costs a few tokens of framing.
+// singleBudget covers the worst cost of a call for singleAttempts attempts: a
+// token has one byte or more, and each message costs a few tokens of framing.
 func singleBudget(c dispatch.ModelCall) int64 {
-	budget := int64(c.MaxTokens) + framingTokens
+	worst := int64(c.MaxTokens) + framingTokens
 	for _, m := range c.Messages {
-		budget += int64(len(m.Role)+len(m.Content)) + framingTokens
+		worst += int64(len(m.Role)+len(m.Content)) + framingTokens
 	}
-	return budget
+	return singleAttempts * worst
 }
 
 // answer makes the call and writes its answer, whole or as a stream. It
--- a/caller/model_test.go
+++ b/caller/model_test.go
@@ -133,10 +133,11 @@
 	}
 }
 
-// Guards against a budget of a single call below its worst cost.
+// Guards against a single call that cannot be taken over when its entry host
+// dies, because its budget covers the first attempt only.
 func TestSingleBudgetCoversWorstCost(t *testing.T) {
 	c := dispatch.ModelCall{MaxTokens: 10, Messages: []ledger.Message{{Role: "user", Content: "hello"}}}
-	assert.Assert(t, singleBudget(c) >= 10+5)
+	assert.Assert(t, singleBudget(c) >= 3*(10+5))
 }
 
 // Guards against a resend being taken for another request because it asks
