--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -31,6 +31,15 @@
 				if err := s.CheckDataFolder(); err != nil {
 					return err
 				}
+				serverTLS, err := s.Config()
+				if err != nil {
+					return err
+				}
+				clientTLS, err := settings.ControlTLS(s.ControlCAFile)
+				if err != nil {
+					return err
+				}
+				// The control server adds TLS itself.
 				listener, err := listen.open("listen", s.Listen, settings.TLS{})
 				if err != nil {
 					return err
@@ -38,6 +47,7 @@
 				host, err = control.StartHost(control.HostConfig{
 					ID: s.ID, Hosts: controlAddresses(s.ControlHosts), ProgramGroups: s.GroupCount,
 					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key, Engines: control.NewEngineReleaser(engines),
+					ServerTLS: serverTLS, ClientTLS: clientTLS,
 				}, listener, logger)
 				if err != nil {
 					return err
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -66,7 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := control.NewClient(s.ID, key, controlAddresses(s.ControlHosts), s.GroupCount)
+	config, err := settings.ControlTLS(s.ControlCAFile)
+	if err != nil {
+		return nil, err
+	}
+	c := control.NewClient(s.ID, key, controlAddresses(s.ControlHosts), s.GroupCount, control.WithClientTLS(config))
 	life.Append(fx.StopHook(c.Close))
 	return c, nil
 }
--- a/cmd/sycamoreline/role_test.go
+++ b/cmd/sycamoreline/role_test.go
@@ -96,3 +96,29 @@
 	assert.ErrorContains(t, err, l.Addr().String())
 	assert.ErrorContains(t, err, "address already in use")
 }
+
+// Guards against a control host whose certificate another issuer has made
+// being trusted, since certificates are not checked for a name.
+func TestControlTLS(t *testing.T) {
+	ours, theirs := writeCertificate(t), writeCertificate(t)
+	client, err := settings.ControlTLS(ours.CertificateFile)
+	assert.NilError(t, err)
+	tests := []struct {
+		server settings.TLS
+		ok     bool
+	}{{ours, true}, {theirs, false}}
+	for _, tt := range tests {
+		config, err := tt.server.Config()
+		assert.NilError(t, err)
+		here, there := net.Pipe()
+		served := make(chan error, 1)
+		go func() { served <- tls.Server(there, config).HandshakeContext(context.Background()) }()
+		err = tls.Client(here, client).HandshakeContext(context.Background())
+		here.Close()
+		assert.Equal(t, <-served == nil, tt.ok)
+		there.Close()
+		var unknown x509.UnknownAuthorityError
+		assert.Equal(t, err == nil, tt.ok)
+		assert.Equal(t, errors.As(err, &unknown), !tt.ok)
+	}
+}
--- a/settings/control.go
+++ b/settings/control.go
@@ -16,6 +16,7 @@
 	DataFolder        string        `json:"data-folder"`
 	ExpectData        bool          `json:"expect-data"` // refuse to start with an empty data folder
 	DeploymentKeyFile string        `json:"deployment-key-file"`
+	ControlCAFile     string        `json:"control-ca-file"` // issuers of the control hosts' certificates
 	LeaseTTL          Duration      `json:"lease-ttl"`
 	LogLevel          string        `json:"log-level"`
 	TLS
@@ -43,9 +44,22 @@
 		checkLeaseTTL(c.LeaseTTL),
 		checkLogLevel(c.LogLevel),
 		c.checkFiles(),
+		c.checkControlTLS(),
 	)
 }
 
+// checkControlTLS rejects a host that accepts TLS from others and sends them
+// clear text, or the reverse.
+func (c *Control) checkControlTLS() error {
+	if c.Enabled() == (c.ControlCAFile != "") {
+		return nil
+	}
+	if c.Enabled() {
+		return strictjson.Invalid("control-ca-file", c.ControlCAFile, "want a file, since tls-certificate-file is set")
+	}
+	return strictjson.Invalid("control-ca-file", c.ControlCAFile, "needs tls-certificate-file as well")
+}
+
 func (c *Control) checkSelf() error {
 	for _, h := range c.ControlHosts {
 		if h.ID == c.ID {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,7 @@
 	GroupCount        int           `json:"group-count"` // program groups, without group 0
 	DeploymentKeyFile string        `json:"deployment-key-file"`
 	CredentialsFile   string        `json:"credentials-file"`
+	ControlCAFile     string        `json:"control-ca-file"` // issuers of the control hosts' certificates
 	LeaseTTL          Duration      `json:"lease-ttl"`
 	DrainDelay        Duration      `json:"drain-delay"` // time for the balancer to notice
 	LogLevel          string        `json:"log-level"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -158,3 +158,23 @@
 	_, err := TLS{CertificateFile: file, KeyFile: file}.Wrap(nil)
 	assert.ErrorContains(t, err, `field "tls-certificate-file"`)
 }
+
+// Guards against control hosts of which one speaks TLS and its peer does not.
+func TestControlTLSNeedsAllFiles(t *testing.T) {
+	const text = `{"id":"control-1","data-centre":"dc-1","listen":"127.0.0.1:7101","data-folder":"d",
+		"control-hosts":[{"id":"control-1","address":"127.0.0.1:7101"}],"deployment-key-file":"k"%s}`
+	tests := []struct{ more, want string }{
+		{``, ""},
+		{`,"tls-certificate-file":"c","tls-key-file":"k","control-ca-file":"a"`, ""},
+		{`,"tls-certificate-file":"c","tls-key-file":"k"`, `field "control-ca-file": value "": want a file`},
+		{`,"control-ca-file":"a"`, `field "control-ca-file": value "a": needs tls-certificate-file`},
+	}
+	for _, tt := range tests {
+		_, err := Read[Control](write(t, fmt.Sprintf(text, tt.more)))
+		if tt.want == "" {
+			assert.NilError(t, err)
+		} else {
+			assert.ErrorContains(t, err, tt.want)
+		}
+	}
+}
