--- a/caller/caller.go
+++ b/caller/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/credential"
@@ -68,6 +69,7 @@
 	auth         Authenticator
 	gate         Gate
 	log          *zap.Logger
+	metrics      tally.Scope
 	now          func() time.Time
 	newID        func() string
 	maxTokens    int
@@ -88,6 +90,9 @@
 // WithLogger sets the log.
 func WithLogger(l *zap.Logger) Option { return func(p *api) { p.log = l } }
 
+// WithMetrics sets the scope of the metrics.
+func WithMetrics(s tally.Scope) Option { return func(p *api) { p.metrics = s } }
+
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option { return func(p *api) { p.now = now } }
 
@@ -113,6 +118,7 @@
 		auth:         nobody{},
 		gate:         openGate{},
 		log:          zap.NewNop(),
+		metrics:      tally.NoopScope,
 		now:          time.Now,
 		newID:        randomID,
 		maxTokens:    defaultMaxTokens,
@@ -128,16 +134,16 @@
 
 func (p *api) router() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
-	r.Handle("/v1/chat/completions", p.handle(p.chat)).Methods(http.MethodPost)
-	r.Handle("/v1/programs", p.handle(p.open)).Methods(http.MethodPost)
-	r.Handle("/v1/programs/{program}", p.handle(p.status)).Methods(http.MethodGet)
-	r.Handle("/v1/programs/{program}/history", p.handle(p.history)).Methods(http.MethodGet)
-	r.Handle("/v1/programs/{program}/calls", p.handle(p.modelCall)).Methods(http.MethodPost)
-	r.Handle("/v1/programs/{program}/programs", p.handle(p.openSub)).Methods(http.MethodPost)
-	r.Handle("/v1/programs/{program}/end", p.handle(p.end)).Methods(http.MethodPost)
-	r.Handle("/v1/programs/{program}/tools/{service}/{operation}", p.handle(p.tool)).Methods(http.MethodPost)
-	r.NotFoundHandler = p.handle(notFound)
-	r.MethodNotAllowedHandler = p.handle(wrongMethod)
+	r.Handle("/v1/chat/completions", p.handle("chat", p.chat)).Methods(http.MethodPost)
+	r.Handle("/v1/programs", p.handle("open-program", p.open)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}", p.handle("program", p.status)).Methods(http.MethodGet)
+	r.Handle("/v1/programs/{program}/history", p.handle("history", p.history)).Methods(http.MethodGet)
+	r.Handle("/v1/programs/{program}/calls", p.handle("model-call", p.modelCall)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/programs", p.handle("open-sub-program", p.openSub)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/end", p.handle("end-program", p.end)).Methods(http.MethodPost)
+	r.Handle("/v1/programs/{program}/tools/{service}/{operation}", p.handle("tool-call", p.tool)).Methods(http.MethodPost)
+	r.NotFoundHandler = p.handle("unknown", notFound)
+	r.MethodNotAllowedHandler = p.handle("unknown", wrongMethod)
 	return r
 }
 
--- /dev/null
+++ b/caller/metrics.go
@@ -0,0 +1,47 @@
+package caller
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// latencyBuckets reach from 5 ms to 164 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 16)
+
+// endpointMetrics are the metrics of one endpoint. The latency is that of
+// whole answers, streams included.
+type endpointMetrics struct {
+	scope    tally.Scope
+	requests tally.Counter
+	running  tally.Gauge
+	latency  tally.Histogram
+	count    atomic.Int64 // value of running
+}
+
+func newEndpointMetrics(scope tally.Scope, endpoint string) *endpointMetrics {
+	s := scope.Tagged(map[string]string{"endpoint": endpoint})
+	return &endpointMetrics{
+		scope:    s,
+		requests: s.Counter("caller-requests"),
+		running:  s.Gauge("caller-running"),
+		latency:  s.Histogram("caller-latency", latencyBuckets),
+	}
+}
+
+func (m *endpointMetrics) begin() {
+	m.requests.Inc(1)
+	m.running.Update(float64(m.count.Add(1)))
+}
+
+func (m *endpointMetrics) end(duration time.Duration, err error) {
+	m.running.Update(float64(m.count.Add(-1)))
+	m.latency.RecordDuration(duration)
+	if e := verdict.From(err); e != nil {
+		tags := map[string]string{"reason": string(e.Reason()), "verdict": e.Verdict().String()}
+		m.scope.Tagged(tags).Counter("caller-errors").Inc(1)
+	}
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -36,22 +36,32 @@
 // answer, unless it is marked as written.
 type handler func(w http.ResponseWriter, r *request) error
 
-func (p *api) handle(h handler) http.Handler {
+func (p *api) handle(endpoint string, h handler) http.Handler {
+	metrics := newEndpointMetrics(p.metrics, endpoint)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		req := &request{Request: r, id: p.requestID(r)}
-		w.Header().Set(verdict.HeaderRequestID, req.id)
-		p.limitBodyTime(w, r)
-		err := p.authenticate(req)
-		if err == nil {
-			err = h(w, req)
-		}
-		var done written
-		if err != nil && !errors.As(err, &done) {
-			verdict.From(err).WithRequestID(req.id).Write(w)
-		}
+		start := p.now()
+		metrics.begin()
+		err := p.serve(w, r, h)
+		metrics.end(p.now().Sub(start), err)
 	})
 }
 
+// serve answers one request and returns the error that the caller received.
+func (p *api) serve(w http.ResponseWriter, r *http.Request, h handler) error {
+	req := &request{Request: r, id: p.requestID(r)}
+	w.Header().Set(verdict.HeaderRequestID, req.id)
+	p.limitBodyTime(w, r)
+	err := p.authenticate(req)
+	if err == nil {
+		err = h(w, req)
+	}
+	var done written
+	if err != nil && !errors.As(err, &done) {
+		verdict.From(err).WithRequestID(req.id).Write(w)
+	}
+	return err
+}
+
 // limitBodyTime bounds the arrival of the body. The bound stays in force if
 // the request is refused before its body is read, because the HTTP server
 // reads what is left of it.
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -211,6 +211,7 @@
 		caller.WithAuthenticator(p.Credentials),
 		caller.WithGate(p.Gate),
 		caller.WithLogger(p.Logger),
+		caller.WithMetrics(p.Metrics.scope),
 		caller.WithDefaultMaxTokens(s.DefaultMaxTokens),
 		caller.WithMaxBodyBytes(s.MaxBodyBytes),
 	)))
