--- a/cmd/sycamoreline/role.go
+++ b/cmd/sycamoreline/role.go
@@ -25,6 +25,10 @@
 	stopTimeout = 11 * time.Minute
 	// shutdownTimeout bounds the wait for HTTP requests in progress.
 	shutdownTimeout = 10 * time.Minute
+	// idleTimeout closes connections of callers that have gone without a word.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is far above what the longest key and ids need.
+	maxHeaderBytes = 64 << 10
 )
 
 // listenFunc opens the listening port of an address.
@@ -109,7 +113,9 @@
 
 // serveHTTP adds an HTTP server to the life of an app.
 func serveHTTP(life fx.Lifecycle, logger *zap.Logger, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
