cmd/sycamoreline: ask for -settings, log reloads of credentials

A role that was started without -settings said 'cannot read the file' without a name. Reloads of the credentials file were not logged, so an operator could not see that a changed file was rejected.

--- a/cmd/sycamoreline/commands.go
+++ b/cmd/sycamoreline/commands.go
@@ -14,8 +14,8 @@
 // Groups of the list of commands.
 const (
 	groupRole     = "roles"
-	groupCaller   = "for callers"
-	groupOperator = "for operators"
+	groupCaller   = "callers"
+	groupOperator = "operators"
 )
 
 // registration is a command with the group that lists it.
@@ -75,3 +75,8 @@
 	}
 	return o.failure(err)
 }
+
+// wantSettings reports that a role was started without its settings file.
+func (o output) wantSettings(role string) subcommands.ExitStatus {
+	return o.usage("%s: want -settings FILE and no arguments; see sycamoreline help %s", role, role)
+}
--- a/cmd/sycamoreline/commands_test.go
+++ b/cmd/sycamoreline/commands_test.go
@@ -51,6 +51,13 @@
 		{"run without credential", []string{"run", "-entry", "http://127.0.0.1:1", "-credential", "none", example("program.json")}, 2, "no such file"},
 		{"run with wrong program", []string{"run", "-entry", "http://127.0.0.1:1", "-credential", example("caller.credential"), example("entry-1.json")}, 2, "unknown key"},
 		{"run against a malformed URL", []string{"run", "-entry", "http://\x7f", "-credential", example("caller.credential"), example("program.json")}, 1, "entry"},
+		{"role without settings", []string{"entry"}, 2, "want -settings"},
+		{"role with argument", []string{"control", example("control-1.json")}, 2, "want -settings"},
+		{"role with another role's settings", []string{"entry", "-settings", example("control-1.json")}, 2, `field "data-folder": unknown key`},
+		{"stand-in without settings", []string{"stand-in-engine"}, 2, "want -settings"},
+		{"plan without directory", []string{"plan", "-entry", "http://127.0.0.1:1", "-credential", example("operator.credential")}, 2, "one settings directory"},
+		{"plan of a wrong directory", []string{"plan", "-entry", "http://127.0.0.1:1", "-credential", example("operator.credential"), example("")}, 2, "want only files with the ending .json"},
+		{"status without entry", []string{"status"}, 2, "want -entry"},
 		{"unknown command", []string{"fly"}, 2, ""},
 		{"unknown flag", []string{"check", "-fly"}, 2, "Flags:"},
 	}
--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -106,7 +106,10 @@
 	f.StringVar(&c.path, "settings", "", "settings file")
 }
 
-func (c *controlCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *controlCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		return c.wantSettings(c.Name())
+	}
 	s, err := settings.Read[settings.Control](c.path)
 	if err != nil {
 		return c.usage("%s", err)
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -39,7 +39,7 @@
 	return fx.Module("entry "+s.ID,
 		fx.Provide(
 			func() (*zap.Logger, error) { return newLog("entry", s.ID) },
-			func() (*credential.Store, error) { return credential.Open(s.CredentialsFile) },
+			func(l *zap.Logger) (*credential.Store, error) { return openCredentials(s.CredentialsFile, l) },
 			func(life fx.Lifecycle) (*control.Client, error) { return newControlClient(life, s) },
 			func() dispatch.Clock { return monotonicClock() },
 			board.New,
@@ -56,6 +56,18 @@
 	)
 }
 
+// openCredentials logs each reload, so that an operator sees whether a changed
+// file is in force.
+func openCredentials(path string, logger *zap.Logger) (*credential.Store, error) {
+	return credential.Open(path, credential.WithReloadHook(func(err error) {
+		if err != nil {
+			logger.Error("credentials file not read; the earlier credentials stay in force", zap.Error(err))
+			return
+		}
+		logger.Info("credentials file read")
+	}))
+}
+
 func monotonicClock() dispatch.Clock {
 	start := time.Now()
 	return func() time.Duration { return time.Since(start) }
@@ -253,7 +265,10 @@
 	f.StringVar(&c.path, "settings", "", "settings file")
 }
 
-func (c *entryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		return c.wantSettings(c.Name())
+	}
 	s, err := settings.Read[settings.Entry](c.path)
 	if err != nil {
 		return c.usage("%s", err)
--- a/cmd/sycamoreline/standin.go
+++ b/cmd/sycamoreline/standin.go
@@ -77,7 +77,10 @@
 	f.StringVar(&c.path, "settings", "", "settings file")
 }
 
-func (c *standInEngineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *standInEngineCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		return c.wantSettings(c.Name())
+	}
 	s, err := settings.Read[engineSettings](c.path)
 	if err != nil {
 		return c.usage("%s", err)
@@ -113,7 +116,10 @@
 	f.StringVar(&c.path, "settings", "", "settings file")
 }
 
-func (c *standInServiceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *standInServiceCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		return c.wantSettings(c.Name())
+	}
 	s, err := settings.Read[serviceSettings](c.path)
 	if err != nil {
 		return c.usage("%s", err)
