--- a/ledger/protection_test.go
+++ b/ledger/protection_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -244,3 +245,41 @@
 	m.ApplyCommand(1_001, Command{Tick: &Tick{}})
 	assert.Equal(t, m.Answer(Query{Program: &ProgramQuery{Program: "p"}}).Program.Status, ProgramExpired)
 }
+
+// Guards against a program that a late open-program starts again, empty,
+// after its records were dropped.
+func TestEndedProgramDoesNotStartAgain(t *testing.T) {
+	m := New(WithRetention(time.Second, 10))
+	open := Command{OpenProgram: &OpenProgram{Program: "p", Team: "team", Key: "k", Deadline: 10_000}}
+	m.ApplyCommand(1, open)
+	m.ApplyCommand(2, Command{EndProgram: &EndProgram{Program: "p", Status: ProgramDone}})
+	m.ApplyCommand(5_000, Command{Tick: &Tick{}})
+	assert.Equal(t, m.ApplyCommand(5_000, open).Program.Status, ProgramDone)
+	r := m.ApplyCommand(5_000, openTestCall("p", "k1", 0))
+	assert.Equal(t, r.Refusal.Reason, verdict.ProgramEnded)
+	assert.Equal(t, r.Refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, m.Answer(Query{History: &HistoryQuery{Program: "p"}}).Refusal.Reason, verdict.ProgramEnded)
+	m.ApplyCommand(10_000, Command{Tick: &Tick{}})
+	assert.Equal(t, len(m.programs), 0)
+	assert.Equal(t, m.ApplyCommand(10_000, open).Refusal.Reason, verdict.DeadlineExceeded)
+}
+
+// Guards against a restored replica that answers a take-over, a late
+// settlement or a resend unlike the others.
+func TestRestoreInTheMiddleOfATakeOver(t *testing.T) {
+	s := newScript(t, Budget{Tokens: 100, Calls: 10})
+	s.open("p", "k1", 20, true)
+	s.mark("p", 1, 1, "s1")
+	s.takeOver(1, 1)
+	var snapshot bytes.Buffer
+	assert.NilError(t, s.m.Snapshot(&snapshot))
+	restored := &script{t, New(), s.now}
+	assert.NilError(t, restored.m.Restore(&snapshot))
+	for _, r := range []*script{s, restored} {
+		assert.Equal(t, r.settle("p", 1, 2, CallNotSent, 0).Call.Verdict, verdict.MayHaveRun)
+		r.settle("p", 1, 1, CallOK, 7)
+		r.end("p")
+		assert.Equal(t, r.program("p").Spent, Budget{Tokens: 7, Calls: 1})
+		assert.Equal(t, r.releases(), 1)
+	}
+}
