dispatch: run hedges, and withdraw calls whose grant was lost

A second stream resumes where the first is slow. While it is awaited, the tokens of the first are held back, and the caller gets the rest of the answer from one of the two. Passing on both was ruled out, since two engines may word the rest differently; so was a switch without holding, since a slow first stream is always a few tokens ahead by then and the second would never win. TestHedgedStreams covers who breaks or ends first.

An open-call that was granted after its answer was lost is settled as not sent. Nobody would work on it, and it blocked its program until its timeout.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -74,6 +74,9 @@
 
 	requests atomic.Uint64
 
+	stopping context.Context // ends when Close is called
+	stop     context.CancelFunc
+
 	mu     sync.Mutex
 	closed bool
 	wait   sync.WaitGroup
@@ -126,6 +129,7 @@
 		metrics:     tally.NoopScope,
 		histories:   newHistories(historyCacheMessages),
 	}
+	d.stopping, d.stop = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(d)
 	}
@@ -140,6 +144,7 @@
 	d.mu.Lock()
 	d.closed = true
 	d.mu.Unlock()
+	d.stop()
 	d.wait.Wait()
 	d.queue.Close()
 }
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -16,6 +16,9 @@
 // pollInterval is the wait between two looks at a call that runs elsewhere.
 const pollInterval = 100 * time.Millisecond
 
+// sendsPerAttempt is more than an attempt ever has, hedges included.
+const sendsPerAttempt = 100
+
 // attempt is one send of a call to a backend server.
 type attempt struct {
 	server     membership.Server
@@ -29,11 +32,12 @@
 	usage   schedule.Usage
 	history []ledger.Message
 	answer  []byte
+	by      attempt // the run that gave the answer or the error
 }
 
 // sender sends one kind of call.
 type sender interface {
-	send(ctx context.Context, a attempt) (sendResult, error)
+	send(ctx context.Context, x *execution, a attempt) (sendResult, error)
 }
 
 // execution drives the state machine of one call.
@@ -91,6 +95,9 @@
 	defer cancel()
 	s, err := x.d.ledger.OpenCall(ctx, x.open)
 	if err != nil {
+		if verdict.From(err).Reason() == verdict.ControlUnavailable {
+			x.d.withdraw(x.open, x.logger)
+		}
 		return x.c.openFailed(err)
 	}
 	return x.opened(s)
@@ -180,33 +187,37 @@
 func (x *execution) doMark(work context.Context) action {
 	ctx, cancel := context.WithTimeout(work, ledgerTimeout)
 	defer cancel()
+	_, err := x.d.ledger.MarkSent(ctx, x.markOf(x.server))
+	if err != nil {
+		x.finished(schedule.Usage{}, schedule.FailedUnsent)
+		return x.c.markFailed(err)
+	}
+	return x.c.markedSent()
+}
+
+// markOf is the intent to send the call to a server.
+func (x *execution) markOf(v membership.Server) ledger.MarkSent {
 	s := x.c.state
-	_, err := x.d.ledger.MarkSent(ctx, ledger.MarkSent{
+	return ledger.MarkSent{
 		Program:           s.Program,
 		Call:              s.Call,
 		Attempt:           s.Attempt,
-		Server:            x.server.Server,
-		ServerIncarnation: x.server.Incarnation,
+		Server:            v.Server,
+		ServerIncarnation: v.Incarnation,
 		PreviousUnsent:    x.c.sends > 0 && !x.c.mayHave,
 		Request:           x.d.newRequest(),
-	})
-	if err != nil {
-		x.finished(schedule.Usage{}, schedule.FailedUnsent)
-		return x.c.markFailed(err)
 	}
-	return x.c.markedSent()
 }
 
+// sendNumber differs for each send of a call on any host, because the ledger's
+// attempt number does.
+func (x *execution) sendNumber() int { return x.c.state.Attempt*sendsPerAttempt + x.c.sends }
+
 func (x *execution) doSend(work context.Context) action {
 	ctx, cancel := context.WithDeadline(work, x.until)
 	defer cancel()
-	r, err := x.sender.send(ctx, attempt{
-		server:     x.server,
-		assignment: x.assignment,
-		// The send number is unique across hosts, because the ledger's attempt
-		// number is, and an attempt has fewer than maxSends sends.
-		number: x.c.state.Attempt*(maxSends+1) + x.c.sends,
-	})
+	r, err := x.sender.send(ctx, x, attempt{server: x.server, assignment: x.assignment, number: x.sendNumber()})
+	x.server, x.assignment = r.by.server, r.by.assignment
 	if err == nil {
 		x.finished(r.usage, schedule.Succeeded)
 		x.result = r
@@ -218,9 +229,9 @@
 	}
 	x.logger.Warn("send failed", zap.Int("call", x.c.state.Call), zap.String("server", x.server.Server),
 		zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
-	end := x.endOf(work, err)
+	end := x.endOf(work, x.server, err)
 	if end == schedule.Crashed {
-		x.reportCrash(work)
+		x.reportCrash(work, x.server)
 	}
 	x.finished(r.usage, end)
 	return x.c.broken(err, x.d.queue.MayRetry(x.open.Team))
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -132,31 +132,25 @@
 	emitted bool
 }
 
-func (s *modelSender) send(ctx context.Context, a attempt) (sendResult, error) {
-	id := a.assignment.ID
-	unreported := 0
-	finish, err := s.d.engines.Stream(ctx, a.server.Address, s.engineCall(a), func(t engine.Token) error {
-		isNew, err := s.call.token(t)
-		if err != nil || !isNew {
-			return err
-		}
-		if s.call.received == 1 {
-			s.d.queue.FirstToken(id, a.server.Server)
-		}
-		if unreported++; unreported == reportEvery {
-			s.d.queue.Tokens(id, a.server.Server, unreported)
-			unreported = 0
-		}
-		s.emit(t)
-		return nil
-	})
-	if unreported > 0 {
-		s.d.queue.Tokens(id, a.server.Server, unreported)
-	}
+func (s *modelSender) send(ctx context.Context, x *execution, a attempt) (sendResult, error) {
+	r := &race{x: x, s: s, ends: make(chan streamEnd, 2)}
+	by, finish, err := r.run(ctx, a)
 	if err != nil {
-		return sendResult{usage: schedule.Usage{OutputTokens: s.call.received}}, err
+		return sendResult{by: by, usage: schedule.Usage{OutputTokens: s.call.received}}, err
+	}
+	result, err := s.result(finish)
+	result.by = by
+	return result, err
+}
+
+// accept takes the next token of the answer and passes a new one on.
+func (s *modelSender) accept(t engine.Token) error {
+	isNew, err := s.call.token(t)
+	if err != nil || !isNew {
+		return err
 	}
-	return s.result(finish)
+	s.emit(t)
+	return nil
 }
 
 func (s *modelSender) engineCall(a attempt) engine.Call {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -23,6 +23,7 @@
 	mu      sync.Mutex
 	s       *schedule.Scheduler
 	waiting map[schedule.CallID]chan decision
+	hedges  map[schedule.CallID]chan schedule.Assignment // of calls that can be hedged
 
 	kick chan struct{}
 	stop chan struct{}
@@ -41,6 +42,7 @@
 		clock:   clock,
 		s:       s,
 		waiting: make(map[schedule.CallID]chan decision),
+		hedges:  make(map[schedule.CallID]chan schedule.Assignment),
 		kick:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -91,7 +93,38 @@
 	}
 }
 
+// hedgesOf returns where second runs of a running call are delivered.
+func (q *Queue) hedgesOf(id schedule.CallID) <-chan schedule.Assignment {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	ch := make(chan schedule.Assignment, 1)
+	q.hedges[id] = ch
+	return ch
+}
+
+// forgetHedges ends the delivery, and gives a second run that was not begun
+// back.
+func (q *Queue) forgetHedges(id schedule.CallID) {
+	q.Do(func(now time.Duration, s *schedule.Scheduler) {
+		ch := q.hedges[id]
+		delete(q.hedges, id)
+		select {
+		case a := <-ch:
+			s.Finished(now, id, a.Server, schedule.Usage{}, schedule.CallerCancelled)
+		default:
+		}
+	})
+}
+
 func (q *Queue) deliver(id schedule.CallID, d decision) {
+	if d.assignment.Hedge {
+		select {
+		case q.hedges[id] <- d.assignment:
+		default:
+			q.s.Finished(q.clock(), id, d.assignment.Server, schedule.Usage{}, schedule.CallerCancelled)
+		}
+		return
+	}
 	ch, ok := q.waiting[id]
 	if !ok {
 		if d.refused == nil {
--- /dev/null
+++ b/dispatch/race.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/schedule"
+)
+
+// errSuperseded ends a stream whose call goes on with another one.
+var errSuperseded = errors.New("another stream of the call has taken over")
+
+// race streams a model call from one engine and, when the scheduler asks for
+// it, from a second one that resumes where the first is slow. While the second
+// is awaited, the tokens of the first are held back: two engines may word the
+// rest of an answer differently, so the caller gets it from one of them.
+type race struct {
+	x    *execution
+	s    *modelSender
+	ends chan streamEnd
+
+	mu      sync.Mutex
+	owner   int // stream that the caller gets
+	holding bool
+	base    int // tokens that the caller had when the second stream began
+	held    []engine.Token
+	streams []*stream
+}
+
+// stream is one run of the call on an engine.
+type stream struct {
+	attempt attempt
+	cancel  context.CancelFunc
+	tokens  int
+}
+
+type streamEnd struct {
+	index  int
+	finish engine.Finish
+	err    error
+}
+
+// run returns when the call has an answer or no stream is left. The returned
+// attempt is the one whose end the caller of run reports.
+func (r *race) run(ctx context.Context, a attempt) (attempt, engine.Finish, error) {
+	hedges := r.x.d.queue.hedgesOf(a.assignment.ID)
+	defer r.x.d.queue.forgetHedges(a.assignment.ID)
+	r.start(ctx, a)
+	for running := 1; ; {
+		select {
+		case h := <-hedges:
+			if r.startSecond(ctx, h) {
+				running++
+			}
+		case e := <-r.ends:
+			running--
+			if r.isFinal(&e, running) {
+				r.cancelOthers(ctx, e.index, running)
+				return r.streams[e.index].attempt, e.finish, e.err
+			}
+			r.reportEnd(ctx, e)
+		}
+	}
+}
+
+func (r *race) start(ctx context.Context, a attempt) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	index := len(r.streams)
+	r.streams = append(r.streams, &stream{attempt: a, cancel: cancel})
+	request := r.s.engineCall(a)
+	r.mu.Unlock()
+	go func() {
+		defer cancel()
+		finish, err := r.s.d.engines.Stream(ctx, a.server.Address, request, func(t engine.Token) error {
+			return r.token(index, t)
+		})
+		r.ends <- streamEnd{index: index, finish: finish, err: err}
+	}()
+}
+
+// startSecond begins the second stream. Its engine's memory is recorded first,
+// as for any send.
+func (r *race) startSecond(ctx context.Context, h schedule.Assignment) bool {
+	v, ok := r.x.d.board.Server(h.Server)
+	if ok {
+		_, err := r.x.d.ledger.MarkSent(ctx, r.x.markOf(v))
+		ok = err == nil
+	}
+	if !ok {
+		r.x.d.queue.Finished(h.ID, h.Server, schedule.Usage{}, schedule.FailedUnsent)
+		return false
+	}
+	r.x.logger.Info("call hedged", zap.Int("call", h.ID.Call), zap.String("server", h.Server),
+		zap.String("slow-server", r.streams[0].attempt.server.Server), zap.String("reason", h.Reason),
+		zap.Int("alternatives", h.Alternatives))
+	r.mu.Lock()
+	r.holding = true
+	r.base = r.s.call.received
+	r.mu.Unlock()
+	r.x.c.sends++
+	r.start(ctx, attempt{server: v, assignment: h, number: r.x.sendNumber()})
+	return true
+}
+
+// token accepts, holds or refuses a token of a stream.
+func (r *race) token(index int, t engine.Token) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.streams[index]
+	r.note(s)
+	switch {
+	case index == r.owner && r.holding:
+		r.held = append(r.held, t)
+		return nil
+	case index == r.owner:
+		return r.s.accept(t)
+	case r.holding && t.Offset < r.base:
+		return nil
+	case r.holding:
+		r.owner, r.holding, r.held = index, false, nil
+		r.streams[0].cancel()
+		return r.s.accept(t)
+	default:
+		return errSuperseded
+	}
+}
+
+// note counts a token of a stream for the scheduler.
+func (r *race) note(s *stream) {
+	s.tokens++
+	id, server := s.attempt.assignment.ID, s.attempt.server.Server
+	switch {
+	case s.tokens == 1:
+		r.x.d.queue.FirstToken(id, server)
+	case s.tokens%reportEvery == 0:
+		r.x.d.queue.Tokens(id, server, reportEvery)
+	}
+}
+
+// isFinal decides what the end of a stream means for the call.
+func (r *race) isFinal(e *streamEnd, running int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isOwner := e.index == r.owner
+	switch {
+	case e.err == nil && isOwner:
+		e.err = r.releaseHeld()
+		return true
+	case isOwner && r.holding && running > 0:
+		// The first stream broke; what it had beyond the base is given up.
+		r.owner, r.holding, r.held = 1, false, nil
+		return false
+	case isOwner:
+		return true
+	case e.err == nil && r.holding:
+		// The second stream had nothing to add to what the caller has.
+		r.owner, r.holding, r.held = e.index, false, nil
+		return true
+	case r.holding:
+		e.err = errors.Join(e.err, r.releaseHeld())
+		return running == 0
+	default:
+		return running == 0
+	}
+}
+
+// releaseHeld passes on the tokens of the first stream, which has won.
+func (r *race) releaseHeld() error {
+	held := r.held
+	r.holding, r.held = false, nil
+	for _, t := range held {
+		if err := r.s.accept(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cancelOthers ends the other stream and waits for it.
+func (r *race) cancelOthers(ctx context.Context, index, running int) {
+	for i, s := range r.streams {
+		if i != index {
+			s.cancel()
+		}
+	}
+	for range running {
+		r.reportEnd(ctx, <-r.ends)
+	}
+}
+
+// reportEnd tells the scheduler of a stream that did not give the answer.
+func (r *race) reportEnd(ctx context.Context, e streamEnd) {
+	s := r.streams[e.index]
+	end := schedule.CallerCancelled
+	if e.err != nil && !errors.Is(e.err, errSuperseded) && !errors.Is(e.err, context.Canceled) {
+		end = r.x.endOf(ctx, s.attempt.server, e.err)
+		if end == schedule.Crashed {
+			r.x.reportCrash(ctx, s.attempt.server)
+		}
+	}
+	r.x.d.queue.Finished(s.attempt.assignment.ID, s.attempt.assignment.Server, schedule.Usage{OutputTokens: s.tokens}, end)
+}
--- /dev/null
+++ b/dispatch/race_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/board"
+	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// script is what a fake engine does in one stream: letters are tokens, "|"
+// lets the other stream go on and waits for its turn, "!" breaks the stream
+// and the end of the script ends the answer.
+type script string
+
+// scriptedEngines hands a turn to and fro between two streams.
+type scriptedEngines struct {
+	scripts map[string]script // by address
+	turns   map[string]chan struct{}
+	pass    func(from string)
+}
+
+func (e *scriptedEngines) Stream(ctx context.Context, address string, c engine.Call, emit func(engine.Token) error) (engine.Finish, error) {
+	offset := c.ResumeFrom
+	for _, step := range e.scripts[address] {
+		switch step {
+		case '|':
+			e.pass(address)
+			select {
+			case <-e.turns[address]:
+			case <-ctx.Done():
+				return engine.Finish{}, ctx.Err()
+			}
+		case '!':
+			defer e.pass(address)
+			return engine.Finish{}, verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "stream broke")
+		default:
+			if err := emit(engine.Token{Offset: offset, Text: string(step)}); err != nil {
+				return engine.Finish{}, err
+			}
+			offset++
+		}
+	}
+	return engine.Finish{Reason: "stop"}, nil
+}
+
+// alwaysMark is a ledger that only records intents.
+type alwaysMark struct{ Ledger }
+
+func (alwaysMark) MarkSent(context.Context, ledger.MarkSent) (ledger.CallState, error) {
+	return ledger.CallState{}, nil
+}
+
+type alwaysAlive struct{}
+
+func (alwaysAlive) Alive(context.Context, membership.Server) bool { return true }
+
+type textSink struct{ text strings.Builder }
+
+func (s *textSink) Token(t engine.Token) error {
+	s.text.WriteString(t.Text)
+	return nil
+}
+
+// Guards against an answer that mixes the words of two engines, and against
+// tokens that are lost or doubled when a call moves to a second engine.
+func TestHedgedStreams(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second script
+		want          string
+		wantErr       string
+	}{
+		{name: "the second takes over from a slow first", first: "ab|cd|ef", second: "CDEF", want: "abCDEF"},
+		{name: "the first ends before the second has a token", first: "ab|cdef", second: "|CDEF", want: "abcdef"},
+		{name: "the second breaks and the first goes on", first: "ab|cd|ef", second: "|!", want: "abcdef"},
+		{name: "the first breaks while the second is awaited", first: "ab|cd!", second: "|CDEF", want: "abCDEF"},
+		{name: "the second breaks after it has taken over", first: "ab|cd", second: "CD!", want: "abCD", wantErr: "stream broke"},
+		{name: "both break", first: "ab|c!", second: "|!", want: "ab", wantErr: "stream broke"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := runRace(t, tt.first, tt.second)
+			assert.Equal(t, got, tt.want)
+			if tt.wantErr != "" {
+				assert.ErrorContains(t, err, tt.wantErr)
+				return
+			}
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// runRace runs the first script, and the second one from the first time that
+// the first gives up its turn.
+func runRace(t *testing.T, first, second script) (string, error) {
+	t.Helper()
+	id := schedule.CallID{Program: "p", Call: 1, Attempt: 1}
+	e := &scriptedEngines{
+		scripts: map[string]script{"first": first, "second": second},
+		turns:   map[string]chan struct{}{"first": make(chan struct{}, 8), "second": make(chan struct{}, 8)},
+	}
+	b := board.New()
+	start := time.Now()
+	d := New(Parts{
+		Host: "h", Incarnation: "1", Ledger: alwaysMark{}, Engines: e, Prober: alwaysAlive{}, Board: b,
+		Clock: func() time.Duration { return time.Since(start) },
+	})
+	defer d.Close()
+	b.ApplyMembers(membership.Difference{Revision: 1, Hosts: 1, Servers: []membership.Server{
+		{Announcement: membership.Announcement{Server: "second", Address: "second", Kind: membership.Engine, Slots: 1}},
+	}})
+	var hedge sync.Once
+	e.pass = func(from string) {
+		other := "second"
+		if from == "second" {
+			other = "first"
+		}
+		started := false
+		hedge.Do(func() {
+			started = true
+			d.queue.Do(func(time.Duration, *schedule.Scheduler) {
+				d.queue.hedges[id] <- schedule.Assignment{ID: id, Server: "second", Hedge: true}
+			})
+		})
+		if !started {
+			e.turns[other] <- struct{}{}
+		}
+	}
+	c := newCall(ledger.ModelCall, true, "h", "1")
+	c.state = ledger.CallState{Program: "p", Call: 1, Attempt: 1, Answer: json.RawMessage(`{}`)}
+	sink := &textSink{}
+	s := &modelSender{d: d, call: c, sink: sink}
+	x := &execution{d: d, c: c, sender: s, logger: zap.NewNop()}
+	r := &race{x: x, s: s, ends: make(chan streamEnd, 2)}
+	_, _, err := r.run(t.Context(), attempt{
+		server:     membership.Server{Announcement: membership.Announcement{Server: "first", Address: "first"}},
+		assignment: schedule.Assignment{ID: id, Server: "first"},
+	})
+	return sink.text.String(), err
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -38,7 +38,7 @@
 
 // endOf tells the scheduler what a failed send says of the server. A server
 // that still runs after it broke off an answer has not crashed.
-func (x *execution) endOf(work context.Context, err error) schedule.End {
+func (x *execution) endOf(work context.Context, server membership.Server, err error) schedule.End {
 	v := verdict.From(err)
 	switch {
 	case v.Reason() != verdict.ServerFailed:
@@ -48,7 +48,7 @@
 	}
 	ctx, cancel := context.WithTimeout(work, probeTimeout)
 	defer cancel()
-	if x.d.prober.Alive(ctx, x.server) {
+	if x.d.prober.Alive(ctx, server) {
 		return schedule.Rejected
 	}
 	return schedule.Crashed
@@ -56,17 +56,17 @@
 
 // reportCrash tells the other entry hosts, before the call is tried again,
 // that it was in flight on a server that crashed.
-func (x *execution) reportCrash(work context.Context) {
+func (x *execution) reportCrash(work context.Context, server membership.Server) {
 	ctx, cancel := context.WithTimeout(work, crashReportTimeout)
 	defer cancel()
-	x.logger.Warn("server crashed", zap.String("server", x.server.Server), zap.Int("call", x.c.state.Call))
+	x.logger.Warn("server crashed", zap.String("server", server.Server), zap.Int("call", x.c.state.Call))
 	err := x.d.crashes.ReportCrash(ctx, membership.ReportCrash{
-		Server:            x.server.Server,
-		ServerIncarnation: x.server.Incarnation,
+		Server:            server.Server,
+		ServerIncarnation: server.Incarnation,
 		Fingerprints:      []string{fingerprintText(x.request.Fingerprint)},
 	})
 	if err != nil {
-		x.logger.Warn("crash not reported", zap.String("server", x.server.Server), zap.Error(err))
+		x.logger.Warn("crash not reported", zap.String("server", server.Server), zap.Error(err))
 	}
 	x.crashKnown = time.Now().Add(x.d.leaseTTL)
 }
--- a/dispatch/tool.go
+++ b/dispatch/tool.go
@@ -67,23 +67,23 @@
 	request ToolCall
 }
 
-func (s *toolSender) send(ctx context.Context, a attempt) (sendResult, error) {
+func (s *toolSender) send(ctx context.Context, _ *execution, a attempt) (sendResult, error) {
 	id := backend.CallID{Program: s.request.Program, Call: a.assignment.ID.Call, Attempt: a.number}
 	status, body, err := s.d.services.Call(ctx, a.server.Address, s.request.Operation, id, s.request.Body)
 	if err != nil {
-		return sendResult{}, err
+		return sendResult{by: a}, err
 	}
 	if status >= http.StatusInternalServerError {
 		// A service that answers with an error of its own may have acted first.
-		return sendResult{}, verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed,
+		return sendResult{by: a}, verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed,
 			"service answered with status %d", status)
 	}
 	if !json.Valid(body) {
-		return sendResult{}, verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "service answered without valid JSON")
+		return sendResult{by: a}, verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "service answered without valid JSON")
 	}
 	answer, err := json.Marshal(ToolAnswer{Call: s.call.state.Call, Status: status, Body: body})
 	if err != nil {
-		return sendResult{}, verdict.New(verdict.MayHaveRun, verdict.Internal, "answer cannot be encoded", verdict.WithCause(err))
+		return sendResult{by: a}, verdict.New(verdict.MayHaveRun, verdict.Internal, "answer cannot be encoded", verdict.WithCause(err))
 	}
-	return sendResult{answer: answer}, nil
+	return sendResult{by: a, answer: answer}, nil
 }
