--- a/schedule/ablation_test.go
+++ b/schedule/ablation_test.go
@@ -21,18 +21,18 @@
 }{
 	{"complete", func(*Scheduler) {}},
 	{"without-attained-service", func(s *Scheduler) {
-		o := s.order.(LeastAttained)
-		o.MaxPenalty = 0
+		o := s.order.(leastAttained)
+		o.maxPenalty = 0
 		s.order = o
 	}},
 	{"without-aging", func(s *Scheduler) {
-		o := s.order.(LeastAttained)
-		o.MaxPenalty = math.MaxInt64 / 4
+		o := s.order.(leastAttained)
+		o.maxPenalty = math.MaxInt64 / 4
 		s.order = o
 	}},
 	{"without-class", func(s *Scheduler) {
-		o := s.order.(LeastAttained)
-		o.ClassPenalty = 0
+		o := s.order.(leastAttained)
+		o.classPenalty = 0
 		s.order = o
 	}},
 	{"without-team-shares", func(s *Scheduler) { s.shares = false }},
--- a/schedule/baseline_test.go
+++ b/schedule/baseline_test.go
@@ -1,6 +1,15 @@
 package schedule
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// firstInFirstOut serves calls in order of arrival.
+type firstInFirstOut struct{}
+
+func (firstInFirstOut) rank(now time.Duration, _ *Request) time.Duration { return now }
 
 // roundRobin sends each call to the next server.
 type roundRobin struct{ next int }
@@ -36,7 +45,7 @@
 func baseline(r func() router) Option {
 	return func(s *Scheduler) {
 		s.policies = policies{
-			admitter: admitAll{}, order: FirstInFirstOut{}, router: r(), unlimited: true,
+			admitter: admitAll{}, order: firstInFirstOut{}, router: r(), unlimited: true,
 		}
 	}
 }
--- a/schedule/cache.go
+++ b/schedule/cache.go
@@ -172,7 +172,7 @@
 func (s *Scheduler) orderDrop(v *server, id string) {
 	v.cache.forget(id)
 	if !v.removed && len(s.cacheOrders) < maxCacheOrders {
-		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id, Action: Drop})
+		s.cacheOrders = append(s.cacheOrders, CacheOrder{Server: v.ID, Program: id})
 	}
 }
 
--- /dev/null
+++ b/schedule/expiry.go
@@ -0,0 +1,48 @@
+package schedule
+
+import "time"
+
+// serverPatience is the time for which a call waits for a first server that can
+// run it.
+const serverPatience = 5 * time.Second
+
+// expire sets the time at which a waiting call is looked at again.
+func (s *Scheduler) expire(c *call) {
+	s.unexpire(c)
+	c.expires = s.now + serverPatience
+	if c.Deadline > 0 && c.Deadline < c.expires {
+		c.expires = c.Deadline
+	}
+	s.expiries.push(c)
+}
+
+func (s *Scheduler) unexpire(c *call) {
+	if c.expiry >= 0 {
+		s.expiries.remove(c.expiry)
+	}
+}
+
+func (s *Scheduler) refuse(c *call, reason string, after time.Duration) {
+	s.unqueue(c)
+	s.refused = append(s.refused, Refused{ID: c.ID, Reason: reason, RetryAfter: after})
+	s.queued--
+	s.forget(c)
+}
+
+// Refused returns the queued calls that will not be run, each once.
+func (s *Scheduler) Refused(now time.Duration) []Refused {
+	s.advance(now)
+	for c := s.expiries.head(); c != nil && c.expires <= s.now; c = s.expiries.head() {
+		switch {
+		case c.Deadline > 0 && c.Deadline <= s.now:
+			s.refuse(c, "deadline-expired", 0)
+		case len(c.pool.members) == 0:
+			s.refuse(c, "no-server", serverPatience)
+		default:
+			s.expire(c)
+		}
+	}
+	out := s.refused
+	s.refused = nil
+	return out
+}
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -8,7 +8,7 @@
 // policies are the replaceable decisions of a Scheduler.
 type policies struct {
 	admitter      admitter
-	order         Order
+	order         ranking
 	router        router
 	shares        bool // of teams in the queue
 	ignoreReports bool
@@ -20,13 +20,10 @@
 func defaultPolicies() policies {
 	return policies{
 		admitter: activeSlots{headroom: 0.25, bursts: true},
-		order:    LeastAttained{Penalty: 2 * time.Millisecond, MaxPenalty: 20 * time.Second, ClassPenalty: time.Second},
+		order:    leastAttained{penalty: 2 * time.Millisecond, maxPenalty: 20 * time.Second, classPenalty: time.Second},
 		router:   earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5},
 		shares:   true,
 		detect:   true,
 		hedging:  true,
 	}
 }
-
-// WithOrder sets the order of waiting calls within a team.
-func WithOrder(o Order) Option { return func(s *Scheduler) { s.order = o } }
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -32,46 +32,64 @@
 }
 
 func (e earliestFinish) choose(s *Scheduler, c *call) choice {
-	var best choice
-	bestCost := 0.0
-	consider := func(v *server, wait float64, reason string) {
-		if c.runOn(v) != nil {
-			return
-		}
-		recompute := float64(c.missing(v)) * c.pool.costs.prefill
-		cost := wait + e.cost(c, v, recompute)
-		if c.avoids(v) {
-			cost += avoidCost
-		}
-		if best.server == nil || cost < bestCost {
-			best, bestCost = choice{server: v, reason: reason}, cost
-		}
-	}
-	if v := c.last; v != nil && v.available() && !v.speed.slow && s.now >= v.speed.heldUntil {
-		if m := v.membershipOf(c.pool); m != nil {
-			if excess := v.inFlight - s.limit(v) + 1; excess <= 0 {
-				consider(v, 0, "cached-prefix")
-			} else if float64(excess) <= e.excess*float64(v.slots()) {
-				consider(v, float64(excess)*c.pool.costs.run/float64(v.slots()), "cached-prefix-wait")
-			}
-		}
-	}
+	l := selection{earliestFinish: e, call: c}
+	l.considerLast(s)
 	open := c.pool.open
 	if len(open) <= e.samples {
 		for _, v := range open {
-			consider(v, 0, "earliest-finish")
+			l.consider(v, 0, "earliest-finish")
 		}
-		return best
+		return l.best
 	}
 	for range e.samples {
-		consider(open[s.random.IntN(len(open))], 0, "earliest-finish")
+		l.consider(open[s.random.IntN(len(open))], 0, "earliest-finish")
+	}
+	return l.best
+}
+
+// selection is the best server found so far for a call.
+type selection struct {
+	earliestFinish
+	call *call
+	best choice
+	cost float64 // seconds until the call ends there
+}
+
+// considerLast considers the server of the program's last call, even if its
+// slots are taken: its queue may be shorter than a recomputation.
+func (l *selection) considerLast(s *Scheduler) {
+	c, v := l.call, l.call.last
+	if v == nil || !v.available() || v.speed.slow || s.now < v.speed.heldUntil || v.membershipOf(c.pool) == nil {
+		return
+	}
+	excess := float64(v.inFlight - s.limit(v) + 1)
+	switch {
+	case excess <= 0:
+		l.consider(v, 0, "cached-prefix")
+	case excess <= l.excess*float64(v.slots()):
+		l.consider(v, excess*c.pool.costs.run/float64(v.slots()), "cached-prefix-wait")
+	}
+}
+
+// consider compares a server, on which the call waits for some seconds, with
+// the best one so far.
+func (l *selection) consider(v *server, wait float64, reason string) {
+	if l.call.runOn(v) != nil {
+		return
+	}
+	cost := wait + l.estimate(l.call, v)
+	if l.call.avoids(v) {
+		cost += avoidCost
+	}
+	if l.best.server == nil || cost < l.cost {
+		l.best, l.cost = choice{server: v, reason: reason}, cost
 	}
-	return best
 }
 
-// cost estimates the seconds until the call ends on a server.
-func (e earliestFinish) cost(c *call, v *server, recompute float64) float64 {
+// estimate returns the seconds that the call is expected to take on a server.
+func (e earliestFinish) estimate(c *call, v *server) float64 {
 	k := &c.pool.costs
+	recompute := float64(c.missing(v)) * k.prefill
 	work := k.run
 	if c.Service == "" {
 		work = k.output * k.token
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -7,13 +7,8 @@
 	"time"
 )
 
-const (
-	// idleWake bounds the time between two calls of Next.
-	idleWake = time.Second
-	// serverPatience is the time for which a call waits for a first server
-	// that can run it.
-	serverPatience = 5 * time.Second
-)
+// idleWake bounds the time between two calls of Next.
+const idleWake = time.Second
 
 // Scheduler holds the queue, the in-flight counts and the estimates of one
 // entry host. It is not safe for concurrent use.
@@ -82,28 +77,6 @@
 	hedgeSent
 )
 
-// run is one run of a call on a server.
-type run struct {
-	server   *server
-	position int // in server.runs
-	started  time.Duration
-	last     time.Duration // of the last token
-	first    time.Duration // of the first token
-	tokens   int
-	resumed  int // tokens produced before this run
-}
-
-func (r *run) produced() int { return r.resumed + r.tokens }
-
-func (c *call) runOn(v *server) *run {
-	for i := range c.runs[:c.running] {
-		if c.runs[i].server == v {
-			return &c.runs[i]
-		}
-	}
-	return nil
-}
-
 // New returns a Scheduler without servers. All its randomness comes from
 // source.
 func New(source rand.Source, opts ...Option) *Scheduler {
@@ -158,7 +131,7 @@
 	c.home = s.present(r.ID.Program, s.team(r.Team))
 	c.home.calls++
 	c.last = s.servers[r.LastServer]
-	c.rank = s.order.Rank(s.now, &c.Request)
+	c.rank = s.order.rank(s.now, &c.Request)
 	s.calls[r.ID] = c
 	s.queued++
 	if r.ID.Attempt <= 1 {
@@ -274,184 +247,6 @@
 	return best
 }
 
-// start records a run of a call on a server.
-func (s *Scheduler) start(now time.Duration, c *call, o choice) Assignment {
-	v := o.server
-	a := Assignment{
-		ID: c.ID, Server: v.ID, Priority: s.priority(c),
-		Reason: o.reason, Alternatives: len(c.pool.open), Hedge: c.running > 0,
-	}
-	r := run{server: v, position: len(v.runs), started: now, last: now}
-	if c.running > 0 {
-		r.resumed = c.runs[0].produced()
-		a.ResumeFrom = r.resumed
-	} else {
-		s.queued--
-		s.hedgeBudget.deposit()
-	}
-	c.runs[c.running] = r
-	c.running++
-	s.running++
-	c.pool.queue.started(c)
-	v.runs = append(v.runs, c)
-	v.count(now, 1)
-	v.speed.nextProbe = now + probeInterval
-	s.refresh(v)
-	s.setBusy(v)
-	return a
-}
-
-// priority tells the engine the same order as the queue, without the time of
-// arrival: the engine sees the calls of several hosts in order of arrival.
-func (s *Scheduler) priority(c *call) int {
-	return int(s.order.Rank(0, &c.Request) / time.Millisecond)
-}
-
-// FirstToken reports the first token of the run of a call on a server.
-func (s *Scheduler) FirstToken(now time.Duration, id CallID, server string) {
-	s.advance(now)
-	_, r := s.find(id, server)
-	if r == nil || r.tokens > 0 {
-		return
-	}
-	r.first, r.last, r.tokens = now, now, 1
-}
-
-// Tokens reports n further tokens of the run of a call on a server.
-func (s *Scheduler) Tokens(now time.Duration, id CallID, server string, n int) {
-	s.advance(now)
-	c, r := s.find(id, server)
-	if r == nil || n <= 0 {
-		return
-	}
-	during := (now - r.last).Seconds()
-	r.last = now
-	r.tokens += n
-	if !s.detect || during <= 0 {
-		return
-	}
-	k := &c.pool.costs
-	k.observeToken(during / float64(n))
-	v := r.server
-	held := v.speed.held()
-	v.speed.observe(now, during/float64(n), during, k.token)
-	if v.speed.held() != held {
-		s.refresh(v)
-		s.setBusy(v)
-	}
-}
-
-func (s *Scheduler) find(id CallID, server string) (*call, *run) {
-	c := s.calls[id]
-	if c == nil {
-		return nil, nil
-	}
-	for i := range c.runs[:c.running] {
-		if c.runs[i].server.ID == server {
-			return c, &c.runs[i]
-		}
-	}
-	return c, nil
-}
-
-// Finished reports the end of the run of a call on a server. It must be
-// called exactly once for each Assignment.
-func (s *Scheduler) Finished(now time.Duration, id CallID, server string, u Usage, e End) {
-	s.advance(now)
-	c, r := s.find(id, server)
-	if r == nil {
-		return
-	}
-	s.learn(now, c, r, u, e)
-	s.stop(now, c, r)
-	if c.running == 0 {
-		s.forget(c)
-	}
-}
-
-// learn updates estimates, beliefs and suspects from the end of a run.
-func (s *Scheduler) learn(now time.Duration, c *call, r *run, u Usage, e End) {
-	switch e {
-	case Succeeded:
-		c.pool.costs.observeRun(u.OutputTokens, now-r.started)
-		if r.tokens > 0 && r.resumed == 0 && !r.server.speed.slow {
-			c.pool.costs.observePrefill(u.PromptTokens-u.CachedTokens, r.first-r.started)
-		}
-		s.cleared(c)
-		r.server.speed.failures = 0
-	case Unreachable:
-		r.server.speed.failed(now)
-	case Crashed:
-		r.server.speed.failed(now)
-		s.crashed(now, c)
-		r.server.cache = cache{limit: r.server.cache.limit}
-	}
-	if c.Service == "" && (e == Succeeded || r.tokens > 0) {
-		s.believe(r.server, c.ID.Program, c.PromptTokens+r.produced())
-	}
-}
-
-// stop takes a run off its server.
-func (s *Scheduler) stop(now time.Duration, c *call, r *run) {
-	v := r.server
-	last := len(v.runs) - 1
-	moved := v.runs[last]
-	v.runs[r.position] = moved
-	moved.runOn(v).position = r.position
-	v.runs[last] = nil
-	v.runs = v.runs[:last]
-	v.count(now, -1)
-	c.pool.queue.ended(c)
-	s.running--
-	c.running--
-	if r == &c.runs[0] {
-		c.runs[0] = c.runs[1]
-	}
-	s.refresh(v)
-	s.setBusy(v)
-}
-
-// expire sets the time at which a waiting call is looked at again.
-func (s *Scheduler) expire(c *call) {
-	s.unexpire(c)
-	c.expires = s.now + serverPatience
-	if c.Deadline > 0 && c.Deadline < c.expires {
-		c.expires = c.Deadline
-	}
-	s.expiries.push(c)
-}
-
-func (s *Scheduler) unexpire(c *call) {
-	if c.expiry >= 0 {
-		s.expiries.remove(c.expiry)
-	}
-}
-
-func (s *Scheduler) refuse(c *call, reason string, after time.Duration) {
-	s.unqueue(c)
-	s.refused = append(s.refused, Refused{ID: c.ID, Reason: reason, RetryAfter: after})
-	s.queued--
-	s.forget(c)
-}
-
-// Refused returns the queued calls that will not be run, each once.
-func (s *Scheduler) Refused(now time.Duration) []Refused {
-	s.advance(now)
-	for c := s.expiries.head(); c != nil && c.expires <= s.now; c = s.expiries.head() {
-		switch {
-		case c.Deadline > 0 && c.Deadline <= s.now:
-			s.refuse(c, "deadline-expired", 0)
-		case len(c.pool.members) == 0:
-			s.refuse(c, "no-server", serverPatience)
-		default:
-			s.expire(c)
-		}
-	}
-	out := s.refused
-	s.refused = nil
-	return out
-}
-
 // Wake returns the time at which Next and Refused are to be called again at
 // the latest.
 func (s *Scheduler) Wake(now time.Duration) time.Duration {
--- /dev/null
+++ b/schedule/text.go
@@ -0,0 +1,43 @@
+package schedule
+
+import "fmt"
+
+var (
+	classNames           = []string{"interactive", "standard", "batch"}
+	placementStateNames  = []string{"serving", "loading", "draining"}
+	placementActionNames = []string{"load-model", "drain-model", "unload-model", "load-adapter", "unload-adapter"}
+	endNames             = []string{
+		"succeeded", "crashed", "failed-unsent", "rejected", "timed-out", "caller-cancelled", "superseded", "unreachable",
+	}
+)
+
+func name(names []string, i uint8) string {
+	if int(i) >= len(names) {
+		return fmt.Sprint("unknown-", i)
+	}
+	return names[i]
+}
+
+// String returns the text form of a class.
+func (c Class) String() string { return name(classNames, uint8(c)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// String returns the text form of an end.
+func (e End) String() string { return name(endNames, uint8(e)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (e End) MarshalText() ([]byte, error) { return []byte(e.String()), nil }
+
+// String returns the text form of a placement state.
+func (p PlacementState) String() string { return name(placementStateNames, uint8(p)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (p PlacementState) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// String returns the text form of a placement action.
+func (a PlacementAction) String() string { return name(placementActionNames, uint8(a)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (a PlacementAction) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -163,22 +163,10 @@
 	Server string
 }
 
-// CacheAction says what to do with the cached prefix of a program.
-type CacheAction uint8
-
-// The cache actions. Keep needs no order to the engine; Offload is an export
-// to storage outside the cache.
-const (
-	Keep CacheAction = iota
-	Offload
-	Drop
-)
-
-// CacheOrder is an order about the cached prefix of one program.
+// CacheOrder is an order to a server to release the cached prefix of a program.
 type CacheOrder struct {
 	Server  string
 	Program string
-	Action  CacheAction
 }
 
 // Snapshot describes the scheduler for status pages.
