schedule: forget pools of models that no server has

A pool was created for each model name that a caller sent and kept for good. The test was seen to fail without the change (100 pools instead of 0).

--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -60,6 +60,16 @@
 	return p
 }
 
+// dropUnused forgets a pool without servers and calls: callers may name any
+// model.
+func (s *Scheduler) dropUnused(p *pool) {
+	if len(p.members) > 0 || p.queue.length > 0 || p.queue.inFlight > 0 || len(p.solo) > 0 {
+		return
+	}
+	delete(s.pools, p.key)
+	s.poolOrder = slices.DeleteFunc(s.poolOrder, func(o *pool) bool { return o == p })
+}
+
 func (s *Scheduler) join(p *pool, v *server) {
 	p.members = append(p.members, v)
 	v.pools = append(v.pools, membership{pool: p, open: -1})
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -160,6 +160,7 @@
 	delete(s.calls, c.ID)
 	c.home.calls--
 	s.touch(c.home)
+	s.dropUnused(c.pool)
 	if c.hedge == hedgeQueued {
 		s.hedges = slices.DeleteFunc(s.hedges, func(o *call) bool { return o == c })
 	}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -348,3 +348,18 @@
 	}
 	assert.Assert(t, s.Snapshot().Programs <= 2)
 }
+
+// TestUnknownModelsAreForgotten guards against memory that grows with the names
+// of models that no server has.
+func TestUnknownModelsAreForgotten(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	for i := range 100 {
+		r := request(fmt.Sprint("p", i), 0)
+		r.Model = fmt.Sprint("unknown-", i)
+		s.Enqueue(0, r)
+	}
+	refused := s.Refused(serverPatience)
+	assert.Equal(t, len(refused), 100)
+	assert.Equal(t, refused[0].Reason, "no-server")
+	assert.Equal(t, len(s.pools), 0)
+}
