schedule: refuse with the reasons of the verdict package

The driver passes the reasons on to callers. "capacity", "deadline-expired" and "team-program-limit" are not among those with an HTTP status; they are now "overloaded", "deadline-exceeded" and "overloaded".

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
 
 const (
 	// admissionPatience is the time for which a new program may wait.
@@ -147,7 +151,7 @@
 	t.seen = now
 	t.follow(now)
 	if t.limits.MaxPrograms > 0 && t.programs >= t.limits.MaxPrograms {
-		return s.refuseProgram(p, "team-program-limit")
+		return s.refuseProgram(p)
 	}
 	if !s.admitter.allows(s, t) {
 		return s.postpone(now, p, t)
@@ -163,13 +167,13 @@
 	if !asked {
 		t.dropStale(now)
 		if len(t.asking) >= s.maxAsking() {
-			return s.refuseProgram(p, "capacity")
+			return s.refuseProgram(p)
 		}
 		t.asking[p.ID] = now
 		since = now
 	}
 	if now-since >= admissionPatience {
-		return s.refuseProgram(p, "capacity")
+		return s.refuseProgram(p)
 	}
 	return Admission{Wait: admissionRetry, Reason: "capacity"}
 }
@@ -178,11 +182,11 @@
 // those that can be admitted within the patience.
 func (s *Scheduler) maxAsking() int { return 1 + s.slots/s.hosts/4 }
 
-func (s *Scheduler) refuseProgram(p Program, reason string) Admission {
+func (s *Scheduler) refuseProgram(p Program) Admission {
 	s.team(p.Team).stopAsking(p.ID)
 	// Refused callers return spread over some seconds.
 	hint := time.Second + time.Duration(s.random.Int64N(int64(4*time.Second)))
-	return Admission{RetryAfter: hint, Reason: reason}
+	return Admission{RetryAfter: hint, Reason: string(verdict.Overloaded)}
 }
 
 // observeActivity follows the fraction of the programs that run a call, those
--- a/schedule/expiry.go
+++ b/schedule/expiry.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
 
 // serverPatience is the time for which a call waits for a first server that can
 // run it.
@@ -35,9 +39,9 @@
 	for c := s.expiries.head(); c != nil && c.expires <= s.now; c = s.expiries.head() {
 		switch {
 		case c.Deadline > 0 && c.Deadline <= s.now:
-			s.refuse(c, "deadline-expired", 0)
+			s.refuse(c, string(verdict.DeadlineExceeded), 0)
 		case len(c.pool.members) == 0:
-			s.refuse(c, "no-server", serverPatience)
+			s.refuse(c, string(verdict.NoServer), serverPatience)
 		default:
 			s.expire(c)
 		}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -88,7 +88,7 @@
 	for _, f := range m.s.Refused(m.now) {
 		_, queued := m.queued[f.ID]
 		assert.Assert(t, queued, "a call was refused that was not queued: %v", f)
-		assert.Assert(t, f.Reason != "capacity", "a call was refused for load")
+		assert.Assert(t, f.Reason != "overloaded", "a call was refused for load")
 		delete(m.queued, f.ID)
 		m.refused[f.ID] = f.Reason
 	}
--- a/schedule/suspects.go
+++ b/schedule/suspects.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 const (
@@ -105,7 +107,7 @@
 		return false
 	}
 	if u.crashes() >= crashLimit {
-		s.refuse(c, "crashed-servers", 0)
+		s.refuse(c, string(verdict.Suspect), 0)
 		return true
 	}
 	if !c.solo {
@@ -178,7 +180,7 @@
 			s.unexpire(c)
 			u := s.suspects[c.Fingerprint]
 			if u != nil && u.crashes() >= crashLimit {
-				s.refuse(c, "crashed-servers", 0)
+				s.refuse(c, string(verdict.Suspect), 0)
 				continue
 			}
 			if u != nil {
