--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -88,7 +88,7 @@
 	for _, f := range m.s.Refused(m.now) {
 		_, queued := m.queued[f.ID]
 		assert.Assert(t, queued, "a call was refused that was not queued: %v", f)
-		assert.Assert(t, f.Reason != "capacity", "a call was refused for load")
+		assert.Assert(t, f.Reason != "overloaded", "a call was refused for load")
 		delete(m.queued, f.ID)
 		m.refused[f.ID] = f.Reason
 	}
@@ -348,3 +348,18 @@
 	}
 	assert.Assert(t, s.Snapshot().Programs <= 2)
 }
+
+// TestUnknownModelsAreForgotten guards against memory that grows with the names
+// of models that no server has.
+func TestUnknownModelsAreForgotten(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	for i := range 100 {
+		r := request(fmt.Sprint("p", i), 0)
+		r.Model = fmt.Sprint("unknown-", i)
+		s.Enqueue(0, r)
+	}
+	refused := s.Refused(serverPatience)
+	assert.Equal(t, len(refused), 100)
+	assert.Equal(t, refused[0].Reason, "no-server")
+	assert.Equal(t, len(s.pools), 0)
+}
