--- a/load/load_test.go
+++ b/load/load_test.go
@@ -136,6 +136,7 @@
 		assert.Assert(t, r.Programs.Refused > 0 && r.Programs.NotStarted > 0)
 		assert.Equal(t, r.Programs.Refused+r.Programs.NotStarted, r.Programs.Scheduled)
 		assert.Equal(t, r.Responses["not-run"], r.Programs.Refused)
+		assert.Equal(t, r.Reasons["overloaded"], r.Programs.Refused)
 	})
 }
 
--- a/load/meter.go
+++ b/load/meter.go
@@ -39,6 +39,7 @@
 	}
 	if refusal := resp.Header.Get(verdict.HeaderVerdict); refusal != "" && resp.StatusCode >= http.StatusBadRequest {
 		m.recorder.response(refusal)
+		m.recorder.reason(resp.Header.Get(verdict.HeaderReason))
 		return resp, nil
 	}
 	m.recorder.response("answered")
--- a/load/result.go
+++ b/load/result.go
@@ -24,8 +24,11 @@
 	Calls map[string]int64 `json:"calls"`
 	// Responses counts HTTP responses, with those to resent requests:
 	// answered, connection-failed or the verdict of a refusal.
-	Responses map[string]int64   `json:"responses"`
-	Kinds     map[Kind]Latencies `json:"kinds"`
+	Responses map[string]int64 `json:"responses"`
+	// Reasons counts refusals and failures by reason, with those that were
+	// followed by a resend.
+	Reasons map[string]int64   `json:"reasons"`
+	Kinds   map[Kind]Latencies `json:"kinds"`
 
 	kinds map[Kind]*histograms
 }
@@ -99,6 +102,7 @@
 		Seed:      s.Seed,
 		Calls:     map[string]int64{},
 		Responses: map[string]int64{},
+		Reasons:   map[string]int64{},
 		kinds:     map[Kind]*histograms{},
 	}}
 }
@@ -118,6 +122,12 @@
 	r.result.Responses[outcome]++
 }
 
+func (r *recorder) reason(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Reasons[reason]++
+}
+
 func (r *recorder) call(outcome string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
