caller: bound the memory of all request bodies

One body was bounded, all together were not: 2,000 requests with bodies of the allowed 8 MB would need 16 GB. Bodies now share 256 MB; what does not fit is refused with a retry hint before it is read.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/sycamoreline/sycamoreline/credential"
 	"github.com/sycamoreline/sycamoreline/dispatch"
@@ -45,8 +46,10 @@
 }
 
 const (
-	defaultMaxTokens    = 512
-	defaultBodyBytes    = 8 << 20
+	defaultMaxTokens = 512
+	defaultBodyBytes = 8 << 20
+	// defaultHeldBytes is for small hosts; 2,000 requests of 128 KB fit.
+	defaultHeldBytes    = 256 << 20
 	defaultBodyTimeout  = 30 * time.Second
 	defaultWriteTimeout = 30 * time.Second
 	// defaultDeadline bounds programs that name no deadline.
@@ -74,6 +77,8 @@
 	newID        func() string
 	maxTokens    int
 	bodyBytes    int64
+	heldBytes    int64
+	bodies       *semaphore.Weighted // bytes of bodies of running requests
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 }
@@ -105,6 +110,10 @@
 // WithMaxBodyBytes bounds the size of request bodies.
 func WithMaxBodyBytes(n int64) Option { return func(p *api) { p.bodyBytes = n } }
 
+// WithMaxHeldBytes bounds the size of the bodies of all running requests. It
+// is at least that of one body.
+func WithMaxHeldBytes(n int64) Option { return func(p *api) { p.heldBytes = n } }
+
 // WithBodyTimeout bounds the time a caller takes to send its body.
 func WithBodyTimeout(d time.Duration) Option { return func(p *api) { p.bodyTimeout = d } }
 
@@ -123,12 +132,14 @@
 		newID:        randomID,
 		maxTokens:    defaultMaxTokens,
 		bodyBytes:    defaultBodyBytes,
+		heldBytes:    defaultHeldBytes,
 		bodyTimeout:  defaultBodyTimeout,
 		writeTimeout: defaultWriteTimeout,
 	}
 	for _, o := range opts {
 		o(p)
 	}
+	p.bodies = semaphore.NewWeighted(max(p.heldBytes, p.bodyBytes))
 	return p.router()
 }
 
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// Guards against callers whose bodies take all memory of the host, and against
+// memory that stays taken when their requests end.
+func TestBodiesShareAMemoryLimit(t *testing.T) {
+	d := newOpenDispatcher(1)
+	limit := int64(len(streamBody) + 8)
+	server := httptest.NewServer(newTestAPI(d, WithClock(time.Now), WithMaxBodyBytes(limit), WithMaxHeldBytes(limit)))
+	defer server.Close()
+	first := dialStream(t, server.Listener.Addr().String())
+	defer first.Close()
+	d.started.Wait()
+	w := ask(server.Config.Handler, "POST", "/v1/chat/completions", chatBody1)
+	assert.Equal(t, w.Header().Get(verdict.HeaderReason), "overloaded")
+	assert.Equal(t, w.Header().Get(verdict.HeaderVerdict), "not-run")
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+
+	close(d.release)
+	r, err := http.ReadResponse(bufio.NewReader(first), nil)
+	assert.NilError(t, err)
+	defer r.Body.Close()
+	_, err = readAnswer(r)
+	assert.NilError(t, err)
+	server.Close()
+	w = ask(server.Config.Handler, "POST", "/v1/programs", openBody1, key)
+	assert.Equal(t, w.Code, 201, w.Body.String())
+}
+
 // Guards against a caller that reads nothing blocking its stream forever.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	d := &floodDispatcher{done: make(chan error, 1)}
--- a/caller/request.go
+++ b/caller/request.go
@@ -30,6 +30,7 @@
 	*http.Request
 	id   string
 	team string
+	held int64 // bytes of the limit for all bodies
 }
 
 // handler answers a request. An error that it returns is written as the
@@ -49,6 +50,7 @@
 // serve answers one request and returns the error that the caller received.
 func (p *api) serve(w http.ResponseWriter, r *http.Request, h handler) error {
 	req := &request{Request: r, id: p.requestID(r)}
+	defer func() { p.bodies.Release(req.held) }()
 	w.Header().Set(verdict.HeaderRequestID, req.id)
 	p.limitBodyTime(w, r)
 	err := p.authenticate(req)
@@ -171,6 +173,9 @@
 	if r.ContentLength > p.bodyBytes {
 		return nil, p.tooLarge(fmt.Sprintf("%d bytes", r.ContentLength))
 	}
+	if err := p.hold(r); err != nil {
+		return nil, err
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.bodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -186,14 +191,28 @@
 	}
 }
 
+// hold reserves memory for a body until the request has been answered. A body
+// of unknown length counts as the largest one.
+func (p *api) hold(r *request) error {
+	size := r.ContentLength
+	if size < 0 {
+		size = p.bodyBytes
+	}
+	if !p.bodies.TryAcquire(size) {
+		return r.unread(verdict.Overloaded, "the requests in progress leave no memory for another body", verdict.WithRetryAfter(time.Second))
+	}
+	r.held = size
+	return nil
+}
+
 // unread refuses a request whose body did not arrive. An earlier send of its
 // key may have arrived whole.
-func (r *request) unread(reason verdict.Reason, message string) error {
+func (r *request) unread(reason verdict.Reason, message string, opts ...verdict.Option) error {
 	v := verdict.NotRun
 	if r.Header.Get(HeaderKey) != "" {
 		v = verdict.MayHaveRun
 	}
-	return verdict.New(v, reason, message)
+	return verdict.New(v, reason, message, opts...)
 }
 
 func (p *api) tooLarge(size string) error {
