--- a/control/client.go
+++ b/control/client.go
@@ -5,12 +5,10 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -88,14 +86,7 @@
 }
 
 // GroupOf returns the log group of a program.
-func (c *Client) GroupOf(program string) int { return groupOf(program, c.groups) }
-
-// groupOf hashes the id up to the first "~", so that a sub-program is in the
-// group of its parent, whose budget it uses.
-func groupOf(program string, programGroups int) int {
-	root, _, _ := strings.Cut(program, "~")
-	return 1 + int(xxhash.Sum64String(root)%uint64(programGroups))
-}
+func (c *Client) GroupOf(program string) int { return ledger.GroupOf(program, c.groups) }
 
 type groupRequest struct {
 	Group int             `json:"group"`
--- a/engine/standin_completion.go
+++ b/engine/standin_completion.go
@@ -29,13 +29,14 @@
 }
 
 func (e *StandIn) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderCall, r.Header.Get(backend.HeaderCall))
 	c, body, ok := e.readCompletion(w, r)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	defer c.inc.stop(c.idText, c.inc.start(c.idText, cancel))
+	defer c.inc.stop(c.id, c.inc.start(c.id, cancel))
 	e.faults.HangIfSet(ctx)
 	if c.inc.slots.acquire(ctx, c.priority) != nil {
 		return
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,6 +20,7 @@
 	assert.Assert(t, r.Call.Granted)
 	r = m.ApplyCommand(3, openTestCall("p", "k2", 10))
 	assert.Equal(t, r.Refusal.Reason, verdict.CallInProgress)
+	assert.Equal(t, r.Call.Call, 1)
 
 	m.ApplyCommand(4, Command{MarkSent: &MarkSent{Program: "p", Call: 1, Attempt: 1, Server: "s1", ServerIncarnation: "i1"}})
 	settle := Command{SettleCall: &SettleCall{
@@ -111,3 +113,28 @@
 	assert.Assert(t, mark("s2", true) == nil)
 	assert.Equal(t, mark("s1", false).Reason, verdict.OutcomeUnknown)
 }
+
+// Guards against a captured state that commands change while it is written.
+// It needs the race detector to see all such changes.
+func TestCaptureWhileApplying(t *testing.T) {
+	m := New()
+	fill(m, 50, 3)
+	var want, got bytes.Buffer
+	assert.NilError(t, m.Snapshot(&want))
+	write := m.Capture()
+	done := make(chan error)
+	go func() { done <- write(&got) }()
+	for i := range 50 {
+		for _, c := range benchTurn(benchID(i), 3, "more") {
+			m.ApplyCommand(3, c)
+		}
+		m.ApplyCommand(4, Command{EndProgram: &EndProgram{Program: benchID(i), Status: ProgramDone}})
+	}
+	assert.NilError(t, <-done)
+	assert.Equal(t, got.String(), want.String())
+}
+
+func ExampleGroupOf() {
+	fmt.Println(GroupOf("fit-1", 4) == GroupOf("fit-1~measure~chest", 4))
+	// Output: true
+}
--- a/ledger/partition.go
+++ b/ledger/partition.go
@@ -7,7 +7,7 @@
 )
 
 // SubProgramSeparator divides a parent's id from the rest of a sub-program's.
-const SubProgramSeparator = "/"
+const SubProgramSeparator = "~"
 
 // GroupOf returns the program group, 1 to groups, that keeps a program. A
 // sub-program is charged to its parent and so must be in the same group: its
--- a/schedule/engine_test.go
+++ b/schedule/engine_test.go
@@ -252,6 +252,8 @@
 	reportLag   time.Duration
 	eventLag    time.Duration
 	eventLoss   float64
+	sticky      bool          // all calls of a program reach the same entry host
+	grant       time.Duration // for a slot by the owner of the server
 }
 
 var lateView = view{
@@ -269,6 +271,8 @@
 	hosts   []*fakeHost
 	open    int
 	slow    func(now time.Duration, id string) float64
+	// deadlines tells the scheduler the deadlines of the programs.
+	deadlines bool
 	result
 }
 
@@ -387,6 +391,9 @@
 		c.prefix, c.prompt = p.history, p.history+step.prompt
 		r.Model, r.PromptTokens, r.PrefixTokens, r.MaxTokens = "m", c.prompt, p.history, 2048
 	}
+	if h.sim.deadlines {
+		r.Deadline = p.arrival + p.deadline
+	}
 	h.calls[c.id] = c
 	h.sim.calls++
 	h.s.Enqueue(h.sim.now, r)
@@ -426,7 +433,11 @@
 	}
 	r := &fakeRun{host: h, call: c, a: a, prompt: c.prompt + a.ResumeFrom, left: c.step.output - a.ResumeFrom}
 	c.runs = append(c.runs, r)
-	h.sim.engines[a.Server].arrive(r)
+	h.sim.after(h.sim.grant, func() {
+		if !r.canceled {
+			h.sim.engines[a.Server].arrive(r)
+		}
+	})
 }
 
 func (h *fakeHost) tokens(r *fakeRun, n int) {
@@ -474,7 +485,15 @@
 		h.end(p)
 		return
 	}
-	h.sim.after(c.step.pause, func() { h.call(p) })
+	h.sim.after(c.step.pause, func() { h.sim.balance(p).call(p) })
+}
+
+// balance chooses the entry host of the next call of a program.
+func (s *simulation) balance(p *programRun) *fakeHost {
+	if s.sticky {
+		return p.host
+	}
+	return s.hosts[s.random.IntN(len(s.hosts))]
 }
 
 func (h *fakeHost) end(p *programRun) {
