State that a grant ends with the lease of its host

The machine cannot see orders, so this is a duty of the host. It is written at Grant, and the hosts of the test follow it.

--- a/membership/command.go
+++ b/membership/command.go
@@ -94,7 +94,9 @@
 	Message string         `json:"message"`
 }
 
-// Grant is the ownership of a resource.
+// Grant is the ownership of a resource. It ends with the lease of its host: a
+// host whose lease has run out must acquire the resource again, even when it
+// has joined again since.
 type Grant struct {
 	Resource        string `json:"resource"`
 	Fencing         int64  `json:"fencing"` // greater than of every grant before
--- a/membership/world_test.go
+++ b/membership/world_test.go
@@ -96,6 +96,9 @@
 		if h.Member != member || d.Revision < h.members {
 			return
 		}
+		if !h.serves(w.now) {
+			h.grant = nil // another host may have acquired it meanwhile
+		}
 		// The host's margin of 2% covers its own drift and the leader's.
 		h.until = max(h.until, sent+time.Duration(float64(testTTL)*0.98/h.drift))
 		h.applied = max(h.applied, config)
