caller, credential: make two tests fail without their mechanism

Two tests still passed: the budget of a single call, whose allowance for framing hid the missing attempts, and the reload, which had no remembered argon2id credential to revoke. Both now fail without the mechanism.

--- a/caller/model_test.go
+++ b/caller/model_test.go
@@ -136,8 +136,8 @@
 // Guards against a single call that cannot be taken over when its entry host
 // dies, because its budget covers the first attempt only.
 func TestSingleBudgetCoversWorstCost(t *testing.T) {
-	c := dispatch.ModelCall{MaxTokens: 10, Messages: []ledger.Message{{Role: "user", Content: "hello"}}}
-	assert.Assert(t, singleBudget(c) >= 3*(10+5))
+	c := dispatch.ModelCall{MaxTokens: 1000, Messages: []ledger.Message{{Role: "user", Content: "hello"}}}
+	assert.Assert(t, singleBudget(c) >= 3*(1000+5))
 }
 
 // Guards against a resend being taken for another request because it asks
--- a/credential/credential_test.go
+++ b/credential/credential_test.go
@@ -105,10 +105,16 @@
 	assert.Equal(t, len(reloads), 1)
 	assert.ErrorContains(t, reloads[0], "invalid JSON")
 
+	write(t, path, callerEntry("a", "token-a")+`,{"name":"c","scope":"operator","argon2id":"`+argon("token-c")+`"}`)
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, found("token-c"))
+	assert.Assert(t, found("token-c"), "found again without the hash")
+
 	write(t, path, callerEntry("bb", "token-b"))
 	assert.Assert(t, found("token-a"), "the file is looked at once per interval")
 	now = now.Add(2 * time.Second)
 	assert.Assert(t, !found("token-a"))
+	assert.Assert(t, !found("token-c"))
 	assert.Assert(t, found("token-b"))
 
 	assert.NilError(t, os.Remove(path))
