schedule: do not hold back a pool that is slow as a whole

When most servers of a pool are slow, the median is now taken anew and none is held back for it. A recovered server gets half as much again at each step; one slot at a time took minutes with 2,000 slots. Suspects no longer go to a server that is held back after a failure: a dead engine looked idle and was chosen again. Token reports are apart by time, so a slow engine does not look silent between two of them.

Ruled out: a longer silence before a server counts as slow, which would hide the slowed servers that the measure is about.

cmd/sycamoreline: add load.

--- a/cmd/sycamoreline/check.go
+++ b/cmd/sycamoreline/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamoreline/sycamoreline/caller"
 	"github.com/sycamoreline/sycamoreline/credential"
+	"github.com/sycamoreline/sycamoreline/load"
 	"github.com/sycamoreline/sycamoreline/settings"
 )
 
@@ -22,6 +23,7 @@
 	"stand-in-engine":  reads(settings.Read[engineSettings]),
 	"stand-in-service": reads(settings.Read[serviceSettings]),
 	"program":          reads(caller.ReadProgram),
+	"load":             reads(settings.Read[load.Settings]),
 	"credentials":      reads(func(path string) (*credential.Store, error) { return credential.Open(path) }),
 }
 
--- a/cmd/sycamoreline/commands.go
+++ b/cmd/sycamoreline/commands.go
@@ -34,6 +34,7 @@
 		{&standInServiceCommand{output: o}, groupRole},
 		{&demoCommand{output: o}, groupRole},
 		{&runCommand{output: o}, groupCaller},
+		{&loadCommand{output: o}, groupCaller},
 		{&checkCommand{output: o}, groupOperator},
 		{&versionCommand{output: o}, groupOperator},
 		{&planCommand{folderCommand{output: o}}, groupOperator},
--- a/cmd/sycamoreline/standin.go
+++ b/cmd/sycamoreline/standin.go
@@ -39,6 +39,7 @@
 		life.Append(fx.Hook{
 			OnStart: func(context.Context) error {
 				announcer = standin.NewAnnouncer(s.EntryHosts, s.Renewal(), server.Announcement,
+					standin.WithPause(server.Faults().Frozen),
 					standin.WithAnnounceErrors(func(host string, err error) {
 						logger.Info("announcement not accepted", zap.String("entry-host", host), zap.Error(err))
 					}))
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -17,8 +17,6 @@
 	// messageOverheadTokens bounds what an engine's chat template adds to a
 	// message.
 	messageOverheadTokens = 8
-	// reportEvery is the number of tokens between two reports to the scheduler.
-	reportEvery = 16
 )
 
 // Model runs a model call. Tokens go to the sink as they arrive; with a nil
--- a/dispatch/program.go
+++ b/dispatch/program.go
@@ -73,10 +73,16 @@
 	if a.Admitted {
 		return nil
 	}
-	if _, err := d.ledger.Program(ctx, ledger.ProgramQuery{Program: c.Program, Team: c.Team}); err == nil {
+	v := verdict.NotRun
+	_, err := d.ledger.Program(ctx, ledger.ProgramQuery{Program: c.Program, Team: c.Team})
+	switch {
+	case err == nil:
 		return nil
+	case verdict.From(err).Reason() != verdict.UnknownProgram:
+		// An earlier request may have opened it.
+		v = verdict.MayHaveRun
 	}
-	return verdict.New(verdict.NotRun, verdict.Reason(a.Reason), "new programs are not admitted now",
+	return verdict.New(v, verdict.Reason(a.Reason), "new programs are not admitted now",
 		verdict.WithRetryAfter(a.RetryAfter))
 }
 
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,6 +15,10 @@
 // errSuperseded ends a stream whose call goes on with another one.
 var errSuperseded = errors.New("another stream of the call has taken over")
 
+// reportInterval is the time between two reports of a stream's tokens to the
+// scheduler. It is well below the silence that counts as slow.
+const reportInterval = 100 * time.Millisecond
+
 // race streams a model call from one engine and, when the scheduler asks for
 // it, from a second one that resumes where the first is slow. While the second
 // is awaited, the tokens of the first are held back: two engines may word the
@@ -33,9 +38,11 @@
 
 // stream is one run of the call on an engine.
 type stream struct {
-	attempt attempt
-	cancel  context.CancelFunc
-	tokens  int
+	attempt    attempt
+	cancel     context.CancelFunc
+	tokens     int
+	unreported int           // tokens since the last report to the scheduler
+	reported   time.Duration // time of that report
 }
 
 type streamEnd struct {
@@ -130,15 +137,20 @@
 	}
 }
 
-// note counts a token of a stream for the scheduler.
+// note counts a token of a stream for the scheduler. Reports are apart by time
+// and not by tokens, or a slow engine would look silent between two of them.
 func (r *race) note(s *stream) {
 	s.tokens++
-	id, server := s.attempt.assignment.ID, s.attempt.server.Server
-	switch {
-	case s.tokens == 1:
+	id, server, now := s.attempt.assignment.ID, s.attempt.server.Server, r.x.d.clock()
+	if s.tokens == 1 {
+		s.reported = now
 		r.x.d.queue.FirstToken(id, server)
-	case s.tokens%reportEvery == 0:
-		r.x.d.queue.Tokens(id, server, reportEvery)
+		return
+	}
+	s.unreported++
+	if now-s.reported >= reportInterval {
+		r.x.d.queue.Tokens(id, server, s.unreported)
+		s.unreported, s.reported = 0, now
 	}
 }
 
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -83,8 +83,11 @@
 	k := &c.pool.costs
 	k.observeToken(during / float64(n))
 	v := r.server
-	held := v.speed.held()
+	held, slow := v.speed.held(), v.speed.slow
 	v.speed.observe(now, during/float64(n), during, k.token)
+	if v.speed.slow && !slow {
+		s.reviewPool(now, c.pool)
+	}
 	if v.speed.held() != held {
 		s.refresh(v)
 		s.setBusy(v)
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// slowBelow and recoveredAbove are relative speeds. A full batch and the
@@ -12,8 +15,7 @@
 	speedMemory = 1.5
 	// probeInterval separates the runs that test a slow server.
 	probeInterval = time.Second
-	// returnStep is the time after which a recovered server gets one more
-	// slot.
+	// returnStep is the time after which a recovered server gets more slots.
 	returnStep = 250 * time.Millisecond
 	// firstHold and maxHold bound the time without new work after a failure.
 	firstHold = 100 * time.Millisecond
@@ -83,18 +85,20 @@
 	}
 }
 
-// step returns work to a recovered server, one slot at a time.
+// step returns work to a recovered server, half as much again at a time: one
+// slot at a time takes minutes on a server with many slots.
 func (p *speed) step(now time.Duration, slots int) {
 	if !p.ramping || now < p.nextStep {
 		return
 	}
-	p.slots++
+	p.slots += max(1, p.slots/2)
 	p.nextStep = now + returnStep
 	p.ramping = p.slots < slots
 }
 
 // checkSilence lowers the speed of a server none of whose runs produces tokens.
-func (v *server) checkSilence(now time.Duration, typical float64) {
+func (s *Scheduler) checkSilence(now time.Duration, v *server) {
+	p := v.runs[0].pool
 	gap, decoding := now, false
 	for _, c := range v.runs {
 		r := c.runOn(v)
@@ -107,7 +111,45 @@
 		return
 	}
 	v.speed.token = gap.Seconds()
-	v.speed.judge(now, typical)
+	before := v.speed.slow
+	v.speed.judge(now, p.costs.token)
+	if v.speed.slow && !before {
+		s.reviewPool(now, p)
+	}
+}
+
+// reviewPool compares the members of a pool with each other once one of them
+// has become slow. When most are slow, the pool as a whole is: there is nowhere
+// to shift work to, and holding all of them back would only add to the load.
+func (s *Scheduler) reviewPool(now time.Duration, p *pool) {
+	slow := 0
+	var times []float64
+	for _, v := range p.members {
+		if v.speed.slow {
+			slow++
+		}
+		if v.speed.token > 0 {
+			times = append(times, v.speed.token)
+		}
+	}
+	if 2*slow <= len(p.members) || len(times) == 0 {
+		return
+	}
+	slices.Sort(times)
+	p.costs.token = times[len(times)/2]
+	for _, v := range p.members {
+		v.speed.pardon(now, p.costs.token)
+		s.refresh(v)
+	}
+}
+
+// pardon judges a server anew by a new median of its pool.
+func (p *speed) pardon(now time.Duration, typical float64) {
+	if p.token == 0 || !p.slow {
+		return
+	}
+	p.slow, p.ramping = false, false
+	p.judge(now, typical)
 }
 
 // check runs the periodic work: silent servers, returning work, hedges.
@@ -119,7 +161,7 @@
 	for i := len(s.busy) - 1; i >= 0; i-- {
 		v := s.busy[i]
 		if s.detect && len(v.runs) > 0 {
-			v.checkSilence(now, v.runs[0].pool.costs.token)
+			s.checkSilence(now, v)
 		}
 		v.speed.step(now, v.slots())
 		if v.speed.slow {
--- a/schedule/slowness_test.go
+++ b/schedule/slowness_test.go
@@ -72,3 +72,61 @@
 	}
 	assert.Assert(t, failed < 10, "%d of 1000 calls went to the failing server", failed)
 }
+
+// TestPoolRecoversFromAStall guards against a collapse seen under load: all
+// engines were silent for a moment, each was held to one short run a second, and
+// the queue did not drain although they ran at full speed again.
+func TestPoolRecoversFromAStall(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	const (
+		servers, slots = 3, 4
+		step           = 2 * time.Millisecond
+		stalledFrom    = 2 * time.Second
+		stalledUntil   = 4 * time.Second
+		end            = 7 * time.Second
+	)
+	for i := range servers {
+		s.SetServer(0, Server{ID: fmt.Sprint("s", i), Slots: slots, Models: []ServerModel{{Name: "m"}}})
+	}
+	var runs []Assignment
+	next := 0
+	for now := step; now < end; now += step {
+		for len(runs) < servers*slots {
+			s.Enqueue(now, request(fmt.Sprint("p", next), 0))
+			a, ok := s.Next(now)
+			if !ok {
+				break
+			}
+			next++
+			runs = append(runs, a)
+		}
+		s.Next(now)
+		if now > stalledFrom && now < stalledUntil {
+			continue
+		}
+		kept := runs[:0]
+		for _, a := range runs {
+			s.FirstToken(now, a.ID, a.Server)
+			s.Tokens(now, a.ID, a.Server, 1)
+			if now%(20*step) == 0 {
+				s.Finished(now, a.ID, a.Server, Usage{OutputTokens: 20}, Succeeded)
+				continue
+			}
+			kept = append(kept, a)
+		}
+		runs = kept
+	}
+	assert.Assert(t, len(runs) > servers*slots/2, "%d of %d slots are used after the stall", len(runs), servers*slots)
+}
+
+// TestRecoveredServerGetsItsSlotsBack guards against a return that takes
+// minutes on a server with many slots.
+func TestRecoveredServerGetsItsSlotsBack(t *testing.T) {
+	p := speed{relative: 1, ramping: true, slots: 1}
+	now := time.Duration(0)
+	for p.ramping {
+		now += returnStep
+		p.step(now, 2000)
+		assert.Assert(t, now < 10*time.Second, "%d of 2000 slots after %s", p.slots, now)
+	}
+}
--- a/schedule/suspects.go
+++ b/schedule/suspects.go
@@ -140,7 +140,7 @@
 	for len(p.reserved) < min(len(p.solo), 1+len(p.members)/10) {
 		var best *server
 		for _, v := range p.members {
-			if v.available() && (best == nil || v.inFlight+v.others < best.inFlight+best.others) {
+			if v.available() && now >= v.speed.heldUntil && (best == nil || v.inFlight+v.others < best.inFlight+best.others) {
 				best = v
 			}
 		}
@@ -168,7 +168,21 @@
 	})
 }
 
+// dropHeld gives up reserved servers that are held back after a failure: they
+// look idle because they are dead.
+func (s *Scheduler) dropHeld(now time.Duration, p *pool) {
+	p.reserved = slices.DeleteFunc(p.reserved, func(v *server) bool {
+		if now >= v.speed.heldUntil || v.runsSuspect() {
+			return false
+		}
+		v.reserved = false
+		s.refresh(v)
+		return true
+	})
+}
+
 func (s *Scheduler) startSolo(now time.Duration, p *pool) (Assignment, bool) {
+	s.dropHeld(now, p)
 	for _, v := range p.reserved {
 		empty := v.inFlight == 0 && (v.others == 0 || now-v.reservedAt > soloPatience)
 		if !empty || v.Leaving || v.removed || v.remotelyReserved {
