--- a/replica/loop.go
+++ b/replica/loop.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 )
 
+// maxHandOver bounds how long Close waits for the successor, which may have
+// stopped at the same time.
+const maxHandOver = time.Second
+
 // loop owns the node: every event goes through it, one at a time.
 func (g *Group) loop() {
 	defer g.workers.Done()
@@ -21,7 +25,7 @@
 			return
 		case <-closing:
 			closing = nil
-			deadline = time.After(g.options.timing.Election)
+			deadline = time.After(min(g.options.timing.Election, maxHandOver))
 			g.handOver()
 		case <-deadline:
 			g.fail(nil)
