Test the core's rules one by one; keep a term stored beside a lost chunk

The same test allowed a second disk to be damaged before the first was repaired; a host with a corrupted log now counts as intact only once it has the leader's log and term again.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -194,7 +194,7 @@
 		switch {
 		case errors.Is(w.err, errChunk):
 			g.options.logger.Warn("store part of a snapshot", zap.Error(w.err))
-			g.handle(g.node.ChunkFailed(g.now()))
+			g.handle(g.node.ChunkFailed(g.now(), w.persist))
 		case w.err != nil:
 			g.fail(w.err)
 			return
--- /dev/null
+++ b/replica/node_test.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
+
+var testMembers = Members{{Ref: Ref{"a", 1}}, {Ref: Ref{"b", 2}}, {Ref: Ref{"c", 3}}}
+
+// testNode returns node a of three with entries of the given terms after the
+// membership at index 1.
+func testNode(t *testing.T, terms ...uint64) *Node {
+	entries := []disk.Entry{{Index: 1, Term: 1, Kind: disk.Membership, Data: testMembers.encode()}}
+	for i, term := range terms {
+		entries = append(entries, disk.Entry{Index: uint64(i) + 2, Term: term})
+	}
+	r := disk.Recovered{HardState: disk.HardState{Term: entries[len(entries)-1].Term}, Entries: entries}
+	o := NodeOptions{Self: testMembers[0].Ref, Initial: []string{"a", "b", "c"}, Timing: simTiming, Random: rand.New(rand.NewPCG(1, 1))}
+	n, err := NewNode(Now{}, o, r)
+	assert.NilError(t, err)
+	for _, x := range testMembers[1:] {
+		n.Step(Now{}, Message{Kind: recallReply, From: x.Ref, To: n.Self})
+	}
+	return n
+}
+
+// lead makes the node win an election with the vote of b.
+func lead(t *testing.T, n *Node) {
+	at := Now{Elapsed: 2 * simTiming.Election}
+	n.Tick(at)
+	b := testMembers[1].Ref
+	out := n.Step(at, Message{Kind: preVoteReply, From: b, To: n.Self, Term: n.Term() + 1})
+	n.Persisted(at, out.Persist)
+	n.Step(at, Message{Kind: voteReply, From: b, To: n.Self, Term: n.Term()})
+	assert.Equal(t, n.Role(), Leader)
+}
+
+// Guards against an entry of an earlier term that counts as committed because
+// a majority holds it: a later leader may still replace it.
+func TestCommitCountsOnlyOwnTerm(t *testing.T) {
+	n := testNode(t, 2)
+	lead(t, n)
+	b := testMembers[1].Ref
+	n.Step(Now{Elapsed: 2 * simTiming.Election}, Message{Kind: appendReply, From: b, To: n.Self, Term: n.Term(), Index: 2})
+	assert.Equal(t, n.Commit(), uint64(0))
+	n.entriesStable(n.log.entries[2])
+	n.Step(Now{Elapsed: 2 * simTiming.Election}, Message{Kind: appendReply, From: b, To: n.Self, Term: n.Term(), Index: 3})
+	assert.Equal(t, n.Commit(), uint64(3))
+}
+
+// Guards against a membership change by a leader that does not know yet which
+// earlier change is committed.
+func TestMembershipWaitsForOwnTerm(t *testing.T) {
+	n := testNode(t, 2)
+	lead(t, n)
+	at := Now{Elapsed: 2 * simTiming.Election}
+	n.commit = 1
+	n.Step(at, Message{Kind: join, From: Ref{"c", 4}, To: n.Self})
+	n.Tick(at)
+	assert.Equal(t, len(n.Members()), 3)
+	n.commit = 3
+	n.Tick(at)
+	assert.Equal(t, len(n.Members()), 4)
+}
+
+// Guards against a vote by a replica that holds no log, or has not asked the
+// others yet what it promised them.
+func TestNoVoteWithoutFullState(t *testing.T) {
+	vote := Message{Kind: vote, From: testMembers[1].Ref, To: testMembers[0].Ref, Term: 9, Index: 99, LogTerm: 8}
+	o := NodeOptions{Self: testMembers[0].Ref, Initial: []string{"a", "b", "c"}, Timing: simTiming, Random: rand.New(rand.NewPCG(1, 1))}
+	empty, err := NewNode(Now{}, o, disk.Recovered{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(empty.Step(Now{}, vote).After), 0)
+	restarted := testNode(t, 2)
+	restarted.startRecall(Now{})
+	assert.Equal(t, len(restarted.Step(Now{}, vote).After), 0)
+	assert.Equal(t, len(testNode(t, 2).Step(Now{}, vote).After), 1)
+}
+
+// Guards against a membership that stays in force after its entry was replaced.
+func TestMembersRevertWithReplacedEntry(t *testing.T) {
+	n := testNode(t, 2)
+	larger := testMembers.with(Member{Ref: Ref{"d", 4}, Learner: true})
+	b := testMembers[1].Ref
+	m := Message{Kind: appendEntries, From: b, To: n.Self, Term: 3, Index: 2, LogTerm: 2}
+	m.Entries = []disk.Entry{{Index: 3, Term: 3, Kind: disk.Membership, Data: larger.encode()}}
+	n.Step(Now{}, m)
+	assert.Equal(t, len(n.Members()), 4)
+	m.Term, m.Entries = 4, []disk.Entry{{Index: 3, Term: 4, Kind: disk.NoOp}}
+	n.Step(Now{}, m)
+	assert.Equal(t, len(n.Members()), 3)
+}
+
+// Guards against votes and acknowledgements of an incarnation that is not a
+// member, such as a host whose disk was lost.
+func TestUnknownIncarnationIsNotCounted(t *testing.T) {
+	n := testNode(t, 2)
+	at := Now{Elapsed: 2 * simTiming.Election}
+	n.Tick(at)
+	for _, from := range []Ref{{"b", 77}, {"c", 78}} {
+		n.Step(at, Message{Kind: preVoteReply, From: from, To: n.Self, Term: n.Term() + 1})
+	}
+	assert.Equal(t, n.Role(), PreCandidate)
+	lead(t, n)
+	n.entriesStable(n.log.entries[2])
+	n.Step(at, Message{Kind: appendReply, From: Ref{"b", 77}, To: n.Self, Term: n.Term(), Index: 3})
+	assert.Equal(t, n.Commit(), uint64(0))
+}
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -20,6 +20,9 @@
 	"corrupt-log": func(s *sim, h *simHost, d time.Duration) {
 		if s.intact(h) {
 			s.logf("%s: log corrupted", h.id)
+			if h.node != nil {
+				h.corrupted = h.node.Self.Incarnation
+			}
 			h.crash(d)
 			h.disk.Corrupt("data/log", s.random.IntN(1<<20))
 		}
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -60,6 +60,7 @@
 	writing    bool
 	writeDone  time.Duration
 	keep       uint64
+	corrupted  uint64 // incarnation whose log was corrupted last
 	journal    []string
 	applied    disk.SnapshotInfo
 	sinceSaved int
@@ -238,8 +239,11 @@
 func (h *simHost) thaw() {
 	h.frozen = 0
 	h.nextTick = h.now
-	if h.random.IntN(2) == 0 {
+	switch h.random.IntN(3) {
+	case 0:
 		h.tick()
+	case 1:
+		h.read() // before it learns how long it was frozen
 	}
 	inbox := h.inbox
 	h.inbox = nil
@@ -348,7 +352,7 @@
 
 func (h *simHost) finished(w write, err error) {
 	if err != nil {
-		h.handle(h.node.ChunkFailed(h.local()))
+		h.handle(h.node.ChunkFailed(h.local(), w.persist))
 		return
 	}
 	h.send(w.after)
@@ -374,6 +378,7 @@
 		h.journal = append(h.journal, string(e.Data))
 	case disk.Membership:
 		h.applied.Members = e.Data
+		h.checkVoters(ok)
 		h.logf("%s: applies members %s", h.id, e.Data)
 	case disk.NoOp:
 	}
@@ -383,6 +388,20 @@
 	delete(h.waiting, e.Index)
 }
 
+// checkVoters checks, when a membership is first applied anywhere, that every
+// voter holds a log.
+func (h *simHost) checkVoters(known bool) {
+	members, err := decodeMembers(h.applied.Members)
+	if err != nil {
+		h.failf("%v", err)
+	}
+	for _, x := range h.hosts {
+		if !known && x.node != nil && members.isVoter(x.node.Self) && !x.node.formed() {
+			h.failf("%s: %v is a voter without a log", h.id, x.node.Self)
+		}
+	}
+}
+
 func (h *simHost) maybeSnapshot() {
 	if h.node == nil || h.sinceSaved < 8 || h.node.Sending() {
 		return
@@ -474,6 +493,12 @@
 		if h.node == nil || !l.node.members.isVoter(h.node.Self) || h.node.log.stable < s.high || len(l.node.lives(h.id)) != 1 {
 			return false
 		}
+		// Damage of the last record looks like a torn write, and may have lost
+		// entries, a term and a vote.
+		behind := h.node.synced.Term < l.node.Term() || h.node.log.stable < l.node.log.last()
+		if h.node.Self.Incarnation == h.corrupted && behind {
+			return false
+		}
 	}
 	return true
 }
@@ -518,7 +543,7 @@
 }
 
 func (s *sim) describe() string {
-	text := ""
+	text := fmt.Sprintf("highest applied %d; ", s.high)
 	for _, h := range s.hosts {
 		if h.node == nil {
 			text += h.id + " down; "
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -94,12 +94,12 @@
 	n.after(r)
 }
 
-// ChunkFailed reports that a part of a received snapshot could not be stored.
-// The transfer starts again.
-func (n *Node) ChunkFailed(now Now) Output {
-	n.writeDone(now)
+// ChunkFailed reports that a Persist is on disk except for its part of a
+// received snapshot. The transfer starts again.
+func (n *Node) ChunkFailed(now Now, p Persist) Output {
+	p.Chunk = nil
 	n.chunk = incomingChunks{}
-	return n.take(now)
+	return n.Persisted(now, p)
 }
 
 // install takes over a received snapshot that is on disk.
