--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -208,7 +208,7 @@
 // reportEnd tells the scheduler of a stream that did not give the answer.
 func (r *race) reportEnd(ctx context.Context, e streamEnd) {
 	s := r.streams[e.index]
-	end := schedule.CallerCancelled
+	end := schedule.Superseded
 	if e.err != nil && !errors.Is(e.err, errSuperseded) && !errors.Is(e.err, context.Canceled) {
 		end = r.x.endOf(ctx, s.attempt.server, e.err)
 		if end == schedule.Crashed {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -44,7 +44,7 @@
 	case v.Reason() != verdict.ServerFailed:
 		return schedule.Rejected
 	case v.Verdict() == verdict.NotRun:
-		return schedule.FailedUnsent
+		return schedule.Unreachable
 	}
 	ctx, cancel := context.WithTimeout(work, probeTimeout)
 	defer cancel()
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -7,6 +7,10 @@
 	"go.uber.org/zap"
 )
 
+// maxHandOver bounds how long Close waits for the successor, which may have
+// stopped at the same time.
+const maxHandOver = time.Second
+
 // loop owns the node: every event goes through it, one at a time.
 func (g *Group) loop() {
 	defer g.workers.Done()
@@ -21,7 +25,7 @@
 			return
 		case <-closing:
 			closing = nil
-			deadline = time.After(g.options.timing.Election)
+			deadline = time.After(min(g.options.timing.Election, maxHandOver))
 			g.handOver()
 		case <-deadline:
 			g.fail(nil)
@@ -39,6 +43,7 @@
 			}
 		case <-ticker.C:
 			g.handle(g.node.Tick(g.now()))
+			g.status.Store(g.node.status())
 		}
 		if closing == nil && g.node.Role() != Leader {
 			g.fail(nil)
@@ -160,7 +165,8 @@
 	}
 	self := g.node.Self
 	if before != nil && *before == self {
-		g.waiters.abandonAbove(g.node.Commit(), "leadership was lost before the proposal was committed")
+		// Committed entries that are not on a stalled local disk wait too long.
+		g.waiters.abandonAbove(g.node.Applied(), "leadership was lost before the proposal was applied")
 	}
 	g.leader.Store(&leader)
 	g.options.logger.Info("leader changed", zap.String("leader", leader.ID), zap.Uint64("term", g.node.Term()))
@@ -189,7 +195,7 @@
 		switch {
 		case errors.Is(w.err, errChunk):
 			g.options.logger.Warn("store part of a snapshot", zap.Error(w.err))
-			g.handle(g.node.ChunkFailed(g.now()))
+			g.handle(g.node.ChunkFailed(g.now(), w.persist))
 		case w.err != nil:
 			g.fail(w.err)
 			return
