--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -10,11 +10,12 @@
 
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/engine"
+	"github.com/sycamoreline/sycamoreline/replica"
 	"github.com/sycamoreline/sycamoreline/settings"
 )
 
 // controlModule is the role of a control host.
-func controlModule(s settings.Control, listen listenFunc, newLog func(role, id string) (*zap.Logger, error)) fx.Option {
+func controlModule(s settings.Control, listen listenFunc, newLog func(role, id string) (*zap.Logger, error), opts ...replica.Option) fx.Option {
 	return fx.Module("control "+s.ID, fx.Invoke(func(life fx.Lifecycle, stop fx.Shutdowner) error {
 		logger, err := newLog("control", s.ID)
 		if err != nil {
@@ -48,7 +49,7 @@
 					ID: s.ID, Hosts: controlAddresses(s.ControlHosts), ProgramGroups: s.GroupCount,
 					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key, Engines: control.NewEngineReleaser(engines),
 					ServerTLS: serverTLS, ClientTLS: clientTLS,
-				}, listener, logger)
+				}, listener, logger, opts...)
 				if err != nil {
 					return err
 				}
@@ -85,15 +86,19 @@
 
 type controlCommand struct {
 	output
-	path string
+	path   string
+	rejoin bool
 }
 
 func (*controlCommand) Name() string     { return "control" }
 func (*controlCommand) Synopsis() string { return "run a control host" }
 func (*controlCommand) Usage() string {
-	return `sycamoreline control -settings FILE
+	return `sycamoreline control -settings FILE [-rejoin]
 
-Runs a control host until it is interrupted. Logs go to standard error.
+Runs a control host until it is interrupted. Logs go to standard error. A data
+folder that is damaged or older than what the other control hosts remember
+stops it. With -rejoin, such a folder is set aside and the host catches up from
+the others as a new replica.
 
 Example:
   sycamoreline control -settings examples/local/control-1.json
@@ -104,6 +109,7 @@
 
 func (c *controlCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.path, "settings", "", "settings file")
+	f.BoolVar(&c.rejoin, "rejoin", false, "set a damaged data folder aside and catch up from the others")
 }
 
 func (c *controlCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -114,5 +120,9 @@
 	if err != nil {
 		return c.usage("%s", err)
 	}
-	return runRole(ctx, c.output, controlModule(s, listenTCP, c.logger(s.LogLevel)))
+	var opts []replica.Option
+	if c.rejoin {
+		opts = append(opts, replica.WithRejoin())
+	}
+	return runRole(ctx, c.output, controlModule(s, listenTCP, c.logger(s.LogLevel), opts...))
 }
--- a/control/machines.go
+++ b/control/machines.go
@@ -120,6 +120,13 @@
 	return m.ledger.Snapshot(w)
 }
 
+// Capture implements replica.Capturer.
+func (m *programMachine) Capture() func(io.Writer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Capture()
+}
+
 // Restore implements replica.Machine.
 func (m *programMachine) Restore(r io.Reader) error {
 	m.mu.Lock()
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -27,6 +29,7 @@
 
 	sinceEntries int // since the last snapshot
 	sinceBytes   int64
+	saving       atomic.Bool // a captured snapshot is being written
 }
 
 func newApplier(g *Group, r disk.Recovered) (*applier, error) {
@@ -87,7 +90,7 @@
 	a.finishReads()
 	o := a.group.options
 	due := a.sinceEntries >= o.snapshotEntries || a.sinceBytes >= o.snapshotBytes
-	if due && !a.group.sending.Load() {
+	if due && !a.group.sending.Load() && !a.saving.Load() {
 		a.save()
 	}
 	return nil
@@ -130,24 +133,41 @@
 	}
 }
 
-// save takes a snapshot. A failure, such as a full disk, is not fatal: the
-// log still holds everything.
+// save takes a snapshot. A machine that can be captured goes on meanwhile.
 func (a *applier) save() {
 	a.sinceEntries, a.sinceBytes = 0, 0
-	info, err := a.writeSnapshot()
+	g := a.group
+	info := disk.SnapshotInfo{Index: a.applied, Term: a.term, Members: a.members}
+	c, ok := g.machine.(Capturer)
+	if !ok {
+		g.saveSnapshot(info, g.machine.Snapshot)
+		return
+	}
+	write := c.Capture()
+	a.saving.Store(true)
+	g.workers.Go(func() {
+		defer a.saving.Store(false)
+		g.saveSnapshot(info, write)
+	})
+}
+
+// saveSnapshot writes a snapshot. A failure, such as a full disk, is not
+// fatal: the log still holds everything.
+func (g *Group) saveSnapshot(info disk.SnapshotInfo, write func(io.Writer) error) {
+	saved, err := g.writeSnapshot(info, write)
 	if err != nil {
-		a.group.options.logger.Error("snapshot failed", zap.Error(err))
+		g.options.logger.Error("snapshot failed", zap.Error(err))
 		return
 	}
-	a.group.saved.put(info)
+	g.saved.put(saved)
 }
 
-func (a *applier) writeSnapshot() (disk.SnapshotInfo, error) {
-	w, err := a.group.store.CreateSnapshot(disk.SnapshotInfo{Index: a.applied, Term: a.term, Members: a.members})
+func (g *Group) writeSnapshot(info disk.SnapshotInfo, write func(io.Writer) error) (disk.SnapshotInfo, error) {
+	w, err := g.store.CreateSnapshot(info)
 	if err != nil {
 		return disk.SnapshotInfo{}, err
 	}
-	if err := a.group.machine.Snapshot(w); err != nil {
+	if err := write(w); err != nil {
 		return disk.SnapshotInfo{}, errors.Join(err, w.Close())
 	}
 	return w.Finish()
--- /dev/null
+++ b/replica/capture_test.go
@@ -0,0 +1,62 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/faults"
+)
+
+// capturedJournal is a journal whose snapshots are written only once the test
+// lets them.
+type capturedJournal struct {
+	journal
+	release chan struct{}
+}
+
+func (j *capturedJournal) Capture() func(io.Writer) error {
+	commands := j.all()
+	return func(w io.Writer) error {
+		<-j.release
+		return json.NewEncoder(w).Encode(commands)
+	}
+}
+
+// Guards against commands that wait while a snapshot is written, and against
+// a captured snapshot that does not match the log behind it.
+func TestCommandsGoOnWhileASnapshotIsWritten(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx := testContext(t)
+	fs := faults.NewDisk()
+	open := func(m Machine) *Group {
+		g, err := Open(Config{ID: "a", Peers: []string{"a"}, Dir: "data"}, m, &switchboard{},
+			WithFS(fs), WithTiming(testTiming), WithSnapshots(5, 1<<30, 2))
+		assert.NilError(t, err)
+		return g
+	}
+	m := &capturedJournal{release: make(chan struct{})}
+	g := open(m)
+	for g.Read(ctx) != nil {
+		pause(ctx)
+	}
+	for i := range 20 {
+		result, err := g.Propose(ctx, []byte(fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Equal(t, string(result), fmt.Sprint(i+1))
+	}
+	close(m.release)
+	assert.NilError(t, g.Close())
+
+	again := &journal{}
+	g = open(again)
+	for g.Read(ctx) != nil {
+		pause(ctx)
+	}
+	assert.DeepEqual(t, again.all(), m.all())
+	assert.NilError(t, g.Close())
+}
--- a/replica/machine.go
+++ b/replica/machine.go
@@ -15,3 +15,11 @@
 	// Restore replaces the state by one that Snapshot wrote.
 	Restore(r io.Reader) error
 }
+
+// Capturer is a Machine that can write a snapshot while it applies further
+// commands. Without it, commands wait until the snapshot is written.
+type Capturer interface {
+	// Capture returns a function that writes the state as it is now. That
+	// function is called on another goroutine.
+	Capture() (write func(w io.Writer) error)
+}
