--- a/dispatch/call_test.go
+++ b/dispatch/call_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -16,16 +15,9 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-func TestMain(m *testing.M) {
-	// Enough steps for a call to be lost and taken over a few times, and enough
-	// checks for the rarest of the faults that were seen to be found.
-	for name, value := range map[string]string{"rapid.steps": "150", "rapid.checks": "2000"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(faults.Main(m))
-}
+// Enough steps for a call to be lost and taken over a few times, and enough
+// cases for the rarest of the faults that were seen to be found.
+func TestMain(m *testing.M) { os.Exit(faults.Main(m, faults.Checks("2000", "150")...)) }
 
 const (
 	worldProgram = "p"
--- a/faults/main.go
+++ b/faults/main.go
@@ -11,11 +11,24 @@
 // DefaultSeed is the seed of property tests that were given none.
 const DefaultSeed = "20261204"
 
-// Main runs the tests of a package with a fixed seed for rapid, unless the
-// rapid.seed flag was given. It returns the exit code. Call it from TestMain:
+// Default is the value of a test flag that was not given.
+type Default struct {
+	Flag  string
+	Value string
+}
+
+// Checks returns the defaults of property tests that need this many cases and
+// steps to catch the faults they guard against.
+func Checks(cases, steps string) []Default {
+	return []Default{{"rapid.checks", cases}, {"rapid.steps", steps}}
+}
+
+// Main runs the tests of a package with a fixed seed for rapid and further
+// defaults, unless their flags were given. It returns the exit code. Call it
+// from TestMain:
 //
 //	func TestMain(m *testing.M) { os.Exit(faults.Main(m)) }
-func Main(m interface{ Run() int }) int {
+func Main(m interface{ Run() int }, defaults ...Default) int {
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
@@ -23,6 +36,9 @@
 	// A failure is reproduced by its seed; failure files would be left behind
 	// in the source tree.
 	setDefault(given, "rapid.nofailfile", "true")
+	for _, d := range defaults {
+		setDefault(given, d.Flag, d.Value)
+	}
 	return m.Run()
 }
 
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,17 +10,11 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/faults"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(faults.Main(m)) }
 
 // model drives one Scheduler with random events and keeps the truth.
 type model struct {
