dispatch: do not mark a model call for an engine that already has a release record

A model call took three commits: open, mark, settle. The ledger now names the incarnation that ran the program's previous model call, which has a release record until the program ends, and a call sent there again needs no mark. With all marks taken out, the dispatch test fails at the 11th case: engine memory without a release record.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -140,11 +140,13 @@
 	return c.fail(verdict.From(err))
 }
 
-// assigned handles the scheduler's choice. A send is preceded by a mark,
-// unless the same server incarnation is already recorded for a model call.
-func (c *call) assigned(to target, recorded bool) action {
+// assigned handles the scheduler's choice. A send is preceded by a mark, unless
+// the ledger has a release record of the program on the same incarnation and
+// the call may be sent twice.
+func (c *call) assigned(to target) action {
 	c.to = to
-	if c.kind == ledger.ModelCall && (recorded || c.marked[to]) {
+	recorded := c.marked[to] || to == target{c.state.LastServer, c.state.LastIncarnation}
+	if c.kind == ledger.ModelCall && recorded {
 		return c.send()
 	}
 	c.step = stepMarking
--- a/dispatch/call_test.go
+++ b/dispatch/call_test.go
@@ -40,6 +40,7 @@
 	steps      int
 	saidNotRun map[string]int // by key: the last step at which a caller was told so
 	answers    map[string]string
+	memory     map[string]bool // servers that a model call has run on
 	requests   int
 }
 
@@ -62,6 +63,7 @@
 	w := &world{
 		t: t, ledger: ledger.New(), clock: 1,
 		runs: map[string][]int{}, saidNotRun: map[string]int{}, answers: map[string]string{},
+		memory: map[string]bool{},
 	}
 	r := w.apply(ledger.Command{OpenProgram: &ledger.OpenProgram{
 		Program: worldProgram, Team: worldTeam, Key: "open", Class: ledger.Standard,
@@ -227,7 +229,7 @@
 		x.next = x.c.timedOut(verdict.DeadlineExceeded)
 	default:
 		server := fmt.Sprintf("s%d", rapid.IntRange(0, 1).Draw(w.t, "server"))
-		x.next = x.c.assigned(target{server: server, incarnation: "i"}, false)
+		x.next = x.c.assigned(target{server: server, incarnation: "i"})
 	}
 }
 
@@ -261,6 +263,7 @@
 		until = rapid.IntRange(0, answerTokens-1).Draw(w.t, "tokens")
 	}
 	if x.kind == ledger.ModelCall {
+		w.memory[x.c.to.server] = true
 		w.stream(x, until)
 	}
 	if fate <= 2 {
@@ -327,9 +330,32 @@
 	}
 }
 
+// finish ends the program and wants a release record for every engine that
+// holds its memory. A tick after all timeouts ends calls that still run.
+func (w *world) finish() {
+	w.clock = 1 << 41
+	for _, c := range []ledger.Command{
+		{Tick: &ledger.Tick{}},
+		{EndProgram: &ledger.EndProgram{Program: worldProgram, Team: worldTeam, Status: ledger.ProgramDone}},
+	} {
+		w.apply(c)
+	}
+	due := w.ledger.Answer(ledger.Query{Releases: &ledger.ReleasesQuery{Limit: 10}}).Releases
+	recorded := map[string]bool{}
+	for _, r := range due {
+		recorded[r.Server] = true
+	}
+	for server := range w.memory {
+		if !recorded[server] {
+			w.t.Fatalf("engine %s holds memory of the ended program without a release record: %v", server, due)
+		}
+	}
+}
+
 // Guards against a non-idempotent call that runs twice, a false not-run, two
-// answers for one key, tokens missing or doubled and an exceeded budget, with
-// lost messages, resends to other hosts, crashes and frozen hosts at any step.
+// answers for one key, tokens missing or doubled, an exceeded budget and engine
+// memory without a release record, with lost messages, resends to other hosts,
+// crashes and frozen hosts at any step.
 func TestCallsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -342,6 +368,7 @@
 			"step4": w.step,
 			"":      w.check,
 		})
+		w.finish()
 	})
 }
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -170,7 +170,7 @@
 		zap.Int("call", s.Call), zap.Int("attempt", s.Attempt), zap.String("server", a.Server),
 		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Duration("queued", x.d.clock()-queuedAt))
-	return x.c.assigned(target{server: v.Server, incarnation: v.Incarnation}, false)
+	return x.c.assigned(target{server: v.Server, incarnation: v.Incarnation})
 }
 
 func (x *execution) refused(caller context.Context, err error) action {
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -22,6 +22,7 @@
 	Server            string          `json:"server,omitempty"`
 	ServerIncarnation string          `json:"server-incarnation,omitempty"`
 	LastServer        string          `json:"last-server,omitempty"`
+	LastIncarnation   string          `json:"last-incarnation,omitempty"`
 	Tokens            int64           `json:"tokens,omitempty"`
 	Answer            json.RawMessage `json:"answer,omitempty"`
 	Verdict           verdict.Verdict `json:"verdict"`
@@ -84,7 +85,7 @@
 		Number: len(p.Calls) + 1, Attempt: 1, Key: c.Key, Fingerprint: c.Fingerprint,
 		Kind: c.Kind, Name: c.Name, Idempotent: c.Idempotent, Status: CallRunning,
 		Host: c.Host, HostIncarnation: c.HostIncarnation,
-		LastServer: p.LastServer, HistoryLength: len(p.History),
+		LastServer: p.LastServer, LastIncarnation: p.LastIncarnation, HistoryLength: len(p.History),
 		OpenedBy: c.Request, OpenedOn: c.HostIncarnation,
 	}
 	timeout := c.Timeout
@@ -182,7 +183,7 @@
 	k.Sent, k.Server, k.ServerIncarnation = true, c.Server, c.ServerIncarnation
 	p.Running.SentRequest = c.Request
 	if k.Kind == ModelCall {
-		p.LastServer = c.Server
+		p.LastServer, p.LastIncarnation = c.Server, c.ServerIncarnation
 		m.memory.hold(p, place)
 	}
 	m.touch(p)
@@ -249,7 +250,7 @@
 	return &CallState{
 		Program: p.ID, Call: k.Number, Attempt: k.Attempt, Kind: k.Kind, Name: k.Name,
 		Idempotent: k.Idempotent, Status: k.Status, Sent: k.Sent, Host: k.Host,
-		HostIncarnation: k.HostIncarnation, Server: k.Server, LastServer: k.LastServer,
+		HostIncarnation: k.HostIncarnation, Server: k.Server, LastServer: k.LastServer, LastIncarnation: k.LastIncarnation,
 		Tokens: k.Tokens, Answer: k.Answer, Verdict: k.Verdict, Reason: k.Reason,
 		HistoryLength: k.HistoryLength, Class: p.Class, Deadline: p.Deadline,
 		AttainedTokens: p.Spent.Tokens,
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -228,11 +228,15 @@
 	Sent       bool       `json:"sent"`
 	// EarlierSent is set on a grant when an attempt of the same key before this
 	// one may have been sent.
-	EarlierSent     bool            `json:"earlier-sent,omitempty"`
-	Host            string          `json:"host"`
-	HostIncarnation string          `json:"host-incarnation"`
-	Server          string          `json:"server,omitempty"`
-	LastServer      string          `json:"last-server,omitempty"` // ran the program's previous model call
+	EarlierSent     bool   `json:"earlier-sent,omitempty"`
+	Host            string `json:"host"`
+	HostIncarnation string `json:"host-incarnation"`
+	Server          string `json:"server,omitempty"`
+	// LastServer and LastIncarnation ran the program's previous model call. The
+	// program has a release record there, so a model call need not be marked
+	// before it is sent to the same incarnation.
+	LastServer      string          `json:"last-server,omitempty"`
+	LastIncarnation string          `json:"last-incarnation,omitempty"`
 	Tokens          int64           `json:"tokens"`
 	Answer          json.RawMessage `json:"answer,omitempty"`
 	Verdict         verdict.Verdict `json:"verdict"`
--- a/ledger/program.go
+++ b/ledger/program.go
@@ -25,14 +25,15 @@
 	Closed   bool  `json:"closed,omitempty"`
 	ClosedAt int64 `json:"closed-at,omitempty"`
 	// Dropped means that calls and history are no longer kept.
-	Dropped    bool      `json:"dropped,omitempty"`
-	Calls      []*call   `json:"calls,omitempty"`
-	CallCount  int       `json:"call-count,omitempty"`
-	Running    *running  `json:"running,omitempty"`
-	Lost       []lost    `json:"lost,omitempty"`
-	History    []Message `json:"history,omitempty"`
-	LastServer string    `json:"last-server,omitempty"`
-	Memory     []place   `json:"memory,omitempty"`
+	Dropped         bool      `json:"dropped,omitempty"`
+	Calls           []*call   `json:"calls,omitempty"`
+	CallCount       int       `json:"call-count,omitempty"`
+	Running         *running  `json:"running,omitempty"`
+	Lost            []lost    `json:"lost,omitempty"`
+	History         []Message `json:"history,omitempty"`
+	LastServer      string    `json:"last-server,omitempty"`
+	LastIncarnation string    `json:"last-incarnation,omitempty"`
+	Memory          []place   `json:"memory,omitempty"`
 
 	keys map[string]int // call numbers
 	due  int64          // time of the entry in Machine.timers, 0 for none
