Test a tool that hangs and a program that loops in a whole deployment

Each was seen to fail with one mechanism taken out: - the service's configured timeout (the default of a minute instead): the call did not end within 15 s - may-have-run for a call that times out while it is being sent: the caller got not-run - the leader's release of engine memory: engine memory was still held 200 polls after the program had ended - the ledger's budget check: 20 of 20 calls were answered with a budget of 3 calls, and with a budget of 150 tokens - the ledger's deadline: the program was still open after 200 polls

--- /dev/null
+++ b/cmd/sycamoreline/runaway_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/operator"
+	"github.com/sycamoreline/sycamoreline/standin"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// maxPolls bounds a wait to ten seconds.
+const maxPolls = 200
+
+type openProgramBody struct {
+	Budget          ledger.Budget `json:"budget"`
+	DeadlineSeconds float64       `json:"deadline-seconds,omitempty"`
+}
+
+type modelCallBody struct {
+	Model     string           `json:"model"`
+	Messages  []ledger.Message `json:"messages"`
+	MaxTokens int              `json:"max-tokens"`
+}
+
+func shortCall(text string) modelCallBody {
+	return modelCallBody{Model: "pattern-7b", Messages: []ledger.Message{{Role: "user", Content: text}}, MaxTokens: 16}
+}
+
+// poll waits until a condition holds, for a bounded number of polls.
+func poll(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ticks := time.NewTicker(readyPoll)
+	defer ticks.Stop()
+	for range maxPolls {
+		if holds() {
+			return
+		}
+		<-ticks.C
+	}
+	t.Fatalf("%s: not reached in %d polls", what, maxPolls)
+}
+
+func programState(ctx context.Context, t *testing.T, d *localDeployment, program string) ledger.ProgramState {
+	t.Helper()
+	var s ledger.ProgramState
+	(&processes{t: t}).get(ctx, d.entryURLs()[1]+"/v1/programs/"+program, d.credentials["tailor-paws"], &s)
+	return s
+}
+
+// setToolTimeout changes the configuration and waits until the change is in
+// force on all entry hosts.
+func setToolTimeout(ctx context.Context, t *testing.T, d *localDeployment, service string, seconds float64) {
+	t.Helper()
+	var urls []string
+	for _, e := range d.entries {
+		urls = append(urls, "http://"+e.OperatorListen)
+	}
+	client := operator.NewClient(urls, d.credentials[""], http.DefaultClient)
+	_, err := client.Apply(ctx, tree.Change{ChangeID: rand.Text(), Writes: []tree.Write{
+		{Path: "/services/" + service, Value: json.RawMessage(fmt.Sprintf(`{"timeout-seconds":%g}`, seconds))},
+	}})
+	assert.NilError(t, err)
+	poll(t, "configuration in force", func() bool {
+		s, err := client.Status(ctx)
+		return err == nil && s.Revision > 0 && s.InForce
+	})
+}
+
+// Guards against a tool that hangs holding up its program, running again on a
+// resend, or leaving budget reserved and engine memory held.
+func TestToolThatHangs(t *testing.T) {
+	d, _ := startLocal(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancel()
+	setToolTimeout(ctx, t, d, "orders", 0.5)
+	d.services["orders"].Faults().Set(standin.Faults{Hang: true})
+	defer d.services["orders"].Faults().Set(standin.Faults{})
+
+	urls := d.entryURLs()
+	first := caller.NewClient(urls[:1], d.credentials["tailor-paws"], caller.WithAttempts(1))
+	second := caller.NewClient(urls[1:], d.credentials["tailor-paws"], caller.WithAttempts(1))
+	s, err := first.Open(ctx, rand.Text(), "", openProgramBody{Budget: ledger.Budget{Tokens: 1000, Calls: 4}})
+	assert.NilError(t, err)
+	_, err = first.Model(ctx, s.Program, rand.Text(), shortCall("measure the dog"))
+	assert.NilError(t, err)
+	assert.Equal(t, held(d.engines), 1)
+
+	key := rand.Text()
+	body := json.RawMessage(`{"dog":"patch"}`)
+	for i, c := range []*caller.Client{first, first, second} {
+		_, err := c.Tool(ctx, s.Program, key, "orders", "cut-order", nil, body)
+		refusal := verdict.From(err)
+		assert.Equal(t, refusal.Verdict(), verdict.MayHaveRun, "send %d: %v", i, err)
+		assert.Equal(t, refusal.Reason(), verdict.Timeout, "send %d: %v", i, err)
+		runs := d.services["orders"].Runs()
+		assert.Equal(t, len(runs), 1, "send %d", i)
+		assert.Equal(t, runs[0].Runs, 1, "send %d", i)
+	}
+
+	s, err = first.End(ctx, s.Program, ledger.ProgramDone)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Status, ledger.ProgramDone)
+	assert.Equal(t, s.Reserved, ledger.Budget{})
+	assert.Equal(t, s.Spent.Calls, int64(2))
+	poll(t, "engine memory released", func() bool { return held(d.engines) == 0 })
+}
+
+// Guards against a program that loops without end: past its budget, or past
+// its deadline once its caller has gone.
+func TestProgramThatLoops(t *testing.T) {
+	d, _ := startLocal(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	const maxLoops = 20
+	tests := []struct {
+		name   string
+		budget ledger.Budget
+	}{
+		{name: "calls", budget: ledger.Budget{Tokens: 50_000, Calls: 3}},
+		{name: "tokens", budget: ledger.Budget{Tokens: 150, Calls: 1000}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := caller.NewClient(d.entryURLs(), d.credentials["tailor-paws"], caller.WithAttempts(1))
+			s, err := client.Open(ctx, rand.Text(), "", openProgramBody{Budget: tt.budget, DeadlineSeconds: 4})
+			assert.NilError(t, err)
+			answered := 0
+			for err == nil && answered < maxLoops {
+				if _, err = client.Model(ctx, s.Program, rand.Text(), shortCall("again")); err == nil {
+					answered++
+				}
+			}
+			assert.Assert(t, answered > 0 && answered < maxLoops, "%d calls answered: %v", answered, err)
+			refusal := verdict.From(err)
+			assert.Equal(t, refusal.Reason(), verdict.BudgetExceeded, "%v", err)
+			assert.Equal(t, refusal.Verdict(), verdict.NotRun, "%v", err)
+			s = programState(ctx, t, d, s.Program)
+			assert.Equal(t, s.Status, ledger.ProgramOpen)
+			assert.Equal(t, s.Spent.Calls, int64(answered))
+			assert.Assert(t, s.Spent.Tokens <= tt.budget.Tokens, "%d tokens spent", s.Spent.Tokens)
+			assert.Equal(t, s.Reserved, ledger.Budget{})
+			assert.Equal(t, held(d.engines), 1)
+
+			poll(t, "program expired", func() bool {
+				return programState(ctx, t, d, s.Program).Status == ledger.ProgramExpired
+			})
+			poll(t, "engine memory released", func() bool { return held(d.engines) == 0 })
+		})
+	}
+}
