Test the loss of a data centre with separate processes

One control host, one entry host and one engine are killed at once while programs run and are started again; then a second control host is killed.

Not seen to fail yet: a tool call that runs twice, and the second failure. Whether a tool call is under way when the hosts are killed is left to chance.

--- /dev/null
+++ b/cmd/sycamoreline/datacentre_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// member is a process of the deployment.
+type member struct{ role, name string }
+
+// Guards against programs lost with a data centre, tool calls that run twice
+// on the way, and history that is lost when a second control host fails right
+// after the first is back.
+func TestDataCentreLost(t *testing.T) {
+	p := startProcesses(t)
+	ctx, cancel := context.WithTimeout(t.Context(), localTestTimeout)
+	defer cancel()
+	lost := []member{{"control", "control-1"}, {"entry", "entry-1"}, {"stand-in-engine", "engine-1"}}
+	outcomes := p.runPrograms(ctx, 24, 3, func(done int) {
+		switch done {
+		case 4:
+			for _, m := range lost {
+				assert.NilError(t, p.running[m.name].Process.Signal(syscall.SIGKILL))
+			}
+			for _, m := range lost {
+				p.signal(m.name, syscall.SIGKILL)
+			}
+		case 12:
+			for _, m := range lost {
+				p.start(m.role, m.name)
+			}
+			assert.NilError(t, p.local.waitReady(ctx))
+			p.signal("control-2", syscall.SIGKILL)
+		}
+	})
+	p.check(ctx, outcomes)
+}
