Test a replaced disk followed by a second failure, and a frozen entry host

Both run separate processes. The first version of the disk test took the old incarnation of the emptied host for a voter and killed a second host before the repair: the group then lost its quorum for good, as it must.

The frozen host is stopped for longer than its lease and goes on while its programs run elsewhere.

--- a/cmd/sycamoreline/process_test.go
+++ b/cmd/sycamoreline/process_test.go
@@ -45,6 +45,7 @@
 	mu      sync.Mutex
 	running map[string]*exec.Cmd // by name, such as control-1
 	logs    map[string]*os.File
+	options []caller.ClientOption // of the programs' callers
 }
 
 // startProcesses writes the settings files and starts every role. The ports
@@ -176,7 +177,7 @@
 		urls[0], urls[1] = urls[1], urls[0]
 	}
 	o := outcome{turns: turns}
-	client := caller.NewClient(urls, p.local.credentials["tailor-paws"], caller.WithAttempts(200))
+	client := caller.NewClient(urls, p.local.credentials["tailor-paws"], append(p.options, caller.WithAttempts(200))...)
 	report := func(e caller.Event) {
 		if e.Opened != nil {
 			o.program = e.Program
--- /dev/null
+++ b/cmd/sycamoreline/replace_test.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/control"
+)
+
+// controlClient reaches the control hosts of the processes.
+func (p *processes) controlClient() *control.Client {
+	s := p.local.entries[0]
+	key, err := control.ReadKey(s.DeploymentKeyFile)
+	assert.NilError(p.t, err)
+	return control.NewClient("test", key, controlAddresses(s.ControlHosts), s.GroupCount)
+}
+
+// isWhole says whether the replicas that run now are the three voters of every
+// log group. A replica that has lost its disk runs as another incarnation than
+// the one that is still a member.
+func isWhole(statuses []control.HostStatus) bool {
+	type running struct {
+		group       int
+		id          string
+		incarnation uint64
+	}
+	replicas := make(map[running]bool)
+	for _, h := range statuses {
+		for _, g := range h.Groups {
+			replicas[running{g.Group, g.ID, g.Incarnation}] = true
+		}
+	}
+	groups := 0
+	for _, h := range statuses {
+		for _, g := range h.Groups {
+			if g.Leader != h.ID {
+				continue
+			}
+			for _, m := range g.Members {
+				if m.Learner || !replicas[running{g.Group, m.ID, m.Incarnation}] {
+					return false
+				}
+			}
+			if len(g.Members) != localControlHosts || !g.MembersCommitted {
+				return false
+			}
+			groups++
+		}
+	}
+	return groups == localGroups+1
+}
+
+// Guards against a control host that counts as a voter before it has caught up
+// after the loss of its disk, and against the loss of history when a second
+// host fails right after the first is repaired.
+func TestSecondHostFailsAfterDiskIsReplaced(t *testing.T) {
+	p := startProcesses(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*localTestTimeout)
+	defer cancel()
+	before := p.runPrograms(ctx, 8, 2, func(int) {})
+
+	p.signal("control-3", syscall.SIGKILL)
+	assert.NilError(t, os.RemoveAll(filepath.Join(p.folder, "control-3")))
+	p.start("control", "control-3")
+	client := p.controlClient()
+	defer client.Close()
+	for !isWhole(client.Statuses(ctx)) {
+		select {
+		case <-ctx.Done():
+			t.Fatal("the replaced replica was not made a voter")
+		case <-time.After(readyPoll):
+		}
+	}
+	p.signal("control-1", syscall.SIGKILL)
+
+	after := p.runPrograms(ctx, 8, 2, func(int) {})
+	for i, o := range append(before, after...) {
+		assert.Check(t, o.err == nil, "program %d: %v", i, o.err)
+	}
+	p.check(ctx, before)
+	p.check(ctx, after)
+}
+
+// Guards against an entry host that was frozen for longer than its lease and
+// then runs a tool call again, or records another outcome than its successor.
+func TestFrozenEntryHost(t *testing.T) {
+	p := startProcesses(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*localTestTimeout)
+	defer cancel()
+	frozen := p.running["entry-1"].Process
+	// Callers must give a silent host up by themselves.
+	p.options = []caller.ClientOption{caller.WithHTTPClient(&http.Client{Timeout: 2 * time.Second})}
+	outcomes := p.runPrograms(ctx, 16, 3, func(done int) {
+		switch done {
+		case 3:
+			assert.Check(t, frozen.Signal(syscall.SIGSTOP))
+		case 12:
+			assert.Check(t, frozen.Signal(syscall.SIGCONT))
+		}
+	})
+	// A program through the host shows that it works again.
+	assert.NilError(t, p.local.waitReady(ctx))
+	outcomes = append(outcomes, p.runProgram(ctx, len(outcomes), 3))
+	p.check(ctx, outcomes)
+}
--- a/control/release.go
+++ b/control/release.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
-	"github.com/sycamoreline/sycamoreline/membership"
 )
 
 const (
@@ -76,58 +74,3 @@
 	}
 	return v.Address, true
 }
-
-// GroupStatus is one log group as a control host sees it.
-type GroupStatus struct {
-	Group  int    `json:"group"`
-	Leader string `json:"leader"`
-	Term   uint64 `json:"term,omitempty"` // set on the leader
-}
-
-// HostStatus is the state of a control host.
-type HostStatus struct {
-	ID     string        `json:"id"`
-	Groups []GroupStatus `json:"groups"`
-	// Members is set on the leader of the configuration group.
-	Members *MemberStatus `json:"members,omitempty"`
-}
-
-// MemberStatus is the state of all members.
-type MemberStatus struct {
-	ConfigRevision int64               `json:"config-revision"`
-	MemberRevision int64               `json:"member-revision"`
-	Hosts          []membership.Host   `json:"hosts"`
-	Servers        []membership.Server `json:"servers"`
-}
-
-func (h *Host) status(_ context.Context, _ string, _ json.RawMessage) (HostStatus, error) {
-	s := HostStatus{ID: h.config.ID}
-	for n, g := range h.groups {
-		leader, _ := g.Leader()
-		term, _ := g.Leading()
-		s.Groups = append(s.Groups, GroupStatus{Group: n, Leader: leader, Term: term})
-	}
-	if _, ok := h.groups[ConfigGroup].Leading(); ok {
-		s.Members = h.memberStatus()
-	}
-	return s, nil
-}
-
-func (h *Host) memberStatus() *MemberStatus {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.members.mu.RLock()
-	defer h.members.mu.RUnlock()
-	all := h.members.members.Difference(-1)
-	s := &MemberStatus{
-		ConfigRevision: h.members.tree.Revision(),
-		MemberRevision: all.Revision,
-		Servers:        all.Servers,
-		Hosts:          h.members.members.Answer(membership.Query{Hosts: &membership.HostsQuery{}}).Hosts,
-	}
-	for i, v := range s.Hosts {
-		m := membership.Member{Kind: membership.HostMember, ID: v.Host, Incarnation: v.Incarnation}
-		s.Hosts[i].AppliedRevision = h.leases.AppliedRevision(m)
-	}
-	return s
-}
