--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -11,19 +11,6 @@
 // maxSends bounds how often one attempt of a call is sent to backend servers.
 const maxSends = 4
 
-// step is the state of a call on this host.
-type step uint8
-
-const (
-	stepOpening step = iota
-	stepWaiting      // another attempt of this call runs elsewhere
-	stepQueued
-	stepMarking
-	stepSending
-	stepSettling
-	stepDone
-)
-
 // action tells the driver what to do next.
 type action uint8
 
@@ -67,7 +54,7 @@
 	host       string
 	incarn     string
 
-	step    step
+	sending bool             // a send is under way
 	state   ledger.CallState // as the ledger granted it
 	to      target
 	sends   int
@@ -97,16 +84,13 @@
 	c.state = s
 	switch {
 	case s.Status == ledger.CallOK:
-		c.step = stepDone
 		return actReply
 	case s.Status != ledger.CallRunning:
 		return c.fail(recordedError(s))
 	case s.Granted:
 		c.mayHave = s.EarlierSent
-		c.step = stepQueued
 		return actEnqueue
 	default:
-		c.step = stepWaiting
 		return actPoll
 	}
 }
@@ -149,7 +133,6 @@
 	if c.kind == ledger.ModelCall && recorded {
 		return c.send()
 	}
-	c.step = stepMarking
 	return actMark
 }
 
@@ -176,7 +159,7 @@
 }
 
 func (c *call) send() action {
-	c.step = stepSending
+	c.sending = true
 	c.sends++
 	return actSend
 }
@@ -205,20 +188,19 @@
 		History: history,
 		Verdict: verdict.Ran,
 	}
-	c.step = stepSettling
 	return actSettle
 }
 
 // broken handles a send that failed. mayRetry is the scheduler's word on the
 // retry budgets.
 func (c *call) broken(err error, mayRetry bool) action {
+	c.sending = false
 	v := verdict.From(err)
 	c.mayHave = c.mayHave || v.Verdict() != verdict.NotRun
 	c.failed = append(c.failed, c.to.server)
 	repeatable := c.kind == ledger.ModelCall || c.idempotent || !c.mayHave
 	permanent := v.Reason() == verdict.BadRequest || v.Reason() == verdict.UnknownModel
 	if repeatable && !permanent && mayRetry && c.sends < maxSends {
-		c.step = stepQueued
 		return actEnqueue
 	}
 	return c.giveUp(v.Reason(), v.Message(), verdict.WithRetryAfter(v.RetryAfter()))
@@ -226,7 +208,7 @@
 
 // timedOut handles the call's timeout or deadline.
 func (c *call) timedOut(reason verdict.Reason) action {
-	if c.step == stepSending {
+	if c.sending {
 		c.mayHave = true
 	}
 	return c.giveUp(reason, "call did not finish in time")
@@ -248,14 +230,12 @@
 		Verdict: v,
 		Reason:  reason,
 	}
-	c.step = stepSettling
 	return actSettle
 }
 
 // settled handles the commit of the outcome.
 func (c *call) settled(s ledger.CallState) action {
 	c.state = s
-	c.step = stepDone
 	if c.err == nil {
 		return actReply
 	}
@@ -272,7 +252,6 @@
 	v := verdict.From(err)
 	if c.err != nil && c.err.Verdict() == verdict.NotRun && v.Reason() != verdict.StaleAttempt {
 		// Nothing was sent, whether or not the record says so.
-		c.step = stepDone
 		return actFail
 	}
 	return c.fail(verdict.New(verdict.MayHaveRun, v.Reason(), "outcome could not be recorded", verdict.WithCause(err)))
@@ -280,7 +259,6 @@
 
 func (c *call) fail(err *verdict.Error) action {
 	c.err = err
-	c.step = stepDone
 	return actFail
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -177,6 +177,9 @@
 
 // boardChanged passes members and limits on to the scheduler.
 func (d *Dispatcher) boardChanged(e board.Event) {
+	applied, _ := d.board.Revisions()
+	d.metrics.Gauge("config-revision").Update(float64(applied))
+	d.metrics.Gauge("servers").Update(float64(len(d.board.Servers())))
 	switch e {
 	case board.ServersChanged:
 		d.syncServers()
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
@@ -16,6 +17,9 @@
 // pollInterval is the wait between two looks at a call that runs elsewhere.
 const pollInterval = 100 * time.Millisecond
 
+// queueWaitBuckets are the bounds of the histogram of waits for a server.
+var queueWaitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
 // sendsPerAttempt is more than an attempt ever has, hedges included.
 const sendsPerAttempt = 100
 
@@ -81,9 +85,11 @@
 		case actSettle:
 			next = x.doSettle(caller)
 		case actReply:
+			x.countEnd("ok")
 			return x.c.state, nil
 		case actFail:
 			x.logFailure()
+			x.countEnd(string(x.c.err.Reason()))
 			x.awaitCrashKnown(caller)
 			return x.c.state, x.c.err
 		}
@@ -139,6 +145,7 @@
 	if err != nil {
 		return x.c.takeOverFailed(err)
 	}
+	x.d.metrics.Counter("take-overs").Inc(1)
 	x.logger.Info("call taken over", zap.Int("call", s.Call), zap.Int("attempt", s.Attempt))
 	return x.opened(s)
 }
@@ -166,6 +173,7 @@
 		return x.c.broken(verdict.New(verdict.NotRun, verdict.NoServer, "the chosen server has left"), true)
 	}
 	x.server = v
+	x.d.metrics.Histogram("queue-wait", queueWaitBuckets).RecordDuration(x.d.clock() - queuedAt)
 	x.logger.Info("call routed",
 		zap.Int("call", s.Call), zap.Int("attempt", s.Attempt), zap.String("server", a.Server),
 		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
@@ -216,6 +224,7 @@
 func (x *execution) doSend(work context.Context) action {
 	ctx, cancel := context.WithDeadline(work, x.until)
 	defer cancel()
+	x.d.metrics.Counter("sends").Inc(1)
 	r, err := x.sender.send(ctx, x, attempt{server: x.server, assignment: x.assignment, number: x.sendNumber()})
 	x.server, x.assignment = r.by.server, r.by.assignment
 	if err == nil {
@@ -257,6 +266,11 @@
 	return x.c.settled(s)
 }
 
+// countEnd counts an answered request by kind and outcome.
+func (x *execution) countEnd(outcome string) {
+	x.d.metrics.Tagged(map[string]string{"kind": string(x.open.Kind), "outcome": outcome}).Counter("calls").Inc(1)
+}
+
 func (x *execution) logFailure() {
 	x.logger.Info("call failed",
 		zap.Int("call", x.c.state.Call), zap.Int("sends", x.c.sends),
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -102,6 +102,7 @@
 		r.x.d.queue.Finished(h.ID, h.Server, schedule.Usage{}, schedule.FailedUnsent)
 		return false
 	}
+	r.x.d.metrics.Counter("hedges").Inc(1)
 	r.x.logger.Info("call hedged", zap.Int("call", h.ID.Call), zap.String("server", h.Server),
 		zap.String("slow-server", r.streams[0].attempt.server.Server), zap.String("reason", h.Reason),
 		zap.Int("alternatives", h.Alternatives))
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -59,6 +59,7 @@
 func (x *execution) reportCrash(work context.Context, server membership.Server) {
 	ctx, cancel := context.WithTimeout(work, crashReportTimeout)
 	defer cancel()
+	x.d.metrics.Counter("server-crashes").Inc(1)
 	x.logger.Warn("server crashed", zap.String("server", server.Server), zap.Int("call", x.c.state.Call))
 	err := x.d.crashes.ReportCrash(ctx, membership.ReportCrash{
 		Server:            server.Server,
