--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -236,8 +236,8 @@
 	r.Handle("/healthz", p.Gate.Health()).Methods(http.MethodGet)
 	r.Handle("/readyz", p.Gate.Health()).Methods(http.MethodGet)
 	r.PathPrefix("/v1/operator/").Handler(operator.New(&operatorBackend{
-		Configuration: control.NewConfiguration(p.Client),
-		settings:      s, board: p.Board, dispatcher: p.Dispatcher, clock: p.Clock, gate: p.Gate,
+		Configuration: control.NewConfiguration(p.Client), client: p.Client,
+		settings: s, board: p.Board, dispatcher: p.Dispatcher, clock: p.Clock, gate: p.Gate,
 	}, p.Credentials))
 	return r
 }
--- a/cmd/sycamoreline/operators.go
+++ b/cmd/sycamoreline/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/sycamoreline/sycamoreline/balancer"
@@ -19,6 +20,7 @@
 // entry host knows.
 type operatorBackend struct {
 	*control.Configuration
+	client     *control.Client
 	settings   settings.Entry
 	board      *board.Board
 	dispatcher *dispatch.Dispatcher
@@ -58,6 +60,7 @@
 		Revision: current.Revision, InForce: inForce.InForce, Waiting: []string{},
 		EntryHosts: []operator.EntryStatus{b.self(snapshot)},
 		Servers:    b.servers(snapshot),
+		Groups:     logGroups(b.client.Statuses(ctx)),
 	}
 	for _, m := range inForce.Waiting {
 		s.Waiting = append(s.Waiting, m.ID)
@@ -65,6 +68,30 @@
 	return s, nil
 }
 
+// logGroups lists the groups in order, each with the control hosts that
+// answered.
+func logGroups(hosts []control.HostStatus) []operator.GroupStatus {
+	var all []operator.GroupStatus
+	for _, h := range hosts {
+		for _, g := range h.Groups {
+			s := operator.GroupStatus{
+				Group: g.Group, Host: h.ID, Role: g.Role, Leader: g.Leader, Commit: g.Commit,
+				Voters: []string{}, Learners: []string{},
+			}
+			for _, m := range g.Members {
+				if m.Learner {
+					s.Learners = append(s.Learners, m.ID)
+				} else {
+					s.Voters = append(s.Voters, m.ID)
+				}
+			}
+			all = append(all, s)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b operator.GroupStatus) int { return a.Group - b.Group })
+	return all
+}
+
 func (b *operatorBackend) self(snapshot schedule.Snapshot) operator.EntryStatus {
 	applied, _ := b.board.Revisions()
 	e := operator.EntryStatus{
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -36,6 +36,18 @@
 	Waiting    []string       `json:"waiting"` // entry hosts that have not
 	EntryHosts []EntryStatus  `json:"entry-hosts"`
 	Servers    []ServerStatus `json:"servers"`
+	Groups     []GroupStatus  `json:"log-groups"`
+}
+
+// GroupStatus is one log group as one control host sees it.
+type GroupStatus struct {
+	Group    int      `json:"group"`
+	Host     string   `json:"host"`
+	Role     string   `json:"role"`
+	Leader   string   `json:"leader"`
+	Commit   uint64   `json:"commit"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners"`
 }
 
 // EntryStatus is the state of an entry host.
--- a/operator/table.go
+++ b/operator/table.go
@@ -28,6 +28,13 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Server, v.Kind, v.DataCentre, v.Address, strings.Join(v.Serves, ","), v.Running, v.Slots, state)
 	}
+	if len(s.Groups) > 0 {
+		fmt.Fprintln(t, "\nLOG GROUP\tCONTROL HOST\tROLE\tLEADER\tCOMMIT\tVOTERS\tLEARNERS")
+	}
+	for _, g := range s.Groups {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%d\t%s\t%s\n",
+			g.Group, g.Host, g.Role, g.Leader, g.Commit, strings.Join(g.Voters, ","), strings.Join(g.Learners, ","))
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
