cmd/sycamoreline: apply waits until the change is in force

On the local example, status still named both entry hosts right after apply had returned. TestApplyWaitsUntilInForce was seen to fail without the wait.

--- a/cmd/sycamoreline/apply.go
+++ b/cmd/sycamoreline/apply.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"flag"
 	"fmt"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -92,7 +93,8 @@
 Sends the difference that plan shows as one change. It is applied as a whole,
 or not at all if any of its paths was changed meanwhile. The change is kept in
 the directory until its outcome is known; if the response is lost, the next
-apply sends the same change again and learns its outcome.
+apply sends the same change again and learns its outcome. Then waits until the
+change is in force on every entry host.
 
 Example:
   sycamoreline apply -entry http://127.0.0.1:7211 \
@@ -155,5 +157,38 @@
 		return subcommands.ExitFailure
 	}
 	fmt.Fprintf(c.out, "change %s applied at revision %d\n", change.ChangeID, outcome.Revision)
+	c.reportInForce(ctx, client, outcome.Revision)
 	return subcommands.ExitSuccess
 }
+
+const (
+	// inForceTimeout is the time within which an accepted change is in force
+	// everywhere.
+	inForceTimeout = 8 * time.Second
+	inForcePoll    = 100 * time.Millisecond
+)
+
+// reportInForce waits until the change is in force on every entry host. The
+// change stays accepted if it is not, so that is no failure of the command.
+func (c *applyCommand) reportInForce(ctx context.Context, client *operator.Client, revision int64) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	for {
+		s, err := client.Status(ctx)
+		switch {
+		case err == nil && s.InForce && s.Revision >= revision:
+			fmt.Fprintf(c.out, "in force on every entry host after %s\n", time.Since(started).Round(time.Millisecond))
+			return
+		case verdict.From(err) != nil && verdict.From(err).Reason() == verdict.Forbidden:
+			// Only operators may ask for the state of all hosts.
+			return
+		}
+		select {
+		case <-ctx.Done():
+			fmt.Fprintf(c.errs, "not known to be in force everywhere after %s: see sycamoreline status\n", inForceTimeout)
+			return
+		case <-time.After(inForcePoll):
+		}
+	}
+}
--- a/cmd/sycamoreline/local_test.go
+++ b/cmd/sycamoreline/local_test.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -183,3 +185,23 @@
 	}
 	return n
 }
+
+// Guards against an apply that returns before the change is in force, and
+// against a limit that an entry host does not know by then.
+func TestApplyWaitsUntilInForce(t *testing.T) {
+	d, _ := startLocal(t)
+	folder := t.TempDir()
+	token := filepath.Join(folder, "operator.credential")
+	assert.NilError(t, os.WriteFile(token, []byte(d.credentials[""]), 0o600))
+	root := filepath.Join(folder, "settings")
+	limits := filepath.Join(root, "teams", "tailor-paws", "limits.json")
+	assert.NilError(t, os.MkdirAll(filepath.Dir(limits), 0o700))
+	assert.NilError(t, os.WriteFile(limits, []byte(`{"weight": 1, "max-tokens": 100}`), 0o600))
+
+	status, out, errs := execute("apply", "-entry", "http://"+d.entries[0].OperatorListen, "-credential", token, root)
+	assert.Equal(t, int(status), 0, errs)
+	assert.Assert(t, strings.Contains(out, "in force on every entry host"), out+errs)
+	for _, err := range runAll(t.Context(), d, []caller.ProgramFile{conversation("a", 1), conversation("b", 1)}) {
+		assert.ErrorContains(t, err, "budget.tokens: 50000 is more than the 100")
+	}
+}
