dispatch: send no queued call once the lease has run out

Cause: seen on reading. A call accepted under a lease could wait in the queue until after it, and a model call to the program's last engine needs no commit that would fail. The server may be leaving by then.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -49,18 +49,18 @@
 // call is the deterministic state machine of one call on one entry host. Each
 // method takes an event and returns the driver's next action.
 type call struct {
-	kind       ledger.CallKind
-	idempotent bool
-	host       string
-	incarn     string
-
-	sending bool             // a send is under way
-	state   ledger.CallState // as the ledger granted it
-	to      target
-	sends   int
-	failed  []string // servers that failed a send of this attempt
-	marked  map[target]bool
-	mayHave bool // a send may have reached a server
+	kind        ledger.CallKind
+	idempotent  bool
+	host        string
+	incarnation string
+
+	sending   bool             // a send is under way
+	state     ledger.CallState // as the ledger granted it
+	to        target
+	sends     int
+	failed    []string // servers that failed a send of this attempt
+	marked    map[target]bool
+	maybeSent bool // a send may have reached a server
 
 	received int    // tokens of the answer, without gaps
 	text     []byte // their text
@@ -71,11 +71,11 @@
 
 func newCall(kind ledger.CallKind, idempotent bool, host, incarnation string) *call {
 	return &call{
-		kind:       kind,
-		idempotent: idempotent,
-		host:       host,
-		incarn:     incarnation,
-		marked:     make(map[target]bool),
+		kind:        kind,
+		idempotent:  idempotent,
+		host:        host,
+		incarnation: incarnation,
+		marked:      make(map[target]bool),
 	}
 }
 
@@ -88,7 +88,7 @@
 	case s.Status != ledger.CallRunning:
 		return c.fail(recordedError(s))
 	case s.Granted:
-		c.mayHave = s.EarlierSent
+		c.maybeSent = s.EarlierSent
 		return actEnqueue
 	default:
 		return actPoll
@@ -109,7 +109,7 @@
 // isOwn says whether this process runs the attempt, for another request with
 // the same key.
 func (c *call) isOwn(s ledger.CallState) bool {
-	return s.Host == c.host && s.HostIncarnation == c.incarn
+	return s.Host == c.host && s.HostIncarnation == c.incarnation
 }
 
 // openFailed handles a refusal of the ledger or the loss of its answer.
@@ -196,9 +196,9 @@
 func (c *call) broken(err error, mayRetry bool) action {
 	c.sending = false
 	v := verdict.From(err)
-	c.mayHave = c.mayHave || v.Verdict() != verdict.NotRun
+	c.maybeSent = c.maybeSent || v.Verdict() != verdict.NotRun
 	c.failed = append(c.failed, c.to.server)
-	repeatable := c.kind == ledger.ModelCall || c.idempotent || !c.mayHave
+	repeatable := c.kind == ledger.ModelCall || c.idempotent || !c.maybeSent
 	permanent := v.Reason() == verdict.BadRequest || v.Reason() == verdict.UnknownModel
 	if repeatable && !permanent && mayRetry && c.sends < maxSends {
 		return actEnqueue
@@ -209,7 +209,7 @@
 // timedOut handles the call's timeout or deadline.
 func (c *call) timedOut(reason verdict.Reason) action {
 	if c.sending {
-		c.mayHave = true
+		c.maybeSent = true
 	}
 	return c.giveUp(reason, "call did not finish in time")
 }
@@ -217,7 +217,7 @@
 // giveUp settles the call with the verdict that the sends so far allow.
 func (c *call) giveUp(reason verdict.Reason, message string, opts ...verdict.Option) action {
 	status, v := ledger.CallNotSent, verdict.NotRun
-	if c.mayHave {
+	if c.maybeSent {
 		status, v = ledger.CallFailed, verdict.MayHaveRun
 		if c.kind == ledger.ToolCall && !c.idempotent {
 			status = ledger.CallUnknown
--- a/dispatch/call_test.go
+++ b/dispatch/call_test.go
@@ -236,7 +236,7 @@
 func (w *world) mark(x *simExecution) {
 	_, err := w.exchange(ledger.Command{MarkSent: &ledger.MarkSent{
 		Program: worldProgram, Call: x.c.state.Call, Attempt: x.c.state.Attempt,
-		Server: x.c.to.server, ServerIncarnation: x.c.to.incarnation, PreviousUnsent: x.c.sends > 0 && !x.c.mayHave,
+		Server: x.c.to.server, ServerIncarnation: x.c.to.incarnation, PreviousUnsent: x.c.sends > 0 && !x.c.maybeSent,
 	}})
 	if err != nil {
 		x.next = x.c.markFailed(err)
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -167,9 +167,15 @@
 		return x.refused(caller, err)
 	}
 	x.assignment = a
+	if !x.d.board.LeaseLive(x.d.clock()) {
+		// What this host knows of the server may be out of date: it may be leaving.
+		x.finished(schedule.Usage{}, schedule.FailedUnsent)
+		return x.c.refused(verdict.LeaseExpired, "this entry host has lost the control hosts", verdict.WithRetryAfter(time.Second))
+	}
 	v, ok := x.d.board.Server(a.Server)
 	if !ok {
 		x.finished(schedule.Usage{}, schedule.FailedUnsent)
+		x.c.to = target{server: a.Server}
 		return x.c.broken(verdict.New(verdict.NotRun, verdict.NoServer, "the chosen server has left"), true)
 	}
 	x.server = v
@@ -212,7 +218,7 @@
 		Attempt:           s.Attempt,
 		Server:            v.Server,
 		ServerIncarnation: v.Incarnation,
-		PreviousUnsent:    x.c.sends > 0 && !x.c.mayHave,
+		PreviousUnsent:    x.c.sends > 0 && !x.c.maybeSent,
 		Request:           x.d.newRequest(),
 	}
 }
@@ -278,6 +284,7 @@
 		zap.Error(x.c.err))
 }
 
+// pause waits. It returns false when the context has ended.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
