--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,7 +40,7 @@
 type generator struct {
 	settings  Settings
 	transport http.RoundTripper
-	client    *caller.Client
+	clients   []*caller.Client // each tries another entry host first
 	recorder  *recorder
 	run       string
 	running   chan struct{} // one entry for each program
@@ -72,8 +73,12 @@
 	if g.run == "" {
 		g.run = rand.Text()
 	}
-	g.client = caller.NewClient(s.EntryHosts, credential, caller.WithAttempts(s.Attempts),
-		caller.WithHTTPClient(&http.Client{Transport: &meter{next: g.transport, recorder: g.recorder}}))
+	httpClient := &http.Client{Transport: &meter{next: g.transport, recorder: g.recorder}}
+	for i := range s.EntryHosts {
+		hosts := append(slices.Clone(s.EntryHosts[i:]), s.EntryHosts[:i]...)
+		g.clients = append(g.clients, caller.NewClient(hosts, credential,
+			caller.WithAttempts(s.Attempts), caller.WithHTTPClient(httpClient)))
+	}
 	stop := g.showProgress(progress)
 	g.all(ctx, Plan(s))
 	stop()
@@ -133,7 +138,10 @@
 	arrived := g.start.Add(a.At)
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(deadline+overtime))
 	defer cancel()
-	p := &program{generator: g, arrival: a, key: fmt.Sprintf("%s-%d", g.run, n), due: arrived}
+	p := &program{
+		generator: g, client: g.clients[n%len(g.clients)], arrival: a,
+		key: fmt.Sprintf("%s-%d", g.run, n), due: arrived,
+	}
 	err := p.run(ctx)
 	elapsed := time.Since(arrived)
 	switch {
@@ -155,6 +163,7 @@
 // program is one program in progress.
 type program struct {
 	*generator
+	client  *caller.Client
 	arrival Arrival
 	key     string
 	id      string
--- a/load/settings.go
+++ b/load/settings.go
@@ -13,7 +13,7 @@
 
 // Settings describe a run.
 type Settings struct {
-	// EntryHosts are base URLs of entry hosts, used in turn.
+	// EntryHosts are base URLs of entry hosts. Programs begin on each in turn.
 	EntryHosts []string `json:"entry-hosts"`
 	// CredentialFile holds the credential of the team.
 	CredentialFile string   `json:"credential-file"`
