--- a/cmd/sycamoreline/inspect.go
+++ b/cmd/sycamoreline/inspect.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/sycamoreline/sycamoreline/operator"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -128,7 +129,7 @@
 			return c.failure(err)
 		case err != nil:
 			fmt.Fprintln(c.errs, err)
-			pause(ctx, watchRetry)
+			pause.For(ctx, watchRetry)
 			continue
 		}
 		c.print(d.Entries)
@@ -136,12 +137,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-ctx.Done()
-}
-
 type statusCommand struct{ inspectCommand }
 
 func (*statusCommand) Name() string { return "status" }
--- a/control/client.go
+++ b/control/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -160,7 +161,7 @@
 			}
 			target = (target + 1) % len(c.peers)
 		}
-		if !pause(ctx, delay) {
+		if !pause.For(ctx, delay) {
 			return c.unavailable(unknown, last)
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -210,15 +211,3 @@
 	}
 	return -1
 }
-
-// pause waits for the delay. It returns false when the context has ended.
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/control/host.go
+++ b/control/host.go
@@ -16,6 +16,7 @@
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/replica"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -260,7 +261,7 @@
 // every runs f at an interval until the host is closed.
 func (h *Host) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
 	defer h.wait.Done()
-	for pause(ctx, interval) {
+	for pause.For(ctx, interval) {
 		f(ctx)
 	}
 }
--- a/control/host_test.go
+++ b/control/host_test.go
@@ -20,6 +20,7 @@
 	"github.com/sycamoreline/sycamoreline/faults"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -250,7 +251,7 @@
 		if r.InForce {
 			break
 		}
-		assert.Assert(c.t, pause(ctx, time.Millisecond), "revision %d is not in force; waiting for %v", revision, r.Waiting)
+		assert.Assert(c.t, pause.For(ctx, time.Millisecond), "revision %d is not in force; waiting for %v", revision, r.Waiting)
 	}
 	for i, b := range c.boards {
 		applied, _ := b.Revisions()
@@ -277,14 +278,14 @@
 	assert.NilError(t, err)
 	for _, b := range c.boards {
 		for available(b) != 1 {
-			assert.Assert(t, pause(ctx, time.Millisecond), "server is not known everywhere")
+			assert.Assert(t, pause.For(ctx, time.Millisecond), "server is not known everywhere")
 		}
 	}
 	c.links[1].set(false)
 	a.Leaving = true
 	_, err = c.clients[0].Announce(ctx, a)
 	assert.NilError(t, err)
-	pause(ctx, testTTL)
+	pause.For(ctx, testTTL)
 	for i, b := range c.boards {
 		assert.Assert(t, !b.LeaseLive(c.now()) || available(b) == 0, "entry-%d still takes the server for available", i+1)
 	}
@@ -322,7 +323,7 @@
 	assert.Assert(t, open.Granted)
 
 	takeOver := ledger.TakeOver{Program: "p", Call: 1, Attempt: 1, Host: "entry-2", HostIncarnation: "1", Request: "r2"}
-	pause(ctx, testTTL) // a control host that has just started takes every host to be alive
+	pause.For(ctx, testTTL) // a control host that has just started takes every host to be alive
 	_, err = second.TakeOver(ctx, open, takeOver)
 	assert.Equal(t, verdict.From(err).Reason(), verdict.CallInProgress)
 
@@ -334,7 +335,7 @@
 			return
 		}
 		assert.Equal(t, verdict.From(err).Reason(), verdict.CallInProgress)
-		assert.Assert(t, pause(ctx, time.Millisecond))
+		assert.Assert(t, pause.For(ctx, time.Millisecond))
 	}
 }
 
--- a/control/lease.go
+++ b/control/lease.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -110,7 +111,7 @@
 			healthy = ok
 			k.logger.Info("control hosts", zap.Bool("reachable", ok), zap.Error(err))
 		}
-		pause(ctx, max(interval-(k.clock()-sent), 0))
+		pause.For(ctx, max(interval-(k.clock()-sent), 0))
 	}
 }
 
@@ -143,7 +144,7 @@
 		// A control host that is down learns of this host when it is back.
 		_ = p.notify(attempt, methodPresence, request)
 		cancel()
-		pause(ctx, interval)
+		pause.For(ctx, interval)
 	}
 }
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -10,6 +10,7 @@
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -118,7 +119,7 @@
 }
 
 func (x *execution) doPoll(caller, work context.Context) action {
-	if !pause(caller, pollInterval) || work.Err() != nil {
+	if !pause.For(caller, pollInterval) || work.Err() != nil {
 		return x.c.openFailed(verdict.New(verdict.MayHaveRun, verdict.CallInProgress,
 			"another attempt of this call is running", verdict.WithRetryAfter(time.Second)))
 	}
@@ -283,15 +284,3 @@
 		zap.Stringer("verdict", x.c.err.Verdict()), zap.String("reason", string(x.c.err.Reason())),
 		zap.Error(x.c.err))
 }
-
-// pause waits. It returns false when the context has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/dispatch/program.go
+++ b/dispatch/program.go
@@ -10,6 +10,7 @@
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -62,7 +63,7 @@
 	}
 	a := d.queue.Admit(p)
 	for !a.Admitted && a.Wait > 0 {
-		if !pause(ctx, a.Wait) {
+		if !pause.For(ctx, a.Wait) {
 			d.queue.EndProgram(c.Program)
 			return verdict.New(verdict.NotRun, verdict.Cancelled, "the caller went away before the program was admitted")
 		}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -77,7 +78,7 @@
 // caller could send it again to a host that does not.
 func (x *execution) awaitCrashKnown(caller context.Context) {
 	if wait := time.Until(x.crashKnown); wait > 0 {
-		pause(context.WithoutCancel(caller), wait)
+		pause.For(context.WithoutCancel(caller), wait)
 	}
 }
 
@@ -90,12 +91,12 @@
 			return a, err
 		}
 		g, err := x.d.crashes.Quarantine(ctx, x.d.host, x.d.incarnation, a.Server)
-		if err == nil && pause(ctx, time.Duration(g.Wait)*time.Millisecond) {
+		if err == nil && pause.For(ctx, time.Duration(g.Wait)*time.Millisecond) {
 			x.quarantine = &g
 			return a, nil
 		}
 		x.d.queue.Finished(a.ID, a.Server, schedule.Usage{}, schedule.CallerCancelled)
-		if !pause(ctx, quarantineRetry) {
+		if !pause.For(ctx, quarantineRetry) {
 			return schedule.Assignment{}, ctx.Err()
 		}
 	}
--- a/engine/standin_test.go
+++ b/engine/standin_test.go
@@ -112,7 +112,7 @@
 		assert.Equal(t, len(events), 0)
 		assert.Equal(t, next, int64(1))
 		assert.Equal(t, h.report().Running, 0)
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // virtual time
 		events, next = l.page(1)
 		assert.DeepEqual(t, events, []CacheEvent{{Sequence: 1, Kind: "stored", Program: "p", Tokens: 10}})
 		assert.Equal(t, next, int64(2))
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/settings"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -68,8 +69,8 @@
 }
 
 func (e *entryHost) RoundTrip(r *http.Request) (*http.Response, error) {
-	if err := wait(r.Context(), e.delay()); err != nil {
-		return nil, err
+	if !pause.For(r.Context(), e.delay()) {
+		return nil, r.Context().Err()
 	}
 	w := httptest.NewRecorder()
 	switch {
--- a/load/run.go
+++ b/load/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamoreline/sycamoreline/caller"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -101,7 +102,7 @@
 	var programs sync.WaitGroup
 	defer programs.Wait()
 	for n, a := range plan {
-		if wait(ctx, time.Until(g.start.Add(a.At))) != nil {
+		if !pause.For(ctx, time.Until(g.start.Add(a.At))) {
 			return
 		}
 		crest := g.settings.inCrest(a.At)
@@ -118,20 +119,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // program runs one program and counts its outcome.
 func (g *generator) program(ctx context.Context, n int, a Arrival, crest bool) {
 	deadline := g.settings.Deadline.D()
@@ -212,8 +199,8 @@
 		p.due = time.Now().Add(s.Pause)
 		p.paused += s.Pause
 	}
-	if err := wait(ctx, time.Until(p.due)); err != nil {
-		return err
+	if !pause.For(ctx, time.Until(p.due)) {
+		return ctx.Err()
 	}
 	err := p.call(ctx, fmt.Sprintf("%s-%d", p.key, i+1), s)
 	outcome := "ok"
--- a/weightstore/client.go
+++ b/weightstore/client.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -98,7 +99,7 @@
 		if errors.As(err, &final) || failures >= c.attempts || ctx.Err() != nil {
 			return f.size, verdict.From(err)
 		}
-		if wait(ctx, c.backoff(failures, verdict.From(err).RetryAfter())) != nil {
+		if !pause.For(ctx, c.backoff(failures, verdict.From(err).RetryAfter())) {
 			return f.size, verdict.From(err)
 		}
 	}
@@ -118,21 +119,10 @@
 	c.mu.Lock()
 	d := c.bucket.Take(time.Since(c.start), int64(n))
 	c.mu.Unlock()
-	return wait(ctx, d)
-}
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // finalError is an error that a retry cannot mend.
--- a/weightstore/standin.go
+++ b/weightstore/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/standin"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -144,8 +145,8 @@
 		p.store.mu.Lock()
 		d := p.store.bucket.Take(time.Since(p.store.start), int64(len(data)))
 		p.store.mu.Unlock()
-		if err := wait(p.r.Context(), d); err != nil {
-			return 0, err
+		if !pause.For(p.r.Context(), d) {
+			return 0, p.r.Context().Err()
 		}
 	}
 	allowed := min(int64(len(data)), max(0, p.left))
