--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,392 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	// poolDialTimeout bounds a new connection. A server takes milliseconds; one
+	// whose queue of new connections is full drops the opening packet.
+	poolDialTimeout = 700 * time.Millisecond
+	// poolIdle is how long a connection is kept for the next request. Servers
+	// may name a shorter time.
+	poolIdle = 8 * time.Second
+	// idleMargin is taken off the time that a server names, so that a request
+	// does not cross the server's close.
+	idleMargin = 500 * time.Millisecond
+	// maxStrays bounds the foreign responses that are skipped before the own
+	// one.
+	maxStrays = 4
+	// maxStrayBytes bounds the body of a foreign response.
+	maxStrayBytes = 1 << 20
+	// unackedTimeout ends connections that have gone silent.
+	unackedTimeout = 2 * time.Second
+	// linuxUserTimeout is TCP_USER_TIMEOUT.
+	linuxUserTimeout = 18
+)
+
+// ErrStray is the error of a connection on which too many responses belonged
+// to other requests.
+var ErrStray = errors.New("responses belong to other requests")
+
+// Outgoing is a request to a backend server, as it goes onto the wire.
+type Outgoing struct {
+	Method string
+	Target string // path and query, as the caller sent them
+	Host   string
+	Header http.Header
+	Body   []byte
+	// MaxIdle is the longest time that a connection may have been idle before
+	// it carries this request; 0 means any. A server may close an idle
+	// connection at the moment at which it is used.
+	MaxIdle time.Duration
+}
+
+// Mine tells whether a response answers the request.
+type Mine func(*http.Response) bool
+
+// Pool keeps connections to backend servers for one request at a time. Unlike
+// net/http it never sends a request twice, tells whether a request may have
+// reached the server, and skips responses that belong to other requests.
+type Pool struct {
+	dial Dial
+
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address
+	closed bool
+	wait   sync.WaitGroup
+}
+
+// NewPool returns an empty pool. A nil dial means TCP.
+func NewPool(dial Dial) *Pool {
+	if dial == nil {
+		d := &net.Dialer{
+			Timeout:         poolDialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
+			Control: func(_, _ string, c syscall.RawConn) error {
+				return c.Control(func(fd uintptr) {
+					// Without the option, the keep-alive probes find the silence.
+					_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, linuxUserTimeout, int(unackedTimeout.Milliseconds()))
+				})
+			},
+		}
+		dial = d.DialContext
+	}
+	return &Pool{dial: dial, idle: map[string][]*conn{}}
+}
+
+// Close drops all idle connections and waits for those in use.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, cs := range p.idle {
+		for _, c := range cs {
+			c.nc.Close()
+		}
+	}
+	p.mu.Unlock()
+	p.wait.Wait()
+}
+
+// DropAddress closes the idle connections to a server that is gone.
+func (p *Pool) DropAddress(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.nc.Close()
+	}
+	delete(p.idle, address)
+}
+
+// conn is one connection. Its reader goroutine runs as long as it is open, so
+// that a close and bytes that nobody asked for are noticed at once.
+type conn struct {
+	pool    *Pool
+	address string
+	nc      net.Conn
+	br      *bufio.Reader
+	idleFor time.Duration
+	timer   *time.Timer
+	idleAt  time.Time
+
+	mu      sync.Mutex
+	current *pooledExchange
+	broken  bool
+}
+
+// pooledExchange is a request that waits for its response.
+type pooledExchange struct {
+	request  *http.Request
+	mine     Mine
+	response chan pooledResult // has room for the only result
+	bodyDone chan bool         // true if the connection may be used again
+	written  chan error        // has room for the only result
+}
+
+type pooledResult struct {
+	response *http.Response
+	err      error
+}
+
+// Do sends a request and returns the response whatever its status. The body
+// must be closed; closing it early, or ending the context, closes the
+// connection. An error is a *verdict.Error: its verdict is NotRun only if no
+// byte of the request was written.
+func (p *Pool) Do(ctx context.Context, address string, o *Outgoing, mine Mine) (*http.Response, error) {
+	x := &pooledExchange{
+		request: &http.Request{Method: o.Method}, mine: mine,
+		response: make(chan pooledResult, 1), bodyDone: make(chan bool, 1), written: make(chan error, 1),
+	}
+	c, err := p.begin(ctx, address, o.MaxIdle, x)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ServerFailed, "connect to "+address, verdict.WithCause(err))
+	}
+	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
+	go func() { x.written <- o.write(c.nc) }()
+	r := <-x.response
+	if r.err != nil {
+		stop()
+		c.nc.Close()
+		return nil, failed(ctx, address, r.err)
+	}
+	r.response.Body = &pooledBody{ReadCloser: r.response.Body, conn: c, exchange: x, stop: stop, closes: r.response.Close}
+	return r.response, nil
+}
+
+func failed(ctx context.Context, address string, err error) error {
+	reason := verdict.ServerFailed
+	if ctx.Err() != nil {
+		reason = verdict.Cancelled
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = verdict.Timeout
+		}
+	}
+	return verdict.New(verdict.MayHaveRun, reason, "no response from "+address, verdict.WithCause(err))
+}
+
+// write sends the request in one piece, so that small requests are one packet.
+func (o *Outgoing) write(w io.Writer) error {
+	head := make([]byte, 0, 1024+len(o.Body))
+	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", o.Method, o.Target, o.Host)
+	for name, values := range o.Header {
+		for _, v := range values {
+			head = fmt.Appendf(head, "%s: %s\r\n", name, v)
+		}
+	}
+	if len(o.Body) > 0 || o.Method != http.MethodGet && o.Method != http.MethodHead {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(o.Body))
+	}
+	head = append(head, "\r\n"...)
+	head = append(head, o.Body...)
+	_, err := w.Write(head)
+	return err
+}
+
+// begin starts an exchange on an idle connection, or on a new one.
+func (p *Pool) begin(ctx context.Context, address string, maxIdle time.Duration, x *pooledExchange) (*conn, error) {
+	for {
+		c := p.takeIdle(address, maxIdle)
+		fresh := c == nil
+		if fresh {
+			var err error
+			if c, err = p.connect(ctx, address); err != nil {
+				return nil, err
+			}
+		}
+		if c.begin(x) {
+			return c, nil
+		}
+		c.nc.Close()
+		if fresh {
+			return nil, errors.New("connection was closed at once")
+		}
+	}
+}
+
+// takeIdle returns the connection that was used last, or nil.
+func (p *Pool) takeIdle(address string, maxIdle time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle[address]); n > 0; n = len(p.idle[address]) {
+		c := p.idle[address][n-1]
+		if maxIdle > 0 && time.Since(c.idleAt) > maxIdle {
+			return nil
+		}
+		p.idle[address] = p.idle[address][:n-1]
+		if c.timer.Stop() {
+			return c
+		}
+	}
+	return nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	nc, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{pool: p, address: address, nc: nc, br: bufio.NewReader(nc), idleFor: poolIdle}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		nc.Close()
+		return nil, net.ErrClosed
+	}
+	p.wait.Add(1)
+	go c.read()
+	return c, nil
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.nc.Close()
+		return
+	}
+	c.idleAt = time.Now()
+	c.timer = time.AfterFunc(c.idleFor, func() { c.nc.Close() })
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// remove forgets an idle connection that has ended.
+func (p *Pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[c.address]
+	for i, o := range cs {
+		if o == c {
+			c.timer.Stop()
+			cs[i] = cs[len(cs)-1]
+			p.idle[c.address] = cs[:len(cs)-1]
+			break
+		}
+	}
+	if len(p.idle[c.address]) == 0 {
+		delete(p.idle, c.address)
+	}
+}
+
+// begin makes an exchange the current one, or returns false if the connection
+// has ended.
+func (c *conn) begin(x *pooledExchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken {
+		return false
+	}
+	c.current = x
+	return true
+}
+
+func (c *conn) waiting() *pooledExchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		c.broken = true // closed, or sent what nobody asked for
+	}
+	return c.current
+}
+
+func (c *conn) read() {
+	defer c.pool.wait.Done()
+	defer c.pool.remove(c)
+	defer c.nc.Close()
+	for {
+		_, err := c.br.Peek(1)
+		x := c.waiting()
+		if x == nil {
+			return
+		}
+		if err != nil {
+			x.response <- pooledResult{err: err}
+			return
+		}
+		response, err := c.response(x)
+		x.response <- pooledResult{response, err}
+		if err != nil || !<-x.bodyDone {
+			return
+		}
+		c.mu.Lock()
+		c.current = nil
+		c.mu.Unlock()
+		c.pool.put(c)
+	}
+}
+
+// response reads the response of an exchange and skips those of other ones.
+func (c *conn) response(x *pooledExchange) (*http.Response, error) {
+	for range maxStrays {
+		r, err := http.ReadResponse(c.br, x.request)
+		if err != nil {
+			return nil, err
+		}
+		if r.StatusCode < http.StatusOK {
+			continue
+		}
+		if x.mine(r) {
+			return r, nil
+		}
+		if n, err := io.CopyN(io.Discard, r.Body, maxStrayBytes); n == maxStrayBytes || err != nil && !errors.Is(err, io.EOF) || r.Close {
+			return nil, ErrStray
+		}
+	}
+	return nil, ErrStray
+}
+
+// pooledBody gives its connection back once it has been read whole.
+type pooledBody struct {
+	io.ReadCloser
+	conn     *conn
+	exchange *pooledExchange
+	stop     func() bool
+	closes   bool
+	whole    bool
+	once     sync.Once
+}
+
+func (b *pooledBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *pooledBody) Close() error {
+	b.once.Do(func() {
+		reusable := b.stop() && b.whole && !b.closes && b.conn.br.Buffered() == 0
+		select {
+		case err := <-b.exchange.written:
+			reusable = reusable && err == nil
+		default:
+			reusable = false // the server answered before it had the whole body
+		}
+		if !reusable {
+			b.conn.nc.Close()
+		}
+		b.exchange.bodyDone <- reusable
+	})
+	return nil
+}
+
+// KeepFor sets how long the connection of a response may stay idle, as the
+// server said.
+func KeepFor(r *http.Response, d time.Duration) {
+	if b, ok := r.Body.(*pooledBody); ok && d > 0 {
+		b.conn.idleFor = min(poolIdle, max(0, d-idleMargin))
+	}
+}
--- /dev/null
+++ b/cluster/host.go
@@ -0,0 +1,440 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/registry"
+	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/tree"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+const (
+	// gossipInterval batches the renewals of announcements. Changes are sent at
+	// once.
+	gossipInterval = 500 * time.Millisecond
+	// helloInterval separates two messages to the seeds, which may have been
+	// replaced.
+	helloInterval = time.Second
+	// removeAfter is the silence after which a control host no longer counts
+	// towards the quorum. A host that is killed or frozen is back within
+	// seconds; removing it then would only cost two membership changes.
+	removeAfter = 12 * time.Second
+	// hostMemory is how long a control host is remembered that is silent.
+	hostMemory = 20 * time.Second
+	// maxTableRounds bounds the attempts to write a table beside other writers.
+	maxTableRounds = 8
+)
+
+// HostConfig is what a control host needs.
+type HostConfig struct {
+	ID         string // unique among the control hosts, such as an IP address
+	DataCentre string
+	DataFolder string
+	// Founders are the ids that form the group on the first start of the
+	// deployment; empty for a host that joins one.
+	Founders []string
+	// Seeds are ids of hosts of the group to ask first.
+	Seeds []string
+	// Tolerate is the number of hosts that may be lost at the same time.
+	Tolerate int
+	Key      control.Key
+	Address  func(id string) string // of a control host's port for other hosts
+	Dial     control.DialFunc       // nil for TCP
+}
+
+// Host is a control host.
+type Host struct {
+	config  HostConfig
+	logger  *zap.Logger
+	server  *control.Server
+	mesh    *mesh
+	group   *replica.Group
+	state   *state
+	started time.Time
+	life    uint64
+
+	mu       sync.Mutex
+	registry *registry.Table
+	loads    *loads
+	ledger   *ledgerHosts
+	renewed  map[string]registry.Entry // to be gossiped
+	known    map[string]time.Duration  // other control hosts and when they were heard
+	seeds    []string
+
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// StartHost starts a control host that accepts other hosts on the listener.
+func StartHost(c HostConfig, listener net.Listener, logger *zap.Logger, opts ...replica.Option) (*Host, error) {
+	h := &Host{
+		config: c, logger: logger, state: newState(), started: time.Now(), life: rand.Uint64(),
+		registry: registry.New(), loads: newLoads(), ledger: newLedgerHosts(), renewed: map[string]registry.Entry{},
+		known: map[string]time.Duration{}, seeds: c.Seeds,
+	}
+	h.mesh = newMesh(func(id string) *control.Peer {
+		return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
+	})
+	timing := replica.DefaultTiming()
+	timing.Remove = removeAfter
+	var err error
+	h.group, err = replica.Open(
+		replica.Config{ID: c.ID, Peers: c.Founders, Open: true, Dir: filepath.Join(c.DataFolder, "log")},
+		h.state, h, append([]replica.Option{replica.WithTiming(timing), replica.WithLogger(logger), replica.WithRejoin()}, opts...)...)
+	if err != nil {
+		h.mesh.close()
+		return nil, err
+	}
+	h.group.SetContacts(c.Seeds)
+	h.server = control.NewServer(c.Key, control.WithServerLogger(logger))
+	control.Handle(h.server, methodPing, h.ping)
+	control.Handle(h.server, methodReplica, h.replicaMessage)
+	control.Handle(h.server, methodGossip, h.takeGossip)
+	control.Handle(h.server, methodSync, h.sync)
+	control.Handle(h.server, methodTable, h.sendTable)
+	control.Handle(h.server, methodReserve, h.reserve)
+	control.Handle(h.server, methodSettle, h.settle)
+	h.server.Serve(listener)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.wait.Add(1)
+	go h.run(ctx)
+	return h, nil
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// Send implements replica.Transport.
+func (h *Host) Send(m replica.Message) { h.mesh.send(m.To.ID, methodReplica, replicaMessage{m}) }
+
+func (h *Host) ping(context.Context, string, struct{}) (struct{}, error) { return struct{}{}, nil }
+
+func (h *Host) replicaMessage(_ context.Context, _ string, m replicaMessage) (any, error) {
+	h.hear(m.Message.From.ID)
+	h.group.Deliver(m.Message)
+	return nil, nil
+}
+
+func (h *Host) hear(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if id != h.config.ID {
+		h.known[id] = h.now()
+	}
+}
+
+// run does the periodic work.
+func (h *Host) run(ctx context.Context) {
+	defer h.wait.Done()
+	helloAt := time.Duration(0)
+	for {
+		now := h.now()
+		hello := now >= helloAt
+		if hello {
+			helloAt = now + helloInterval
+		}
+		h.tick(now, hello)
+		h.foundLedger(ctx)
+		if !pause.For(ctx, gossipInterval) {
+			return
+		}
+	}
+}
+
+func (h *Host) tick(now time.Duration, hello bool) {
+	h.mu.Lock()
+	h.registry.Expire(now)
+	h.loads.expire(now)
+	h.ledger.expire(now)
+	maps.DeleteFunc(h.known, func(_ string, at time.Duration) bool { return now-at > hostMemory })
+	entries := slices.Collect(maps.Values(h.renewed))
+	clear(h.renewed)
+	to := h.others()
+	h.mu.Unlock()
+	h.group.SetContacts(to)
+	if len(entries) > 0 || hello {
+		h.tell(to, entries)
+	}
+}
+
+// others returns the ids of all other control hosts that may be there. The
+// caller holds the lock.
+func (h *Host) others() []string {
+	ids := slices.Concat(h.seeds, slices.Collect(maps.Keys(h.known)))
+	for _, m := range h.group.Status().Members {
+		ids = append(ids, m.ID)
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	return slices.DeleteFunc(ids, func(id string) bool { return id == h.config.ID })
+}
+
+func (h *Host) tell(to []string, entries []registry.Entry) {
+	g := gossip{From: h.config.ID, Entries: entries}
+	for _, id := range to {
+		h.mesh.send(id, methodGossip, g)
+	}
+}
+
+func (h *Host) takeGossip(_ context.Context, _ string, g gossip) (any, error) {
+	h.hear(g.From)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range g.Entries {
+		h.registry.Announce(h.now(), e)
+	}
+	return nil, nil
+}
+
+// SetSeeds replaces the control hosts to ask first.
+func (h *Host) SetSeeds(ids []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = ids
+}
+
+// SetRetiring sets the hosts that are to leave the group for good.
+func (h *Host) SetRetiring(ids []string) { h.group.SetRetiring(ids) }
+
+// Report describes this host to control hosts, if it keeps the ledger.
+func (h *Host) Report(name string) *LedgerReport {
+	s := h.group.Status()
+	r := &LedgerReport{Name: name, Term: s.Term}
+	if leader, ok := h.group.Leader(); ok {
+		r.Leader = leader
+	}
+	for _, m := range s.Members {
+		r.Members = append(r.Members, m.ID)
+		if m.ID == h.config.ID && m.Incarnation == s.Incarnation && !m.Learner {
+			r.Voter = true
+		}
+	}
+	return r
+}
+
+// Announce takes in the announcement of a backend server.
+func (h *Host) Announce(e registry.Entry) {
+	h.mu.Lock()
+	newer, changed := h.registry.Announce(h.now(), e)
+	if newer {
+		h.renewed[e.ID] = e
+	}
+	to := h.others()
+	h.mu.Unlock()
+	if changed {
+		h.logger.Info("backend server changed", zap.String("server", e.ID), zap.String("service", e.Service),
+			zap.String("address", e.Address), zap.String("state", string(e.State)), zap.Int64("born", e.Born), zap.Int64("sequence", e.Sequence))
+		h.tell(to, []registry.Entry{e})
+	}
+}
+
+// Leave takes in that a backend server is going away. A born of 0 means the
+// incarnation that is known. It returns false for an unknown server.
+func (h *Host) Leave(id string, born int64) bool {
+	h.mu.Lock()
+	e, ok := h.registry.Leave(h.now(), id, born)
+	to := h.others()
+	h.mu.Unlock()
+	if ok {
+		h.logger.Info("backend server left", zap.String("server", id), zap.Int64("born", e.Born))
+		h.tell(to, []registry.Entry{e})
+	}
+	return ok
+}
+
+// sync answers an entry host.
+func (h *Host) sync(_ context.Context, _ string, r syncRequest) (syncResponse, error) {
+	status := h.group.Status()
+	leader, _ := h.group.Leader()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if r.Ledger != nil {
+		h.ledger.report(now, r.Host, *r.Ledger)
+	} else {
+		h.loads.report(now, &r)
+	}
+	out := syncResponse{
+		Ledger: h.ledger.view(),
+		ID:     h.config.ID, DataCentre: h.config.DataCentre, Hosts: append(h.others(), h.config.ID),
+		Leader: leader, Term: status.Term, TableVersion: h.state.tableVersion(),
+		Life: h.life, Revision: h.registry.Revision(), Full: r.Life != h.life, EntryHosts: len(h.loads.hosts),
+		Suspects: h.loads.suspectList(),
+	}
+	out.Ledger.Founders, out.Ledger.Retiring = h.state.ledgerPlan()
+	if r.Ledger != nil {
+		return out, nil
+	}
+	since := r.Revision
+	if out.Full {
+		since = 0
+	}
+	out.Changes = h.registry.Since(since)
+	if r.WantRuns {
+		out.Runs = h.loads.others(now, r.Host)
+	}
+	return out, nil
+}
+
+func (h *Host) sendTable(context.Context, string, struct{}) (tableResponse, error) {
+	t, _, _ := h.state.current()
+	return tableResponse{Table: t}, nil
+}
+
+// leading fails unless this host leads the log group.
+func (h *Host) leading() error {
+	if _, ok := h.group.Leading(); ok {
+		return nil
+	}
+	leader, _ := h.group.Leader()
+	if leader == h.config.ID {
+		leader = ""
+	}
+	return control.NewNotLeaderError(leader)
+}
+
+func (h *Host) propose(ctx context.Context, c command, result any) error {
+	if err := h.leading(); err != nil {
+		return err
+	}
+	data, err := h.group.Propose(ctx, encode(c))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+// rpcTimeout bounds a proposal of an entry host, which asks again elsewhere.
+const rpcTimeout = 3 * time.Second
+
+func (h *Host) reserve(ctx context.Context, _ string, r reserveRequest) (reserveResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	var out reserveResponse
+	if err := h.propose(ctx, command{Program: &ledger.Command{ReserveTurn: &r.ReserveTurn}}, &out.Result); err != nil {
+		return out, err
+	}
+	if !r.WantChain || r.Previous == "" || out.Result.Refusal != nil {
+		return out, nil
+	}
+	chain, ok := h.state.chain(r.Previous)
+	if !ok {
+		return out, verdict.Newf(verdict.NotRun, verdict.Internal, "turn %q has lost a part of its chain", r.Previous)
+	}
+	out.Chain = chain
+	return out, nil
+}
+
+func (h *Host) settle(ctx context.Context, _ string, c ledger.SettleTurn) (settleResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	var out settleResponse
+	err := h.propose(ctx, command{Program: &ledger.Command{SettleTurn: &c}}, &out.Result)
+	return out, err
+}
+
+// PutTable puts a routing table in force, unless one with the same or a higher
+// version is already: that one stays, and the call succeeds. It returns the
+// version in force. On a host that does not lead, the error is a
+// *control.NotLeaderError.
+func (h *Host) PutTable(ctx context.Context, s Source) (int64, error) {
+	if err := s.Table.Check(); err != nil {
+		return 0, verdict.New(verdict.NotRun, verdict.BadRequest, err.Error())
+	}
+	if err := h.leading(); err != nil {
+		return 0, err
+	}
+	for range maxTableRounds {
+		current, _, pathVersion := h.state.current()
+		if current != nil && current.Version >= s.Table.Version {
+			return current.Version, nil
+		}
+		change := tree.Change{
+			ChangeID: "table-" + strconv.FormatUint(rand.Uint64(), 36),
+			Writes: []tree.Write{
+				{Path: tablePath, Value: encode(s.Table), IfVersion: pathVersion},
+				{Path: sourcePath, Value: s.Text, IfVersion: tree.AnyVersion},
+			},
+		}
+		var o tree.Outcome
+		if err := h.propose(ctx, command{Change: &change}, &o); err != nil {
+			return 0, err
+		}
+		if o.Applied {
+			h.logger.Info("routing table changed", zap.Int64("version", s.Table.Version),
+				zap.Int("routes", len(s.Table.Routes)), zap.Int64("revision", o.Revision))
+			return s.Table.Version, nil
+		}
+		if o.Reason != verdict.Conflict {
+			return 0, verdict.New(verdict.NotRun, o.Reason, o.Message)
+		}
+	}
+	return 0, verdict.New(verdict.NotRun, verdict.Conflict, "other changes came first")
+}
+
+// Source returns the text of the newest routing table; nil without one. On a
+// host that does not lead, the error is a *control.NotLeaderError.
+func (h *Host) Source(ctx context.Context) (json.RawMessage, error) {
+	if err := h.leading(); err != nil {
+		return nil, err
+	}
+	if err := h.group.Read(ctx); err != nil {
+		return nil, err
+	}
+	_, text, _ := h.state.current()
+	return text, nil
+}
+
+// Status describes the replica of the log on this host.
+func (h *Host) Status() replica.Status { return h.group.Status() }
+
+// Done is closed when the log has stopped by itself, and Err tells why.
+func (h *Host) Done() <-chan struct{} { return h.group.Done() }
+
+// Err returns why the log has stopped.
+func (h *Host) Err() error { return h.group.Err() }
+
+// Close hands leadership over, stops and waits.
+func (h *Host) Close() error {
+	h.cancel()
+	h.wait.Wait()
+	err := h.group.Close()
+	h.mesh.close()
+	h.server.Close()
+	if err != nil {
+		return errors.Join(fmt.Errorf("close log: %w", err))
+	}
+	return nil
+}
+
+// Founding returns the founders of a deployment that starts for the first time,
+// without repetitions and in order.
+func Founding(seeds []string) []string {
+	ids := slices.Clone(seeds)
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// Table returns the routing table that this host has applied; nil without one.
+func (h *Host) Table() *route.Table {
+	t, _, _ := h.state.current()
+	return t
+}
--- /dev/null
+++ b/cluster/mesh.go
@@ -0,0 +1,132 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/pause"
+)
+
+const (
+	// meshQueue bounds the messages that wait for one host. More are dropped;
+	// the replicas and the gossip repeat what matters.
+	meshQueue = 1024
+	// keepAliveInterval and keepAliveTimeout find connections that have gone
+	// silent without a reset.
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveTimeout  = 700 * time.Millisecond
+	// peerIdle is the time without a message after which a peer is forgotten.
+	peerIdle = 30 * time.Second
+
+	methodPing = "ping"
+)
+
+// mesh sends one-way messages to other control hosts, which it dials on
+// demand. Each host has a queue and a connection of its own, so that one that
+// does not read holds up no other.
+type mesh struct {
+	newPeer func(id string) *control.Peer
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*meshPeer
+}
+
+type meshMessage struct {
+	method string
+	params any
+}
+
+type meshPeer struct {
+	*control.Peer
+	queue  chan meshMessage
+	usedAt time.Time // guarded by mesh.mu
+}
+
+func newMesh(newPeer func(id string) *control.Peer) *mesh {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &mesh{newPeer: newPeer, ctx: ctx, cancel: cancel, peers: map[string]*meshPeer{}}
+}
+
+// send queues a message. It does not block, and drops the message if the queue
+// is full.
+func (m *mesh) send(id, method string, params any) {
+	p := m.peer(id)
+	if p == nil {
+		return
+	}
+	select {
+	case p.queue <- meshMessage{method, params}:
+	default:
+	}
+}
+
+func (m *mesh) peer(id string) *meshPeer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() != nil {
+		return nil
+	}
+	p := m.peers[id]
+	if p == nil {
+		p = &meshPeer{Peer: m.newPeer(id), queue: make(chan meshMessage, meshQueue)}
+		m.peers[id] = p
+		m.wait.Add(2)
+		ctx, cancel := context.WithCancel(m.ctx)
+		go m.run(ctx, p)
+		go m.keepAlive(ctx, cancel, id, p)
+	}
+	p.usedAt = time.Now()
+	return p
+}
+
+func (m *mesh) run(ctx context.Context, p *meshPeer) {
+	defer m.wait.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case v := <-p.queue:
+			attempt, cancel := context.WithTimeout(ctx, keepAliveTimeout)
+			// A message that cannot be sent is lost, as on a network.
+			_ = p.Notify(attempt, v.method, v.params)
+			cancel()
+		}
+	}
+}
+
+// keepAlive drops a connection whose peer does not answer, and forgets a peer
+// that is not used any more.
+func (m *mesh) keepAlive(ctx context.Context, cancel context.CancelFunc, id string, p *meshPeer) {
+	defer m.wait.Done()
+	defer p.Close()
+	defer cancel()
+	for pause.For(ctx, keepAliveInterval) {
+		m.mu.Lock()
+		idle := time.Since(p.usedAt) > peerIdle
+		if idle {
+			delete(m.peers, id)
+		}
+		m.mu.Unlock()
+		if idle {
+			return
+		}
+		attempt, done := context.WithTimeout(ctx, keepAliveTimeout)
+		err := p.Call(attempt, methodPing, struct{}{}, nil)
+		done()
+		if err != nil {
+			p.Reset()
+		}
+	}
+}
+
+func (m *mesh) close() {
+	m.mu.Lock()
+	m.cancel()
+	m.mu.Unlock()
+	m.wait.Wait()
+}
--- /dev/null
+++ b/cluster/message.go
@@ -0,0 +1,117 @@
+package cluster
+
+import (
+	"encoding/json"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/registry"
+	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/route"
+)
+
+// Methods between hosts.
+const (
+	methodReplica = "replica-message" // between control hosts, one way
+	methodGossip  = "gossip"          // between control hosts, one way
+	methodSync    = "sync"            // entry host to control host
+	methodTable   = "table"           // entry host to control host
+	methodReserve = "reserve-turn"    // entry host to the leader
+	methodSettle  = "settle-turn"     // entry host to the leader
+)
+
+// gossip is what a control host tells the others: who it is, and the
+// announcements that it has heard.
+type gossip struct {
+	From    string           `json:"from"`
+	Known   []string         `json:"known,omitempty"` // control hosts
+	Entries []registry.Entry `json:"entries,omitempty"`
+}
+
+// syncRequest asks a control host for what has changed.
+type syncRequest struct {
+	Host string `json:"host"`
+	// Ledger is set by a host that keeps the ledger of programs.
+	Ledger *LedgerReport `json:"ledger,omitempty"`
+	// Life and Revision are the control host's incarnation and the revision of
+	// its registry that the entry host holds.
+	Life     uint64 `json:"life,omitempty"`
+	Revision int64  `json:"revision,omitempty"`
+	// Runs are the entry host's own requests under way, by backend server.
+	Runs map[string]int `json:"runs,omitempty"`
+	// Suspects are requests that were under way on a server when it crashed.
+	Suspects []Suspect `json:"suspects,omitempty"`
+	// WantRuns asks for the requests of all entry hosts.
+	WantRuns bool `json:"want-runs,omitempty"`
+}
+
+// Suspect is a request that was under way on servers when they crashed.
+type Suspect struct {
+	Fingerprint uint64   `json:"fingerprint"`
+	Servers     []string `json:"servers"` // instances that crashed
+}
+
+type syncResponse struct {
+	ID           string            `json:"id"`
+	DataCentre   string            `json:"data-centre"`
+	Hosts        []string          `json:"hosts"` // control hosts
+	Leader       string            `json:"leader,omitempty"`
+	Term         uint64            `json:"term,omitempty"`
+	TableVersion int64             `json:"table-version,omitempty"`
+	Life         uint64            `json:"life"`
+	Revision     int64             `json:"revision"`
+	Full         bool              `json:"full,omitempty"`
+	Changes      []registry.Change `json:"changes,omitempty"`
+	EntryHosts   int               `json:"entry-hosts"`
+	Ledger       LedgerView        `json:"ledger"`
+	// Runs are the requests under way of all other entry hosts, by server.
+	Runs     map[string]int `json:"runs,omitempty"`
+	Suspects []Suspect      `json:"suspects,omitempty"`
+}
+
+// LedgerReport is what a host of the ledger says of itself.
+type LedgerReport struct {
+	Name    string   `json:"name"` // as operators call the host
+	Leader  string   `json:"leader,omitempty"`
+	Term    uint64   `json:"term,omitempty"`
+	Members []string `json:"members,omitempty"` // of the log group
+	Voter   bool     `json:"voter,omitempty"`
+}
+
+// LedgerView is what control hosts know of the hosts of the ledger.
+type LedgerView struct {
+	Hosts    []string `json:"hosts,omitempty"`
+	Leader   string   `json:"leader,omitempty"`
+	Term     uint64   `json:"term,omitempty"`
+	Founders []string `json:"founders,omitempty"` // form the group on the first start
+	Retiring []string `json:"retiring,omitempty"` // are to hold nothing any more
+}
+
+type tableResponse struct {
+	Table *route.Table `json:"table"`
+}
+
+type reserveRequest struct {
+	ledger.ReserveTurn
+	// WantChain asks for the conversation up to the previous turn.
+	WantChain bool `json:"want-chain,omitempty"`
+}
+
+type reserveResponse struct {
+	Result ledger.Result `json:"result"`
+	Chain  []byte        `json:"chain,omitempty"`
+}
+
+type settleResponse struct {
+	Result ledger.Result `json:"result"`
+}
+
+// replicaMessage is a message of the log group.
+type replicaMessage struct {
+	Message replica.Message `json:"message"`
+}
+
+// Source is a routing table with the text in which the operator gave it.
+type Source struct {
+	Table *route.Table
+	Text  json.RawMessage
+}
--- /dev/null
+++ b/cmd/sycamoreline-platform/main.go
@@ -0,0 +1,133 @@
+// Command sycamoreline-platform runs the roles of Sycamoreline on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/sycamoreline/sycamoreline/platform"
+)
+
+// memoryShare is the part of the machine's memory that the Go runtime may fill
+// before it collects garbage at any price. The rest is for bytes in sockets and
+// for the program itself.
+const memoryShare = 0.6
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "sycamoreline-platform")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&roleCommand{name: "entry", synopsis: "run an entry host", module: entryModule}, "")
+	commander.Register(&roleCommand{name: "control", synopsis: "run a control host", module: controlModule}, "")
+	commander.Register(&roleCommand{name: "ledger", synopsis: "run a host of the ledger of programs", module: ledgerModule}, "")
+	commander.Register(&checkCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
+
+// roleCommand runs a role until it gets a signal to stop.
+type roleCommand struct {
+	name, synopsis string
+	module         func(s platform.Settings, path string, logger *zap.Logger) fx.Option
+}
+
+func (c *roleCommand) Name() string           { return c.name }
+func (c *roleCommand) Synopsis() string       { return c.synopsis }
+func (*roleCommand) SetFlags(_ *flag.FlagSet) {}
+func (c *roleCommand) Usage() string {
+	return fmt.Sprintf("sycamoreline-platform %s\n\nRuns until SIGTERM. The settings file is named by the environment.\n", c.name)
+}
+
+func (c *roleCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return usageFault(err)
+	}
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return usageFault(err)
+	}
+	logger, err := newLogger(os.Stdout, s)
+	if err != nil {
+		return usageFault(err)
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	}
+	logger.Info("starting", zap.String("data-centre", s.DataCentre), zap.Strings("seeds", s.Seeds), zap.Bool("first-start", s.FirstStart))
+	app := fx.New(c.module(s, path, logger), fx.StopTimeout(s.Drain()),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
+	if err := app.Start(ctx); err != nil {
+		logger.Error("not started", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	status := subcommands.ExitSuccess
+	select {
+	case <-ctx.Done():
+	case v := <-app.Wait():
+		status = subcommands.ExitStatus(v.ExitCode)
+	}
+	logger.Info("stopping")
+	stopping, cancel := context.WithTimeout(context.Background(), s.Drain())
+	defer cancel()
+	if err := app.Stop(stopping); err != nil {
+		logger.Error("not stopped in order", zap.Error(err))
+		return subcommands.ExitFailure
+	}
+	logger.Info("stopped")
+	return status
+}
+
+func usageFault(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "sycamoreline-platform:", err)
+	return subcommands.ExitUsageError
+}
+
+func newLogger(out io.Writer, s platform.Settings) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log-level: %q: want debug, info, warn or error", s.LogLevel)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), level)
+	return zap.New(core).With(zap.String("host", s.Host)), nil
+}
+
+// checkCommand checks a settings file.
+type checkCommand struct{}
+
+func (*checkCommand) Name() string             { return "check" }
+func (*checkCommand) Synopsis() string         { return "check settings files" }
+func (*checkCommand) SetFlags(_ *flag.FlagSet) {}
+func (*checkCommand) Usage() string {
+	return "sycamoreline-platform check FILE...\n\nChecks settings files and names the first fault of each.\n"
+}
+
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return usageFault(fmt.Errorf("check: want one settings file or more"))
+	}
+	for _, path := range f.Args() {
+		if _, err := platform.ReadSettings(path); err != nil {
+			return usageFault(err)
+		}
+	}
+	return subcommands.ExitSuccess
+}
--- a/control/client.go
+++ b/control/client.go
@@ -74,7 +74,7 @@
 		o(c)
 	}
 	for _, h := range hosts {
-		c.peers = append(c.peers, newPeer(h.ID, h.Address, self, key, c.tls, c.dial))
+		c.peers = append(c.peers, NewPeer(h.ID, h.Address, self, key, c.tls, c.dial))
 	}
 	return c
 }
@@ -82,7 +82,7 @@
 // Close closes the connections.
 func (c *Client) Close() {
 	for _, p := range c.peers {
-		p.close()
+		p.Close()
 	}
 }
 
@@ -127,7 +127,7 @@
 	for {
 		peer := c.peers[target]
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := peer.call(attempt, method, params, result)
+		err := peer.Call(attempt, method, params, result)
 		timedOut := attempt.Err() != nil && ctx.Err() == nil
 		cancel()
 		if err == nil {
@@ -136,7 +136,7 @@
 		}
 		last = err
 
-		var notLeader *notLeaderError
+		var notLeader *NotLeaderError
 		var unsent *unsentError
 		var v *verdict.Error
 		switch {
@@ -157,7 +157,7 @@
 		default:
 			unknown = unknown || v == nil || v.Verdict() != verdict.NotRun
 			if timedOut {
-				peer.reset()
+				peer.Reset()
 			}
 			target = (target + 1) % len(c.peers)
 		}
--- a/control/host.go
+++ b/control/host.go
@@ -106,7 +106,7 @@
 	var peers []*Peer
 	for _, a := range h.config.Hosts {
 		if a.ID != h.config.ID {
-			peers = append(peers, newPeer(a.ID, a.Address, h.config.ID, h.config.Key, h.config.ClientTLS, h.config.Dial))
+			peers = append(peers, NewPeer(a.ID, a.Address, h.config.ID, h.config.Key, h.config.ClientTLS, h.config.Dial))
 		}
 	}
 	return peers
@@ -217,7 +217,7 @@
 	g := h.groups[group]
 	if _, ok := g.Leading(); !ok {
 		leader, _ := g.Leader()
-		return nil, &notLeaderError{leader: leader}
+		return nil, &NotLeaderError{leader: leader}
 	}
 	return g, nil
 }
--- a/control/hostlease.go
+++ b/control/hostlease.go
@@ -56,7 +56,7 @@
 func (h *Host) extendLeases() error {
 	term, ok := h.groups[ConfigGroup].Leading()
 	if !ok {
-		return &notLeaderError{}
+		return &NotLeaderError{}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/control/lease.go
+++ b/control/lease.go
@@ -142,7 +142,7 @@
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, interval)
 		// A control host that is down learns of this host when it is back.
-		_ = p.notify(attempt, methodPresence, request)
+		_ = p.Notify(attempt, methodPresence, request)
 		cancel()
 		pause.For(ctx, interval)
 	}
--- a/control/peer.go
+++ b/control/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -37,16 +38,18 @@
 // DialFunc opens a connection to a control host.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newPeer(id, address, self string, key Key, config *tls.Config, dial DialFunc) *Peer {
+// NewPeer returns the host with an id at an address, as a host that calls
+// itself self sees it. config is nil without TLS, and dial nil for TCP.
+func NewPeer(id, address, self string, key Key, config *tls.Config, dial DialFunc) *Peer {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &Peer{id: id, address: address, self: self, key: key, tls: config, dialTCP: dial}
 }
 
-// call sends a request and waits for its response. Errors of handlers come
+// Call sends a request and waits for its response. Errors of handlers come
 // back with their verdict.
-func (p *Peer) call(ctx context.Context, method string, params, result any) error {
+func (p *Peer) Call(ctx context.Context, method string, params, result any) error {
 	conn, err := p.connect(ctx)
 	if err != nil {
 		return &unsentError{err}
@@ -54,8 +57,8 @@
 	return readError(conn.Call(ctx, method, params, result))
 }
 
-// notify sends a message without a response.
-func (p *Peer) notify(ctx context.Context, method string, params any) error {
+// Notify sends a message without a response.
+func (p *Peer) Notify(ctx context.Context, method string, params any) error {
 	conn, err := p.connect(ctx)
 	if err != nil {
 		return err
@@ -112,9 +115,9 @@
 	return conn, nil
 }
 
-// reset drops the connection, so that the next call dials again. It is used
+// Reset drops the connection, so that the next call dials again. It is used
 // when a peer that accepts data does not answer.
-func (p *Peer) reset() {
+func (p *Peer) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil {
@@ -123,7 +126,8 @@
 	}
 }
 
-func (p *Peer) close() {
+// Close drops the connection for good.
+func (p *Peer) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isClosed = true
@@ -133,6 +137,12 @@
 	}
 }
 
+// Unsent returns whether a call failed before the request left this host.
+func Unsent(err error) bool {
+	var unsent *unsentError
+	return errors.As(err, &unsent)
+}
+
 // rejectRequests is the handler of a client, which takes no requests.
 type rejectRequests struct{}
 
--- a/control/server.go
+++ b/control/server.go
@@ -239,13 +239,18 @@
 	return helloResponse{Proof: key.proof("server", c.nonce, hello.Nonce)}, nil
 }
 
-// notLeaderError says that another control host leads the group. leader is
-// empty when it is not known.
-type notLeaderError struct {
+// NotLeaderError says that another control host leads the group.
+type NotLeaderError struct {
 	leader string
 }
 
-func (e *notLeaderError) Error() string {
+// NewNotLeaderError names the leader, which is empty when it is not known.
+func NewNotLeaderError(leader string) *NotLeaderError { return &NotLeaderError{leader: leader} }
+
+// Leader returns the id of the leader, or nothing if it is not known.
+func (e *NotLeaderError) Leader() string { return e.leader }
+
+func (e *NotLeaderError) Error() string {
 	if e.leader == "" {
 		return "group has no known leader"
 	}
@@ -253,7 +258,7 @@
 }
 
 func wireError(err error) *jsonrpc2.Error {
-	var notLeader *notLeaderError
+	var notLeader *NotLeaderError
 	if errors.As(err, &notLeader) {
 		e := &jsonrpc2.Error{Code: codeNotLeader, Message: err.Error()}
 		e.SetError(notLeader.leader)
@@ -276,7 +281,7 @@
 	case codeNotLeader:
 		var leader string
 		if json.Unmarshal(*e.Data, &leader) == nil {
-			return &notLeaderError{leader: leader}
+			return &NotLeaderError{leader: leader}
 		}
 	case codeVerdict:
 		var v verdict.Error
--- a/control/status.go
+++ b/control/status.go
@@ -37,7 +37,7 @@
 	for _, p := range c.peers {
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 		var s HostStatus
-		if p.call(attempt, methodStatus, struct{}{}, &s) == nil {
+		if p.Call(attempt, methodStatus, struct{}{}, &s) == nil {
 			all = append(all, s)
 		}
 		cancel()
--- a/control/transport.go
+++ b/control/transport.go
@@ -47,7 +47,7 @@
 		case m := <-q:
 			attempt, cancel := context.WithTimeout(ctx, dialTimeout)
 			// A message that cannot be sent is lost, as on a network.
-			_ = p.notify(attempt, methodReplica, m)
+			_ = p.Notify(attempt, methodReplica, m)
 			cancel()
 		}
 	}
@@ -56,7 +56,7 @@
 func (t *transport) close() {
 	t.cancel()
 	for _, p := range t.peers {
-		p.close()
+		p.Close()
 	}
 	t.wait.Wait()
 }
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,203 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/sse"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// discard reads a short answer to its end, so that its connection can be used
+// again.
+func discard(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	resp.Body.Close()
+}
+
+// whole sends a call whose answer is passed on as one piece.
+func (r *run) whole(ctx context.Context, w http.ResponseWriter) error {
+	for {
+		t, a, err := r.place(ctx)
+		if err != nil {
+			return r.unplaced(err)
+		}
+		resp, body, err := r.exchange(ctx, t, a)
+		if err != nil {
+			if err := r.after(ctx, t, err); err != nil {
+				return err
+			}
+			continue
+		}
+		r.queue.Finished(t.id, t.server, schedule.Usage{}, schedule.Succeeded)
+		r.board.noteSession(r.call.Session, "")
+		r.writeHead(w, resp, len(body))
+		if _, err := w.Write(body); err != nil {
+			r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
+		}
+		return nil
+	}
+}
+
+// unplaced turns the failure to find a server into the verdict on the call.
+func (r *run) unplaced(err error) error {
+	if r.progress.ran == 0 {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "an earlier attempt may have run", verdict.WithCause(errors.Join(r.lastErr, err)))
+}
+
+func (r *run) exchange(ctx context.Context, t target, a schedule.Assignment) (*http.Response, []byte, error) {
+	resp, err := r.send(ctx, t, a)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.New("answer of over " + strconv.Itoa(maxAnswerBytes) + " bytes")
+	}
+	if err != nil {
+		return nil, nil, verdict.New(verdict.MayHaveRun, brokenReason(ctx), "answer of "+t.server+" broke off", verdict.WithCause(err))
+	}
+	return resp, body, nil
+}
+
+func brokenReason(ctx context.Context) verdict.Reason {
+	switch {
+	case ctx.Err() == nil:
+		return verdict.ServerFailed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.Timeout
+	default:
+		return verdict.Cancelled
+	}
+}
+
+// writeHead passes the head of a response on. A length below 0 means a stream.
+func (r *run) writeHead(w http.ResponseWriter, resp *http.Response, length int) {
+	for name, values := range r.wire.Passed(resp) {
+		w.Header()[name] = values
+	}
+	if length >= 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+	w.WriteHeader(resp.StatusCode)
+}
+
+// stream sends a call whose answer is passed on event by event. Once it has
+// begun, it either ends whole or is broken visibly.
+func (r *run) stream(ctx context.Context, w http.ResponseWriter) error {
+	r.lastEvent = r.call.LastEvent
+	for {
+		t, a, err := r.place(ctx)
+		if err == nil {
+			err = r.relay(ctx, w, t, a)
+			if err == nil {
+				return nil
+			}
+			err = r.after(ctx, t, err)
+			if err == nil {
+				continue
+			}
+		} else {
+			err = r.unplaced(err)
+		}
+		if r.progress.started {
+			r.logger.Info("stream broken off", zap.String("request", r.call.ID), zap.Int64("events", r.events), zap.Error(err))
+			r.settle()
+			panic(http.ErrAbortHandler)
+		}
+		return err
+	}
+}
+
+// relay makes one attempt of a stream.
+func (r *run) relay(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) error {
+	ctx, silence := newSilence(ctx, r.call.Route)
+	defer silence.stop()
+	resp, err := r.send(ctx, t, a)
+	if err != nil {
+		return silence.explain(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return r.passFailure(ctx, w, t, resp)
+	}
+	if !r.progress.started {
+		r.progress.started = true
+		r.writeHead(w, resp, -1)
+	}
+	if err := r.passEvents(ctx, w, t, resp, silence); err != nil {
+		return silence.explain(err)
+	}
+	r.queue.Finished(t.id, t.server, schedule.Usage{PromptTokens: r.call.PromptTokens, OutputTokens: int(r.events * r.perEvent)}, schedule.Succeeded)
+	r.board.noteSession(r.call.Session, t.server)
+	if r.call.Turn != nil && r.call.Route.KeepsHistory {
+		if err := r.keep(); err != nil {
+			r.logger.Warn("turn not recorded; its stream is broken off", zap.String("request", r.call.ID), zap.Error(err))
+			r.settle()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	return nil
+}
+
+// passFailure passes a server's own failure on, unless the stream has begun.
+func (r *run) passFailure(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return verdict.New(verdict.MayHaveRun, brokenReason(ctx), "answer of "+t.server+" broke off", verdict.WithCause(err))
+	}
+	if r.progress.started {
+		return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server %s answered %d to a resumed stream", t.server, resp.StatusCode)
+	}
+	r.queue.Finished(t.id, t.server, schedule.Usage{}, schedule.Rejected)
+	r.writeHead(w, resp, len(body))
+	if _, err := w.Write(body); err != nil {
+		r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
+	}
+	return nil
+}
+
+func (r *run) passEvents(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response, s *silence) error {
+	frames := sse.NewFrameReader(resp.Body, maxEventBytes)
+	flusher := http.NewResponseController(w)
+	for n := 0; ; n++ {
+		f, err := frames.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return verdict.New(verdict.MayHaveRun, brokenReason(ctx), "stream of "+t.server+" broke off", verdict.WithCause(err))
+		}
+		s.heard()
+		r.events++
+		if f.ID != "" {
+			r.lastEvent = f.ID
+		}
+		if r.call.Route.KeepsHistory && r.call.Turn != nil {
+			r.output = append(append(r.output, f.Data...), '\n')
+		}
+		if n == 0 {
+			r.queue.FirstToken(t.id, t.server)
+		} else {
+			r.queue.Tokens(t.id, t.server, int(max(1, r.perEvent)))
+		}
+		if _, err := w.Write(f.Raw); err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left", verdict.WithCause(err))
+		}
+		if err := flusher.Flush(); err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left", verdict.WithCause(err))
+		}
+	}
+}
--- /dev/null
+++ b/forward/board.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/cluster"
+	"github.com/sycamoreline/sycamoreline/registry"
+	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/schedule"
+)
+
+const (
+	// maxCrashes is the number of servers that one request may crash before it
+	// is refused. Requests that shared a server with it are counted too, so
+	// that a smaller number would refuse them.
+	maxCrashes = 3
+	// suspectRetryAfter is told callers of such a request.
+	suspectRetryAfter = 5 * time.Second
+	// crashMemory is how long a host reports a crash that it has seen.
+	crashMemory = 90 * time.Second
+	// maxSessions bounds the lines of turns whose last server is remembered.
+	maxSessions = 8192
+	// exclusion is how long a server that could not be reached is left alone.
+	exclusion = 3 * time.Second
+	// probeTimeout bounds the connection that tells whether a server has ended.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// board is what an entry host knows of the deployment. It implements
+// cluster.Observer.
+type board struct {
+	forwarder *Forwarder
+
+	mu       sync.Mutex
+	index    *route.Index
+	servers  map[string]registry.Entry
+	excluded map[string]exclusionRecord // servers not to be used, by id
+	crashed  map[uint64]*crash          // seen by this host
+	suspects map[uint64][]string        // of all hosts
+	sessions map[string]sessionPlace    // last server of each line of turns
+}
+
+// exclusionRecord is an incarnation of a server that is not to be used.
+type exclusionRecord struct {
+	born  int64
+	until time.Time
+}
+
+type crash struct {
+	servers []string
+	at      time.Time
+}
+
+type sessionPlace struct {
+	server string
+	at     time.Time
+}
+
+func newBoard(f *Forwarder) *board {
+	return &board{
+		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusionRecord{}, crashed: map[uint64]*crash{},
+		suspects: map[uint64][]string{}, sessions: map[string]sessionPlace{},
+	}
+}
+
+// Index returns the routing table in force, or nil.
+func (b *board) Index() *route.Index {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.index
+}
+
+func (b *board) version() int64 {
+	if x := b.Index(); x != nil {
+		return x.Version()
+	}
+	return 0
+}
+
+func (b *board) service(name string) *route.Service {
+	if x := b.Index(); x != nil {
+		return x.Service(name)
+	}
+	return nil
+}
+
+func (b *board) address(server string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.servers[server].Address
+}
+
+// Routes implements cluster.Observer.
+func (b *board) Routes(x *route.Index) {
+	b.mu.Lock()
+	b.index = x
+	b.mu.Unlock()
+	b.apply()
+}
+
+// Servers implements cluster.Observer.
+func (b *board) Servers(servers map[string]registry.Entry) {
+	b.mu.Lock()
+	for id, e := range b.servers {
+		if n, ok := servers[id]; !ok || n.Address != e.Address {
+			b.forwarder.pool.DropAddress(e.Address)
+		}
+	}
+	for id, x := range b.excluded {
+		if e, ok := servers[id]; !ok || e.Born != x.born {
+			delete(b.excluded, id)
+		}
+	}
+	b.servers = servers
+	b.mu.Unlock()
+	b.apply()
+}
+
+// apply gives the servers to the scheduler.
+func (b *board) apply() {
+	b.mu.Lock()
+	var list []schedule.Server
+	for id, e := range b.servers {
+		if x, out := b.excluded[id]; out && time.Now().Before(x.until) {
+			continue
+		}
+		list = append(list, b.describe(e))
+	}
+	b.mu.Unlock()
+	b.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		for _, v := range s.Snapshot().Servers {
+			if !slices.ContainsFunc(list, func(o schedule.Server) bool { return o.ID == v.ID }) {
+				s.RemoveServer(now, v.ID)
+			}
+		}
+		for _, v := range list {
+			s.SetServer(now, v)
+		}
+	})
+}
+
+// describe translates an entry for the scheduler: an engine runs its service as
+// a model, so that its prompt cache counts.
+func (b *board) describe(e registry.Entry) schedule.Server {
+	v := schedule.Server{
+		ID: e.ID, Incarnation: time.UnixMilli(e.Born).UTC().String(), DataCentre: e.DataCentre,
+		Slots: e.Slots, Leaving: e.State != registry.Ready,
+	}
+	v.Service = e.Service
+	if b.index == nil {
+		return v
+	}
+	if s := b.index.Service(e.Service); s != nil && s.Engine != nil {
+		v.Service = ""
+		v.Models = []schedule.ServerModel{{Name: e.Service}}
+		v.CacheTokens = s.Engine.CacheTokens
+		if s.Engine.Slots > 0 {
+			v.Slots = s.Engine.Slots
+		}
+	}
+	return v
+}
+
+// Load implements cluster.Observer.
+func (b *board) Load(runs map[string]int, hosts int) {
+	if b.dropExclusions() {
+		b.apply()
+	}
+	b.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		s.SetHosts(now, hosts)
+		s.SetOthers(now, runs)
+	})
+}
+
+// Suspects implements cluster.Observer.
+func (b *board) Suspects(list []cluster.Suspect) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.suspects)
+	for _, s := range list {
+		b.suspects[s.Fingerprint] = s.Servers
+	}
+}
+
+// Report implements cluster.Observer.
+func (b *board) Report() (map[string]int, []cluster.Suspect) {
+	var runs map[string]int
+	b.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { runs = s.Runs() })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []cluster.Suspect
+	for f, c := range b.crashed {
+		if time.Since(c.at) > crashMemory {
+			delete(b.crashed, f)
+			continue
+		}
+		list = append(list, cluster.Suspect{Fingerprint: f, Servers: c.servers})
+	}
+	return runs, list
+}
+
+// crashes returns how many servers a request is known to have crashed.
+func (b *board) crashes(fingerprint uint64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.suspects[fingerprint])
+	if c := b.crashed[fingerprint]; c != nil {
+		n = max(n, len(c.servers))
+	}
+	return n
+}
+
+// noteBroken finds out whether the server of a broken attempt has ended, and
+// remembers the request if so. A server that still accepts connections is not
+// a crashed one.
+func (b *board) noteBroken(ctx context.Context, fingerprint uint64, t target) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.address)
+	if err == nil {
+		nc.Close()
+		return false
+	}
+	b.exclude(t.server)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return true // cut off
+	}
+	b.mu.Lock()
+	c := b.crashed[fingerprint]
+	if c == nil {
+		c = &crash{}
+		b.crashed[fingerprint] = c
+	}
+	c.at = time.Now()
+	if !slices.Contains(c.servers, t.server) {
+		c.servers = append(c.servers, t.server)
+	}
+	b.mu.Unlock()
+	b.forwarder.logger.Warn("backend server ended during a request", zap.String("server", t.server), zap.Uint64("fingerprint", fingerprint))
+	return true
+}
+
+// exclude takes a server out of use until it starts again.
+func (b *board) exclude(server string) {
+	b.mu.Lock()
+	e, ok := b.servers[server]
+	if ok {
+		b.excluded[server] = exclusionRecord{born: e.Born, until: time.Now().Add(exclusion)}
+	}
+	b.mu.Unlock()
+	if !ok {
+		return
+	}
+	b.forwarder.pool.DropAddress(e.Address)
+	b.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { s.RemoveServer(now, server) })
+}
+
+// dropExclusions returns whether servers may be used again.
+func (b *board) dropExclusions() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.excluded)
+	maps.DeleteFunc(b.excluded, func(_ string, x exclusionRecord) bool { return !time.Now().Before(x.until) })
+	return len(b.excluded) < n
+}
+
+// lastServer returns the server of the last call of a line of turns.
+func (b *board) lastServer(session string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sessions[session].server
+}
+
+func (b *board) noteSession(session, server string) {
+	if session == "" || server == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sessions[session] = sessionPlace{server: server, at: time.Now()}
+	if len(b.sessions) <= maxSessions {
+		return
+	}
+	for id, p := range b.sessions {
+		if time.Since(p.at) > time.Minute {
+			delete(b.sessions, id)
+		}
+	}
+}
--- /dev/null
+++ b/forward/call.go
@@ -0,0 +1,143 @@
+// Package forward passes requests on to backend servers: it chooses a server,
+// sends, retries and resumes as the request's route allows, and accounts for
+// the turns of programs.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/schedule"
+)
+
+// Call is a request of a caller, decoded.
+type Call struct {
+	ID     string // unique for each attempt of the caller
+	Method string
+	Target string // path and query as sent
+	Host   string
+	Header http.Header // to be passed on
+	Body   []byte
+	Route  *route.Route
+	// Arrived and Deadline are on the clock of this process; a zero deadline
+	// is that of the route.
+	Arrived  time.Time
+	Deadline time.Time
+	// Affinity names the object that the request is about, or the first part of
+	// its prompt; 0 for neither.
+	Affinity     uint64
+	Model        string
+	PromptTokens int
+	Turn         *Turn // nil for a request that is not a turn of a program
+	// Program is the program that the request belongs to, and Session its line
+	// of turns; both may be empty.
+	Program string
+	Session string
+	// LastEvent is the last event of the stream that the caller has; empty for
+	// a stream from its start.
+	LastEvent string
+}
+
+// Turn is what a turn of a program may use.
+type Turn struct {
+	Budget   int64  // tokens that all turns of the program may generate
+	Most     int64  // tokens that this turn may generate
+	Previous string // id of the turn that this one continues, or empty
+}
+
+// Attempt is one sending of a call to a backend server.
+type Attempt struct {
+	Server    string
+	Remaining time.Duration
+	Priority  int // 0 is the most urgent
+	// LastEvent is the last event that was passed on; empty for none.
+	LastEvent string
+}
+
+// Reply is what a backend server says in the head of its response.
+type Reply struct {
+	// Mine is false for a response to another request.
+	Mine bool
+	// NotRun is true if the server states that it did not run the request.
+	NotRun bool
+	// WrongServer is true if another server has the address.
+	WrongServer bool
+	// Signed is true if the response bears the server's signature.
+	Signed bool
+	// KeepFor is how long the server keeps the connection; 0 if it doesn't say.
+	KeepFor time.Duration
+}
+
+// Wire is how calls and replies look to backend servers.
+type Wire interface {
+	Header(c *Call, a Attempt) http.Header
+	Reply(c *Call, r *http.Response) Reply
+	// Passed returns the headers of a response that the caller gets.
+	Passed(r *http.Response) http.Header
+}
+
+// Step says what is done after an attempt that did not bring an answer.
+type Step uint8
+
+// The steps.
+const (
+	// Fail ends the call.
+	Fail Step = iota
+	// Retry sends the call again, to another server if there is one.
+	Retry
+)
+
+// Limits of attempts that did not run.
+const (
+	// maxUnrun bounds the sendings of one call that reached no server or were
+	// turned away: a service whose servers are all full is better left alone.
+	maxUnrun = 6
+	// minRetryTime is the least time that must be left for another sending.
+	minRetryTime = 20 * time.Millisecond
+)
+
+// progress is what is known of a call between two attempts.
+type progress struct {
+	ran     int // sendings after which a server may have run the call
+	unrun   int // sendings that did not run it
+	started bool
+	left    time.Duration // until the deadline
+}
+
+// next decides what follows an attempt that failed. A call that may have run is
+// sent again only if its route allows that, and to no more servers than it
+// allows; ended says that the last server is known to have ended, which does
+// not count.
+func (p *progress) next(r *route.Route, notRun, ended bool) Step {
+	if p.left < minRetryTime {
+		return Fail
+	}
+	if notRun {
+		p.unrun++
+		if p.unrun >= maxUnrun {
+			return Fail
+		}
+		return Retry
+	}
+	if !ended {
+		p.ran++
+	}
+	repeatable := r.Kind == route.Idempotent || r.Kind == route.Stream && r.Resumable
+	if !repeatable || p.ran >= max(1, r.MaxAttempts) {
+		return Fail
+	}
+	return Retry
+}
+
+// class maps the priority of a route to a class of the scheduler.
+func class(r *route.Route) schedule.Class {
+	switch {
+	case r.Priority <= 0:
+		return schedule.Interactive
+	case r.Priority == 1:
+		return schedule.Standard
+	default:
+		return schedule.Batch
+	}
+}
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -31,6 +31,8 @@
 	note(c.ReleaseConfirmed != nil, func() error { return c.ReleaseConfirmed.check() })
 	note(c.ServerGone != nil, func() error { return c.ServerGone.check() })
 	note(c.Tick != nil, func() error { return nil })
+	note(c.ReserveTurn != nil, func() error { return c.ReserveTurn.check() })
+	note(c.SettleTurn != nil, func() error { return c.SettleTurn.check() })
 	if set != 1 {
 		return fmt.Errorf("command has %d parts: want exactly one", set)
 	}
@@ -68,6 +70,20 @@
 		checkAmount("worst-tokens", c.WorstTokens), checkAmount("timeout", c.Timeout))
 }
 
+func (c *ReserveTurn) check() error {
+	return errors.Join(
+		checkID("program", c.Program), checkID("turn", c.Turn),
+		checkAmount("budget", c.Budget), checkAmount("most", c.Most))
+}
+
+func (c *SettleTurn) check() error {
+	err := errors.Join(checkID("program", c.Program), checkID("turn", c.Turn), checkAmount("tokens", c.Tokens))
+	if c.Keep != nil {
+		err = errors.Join(err, checkAmount("retention", c.Keep.Retention))
+	}
+	return err
+}
+
 func (c *MarkSent) check() error {
 	return errors.Join(
 		checkID("program", c.Program), checkCount("call", c.Call), checkCount("attempt", c.Attempt),
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -80,6 +80,8 @@
 	ReleaseConfirmed *ReleaseConfirmed `json:"release-confirmed,omitempty"`
 	ServerGone       *ServerGone       `json:"server-gone,omitempty"`
 	Tick             *Tick             `json:"tick,omitempty"`
+	ReserveTurn      *ReserveTurn      `json:"reserve-turn,omitempty"`
+	SettleTurn       *SettleTurn       `json:"settle-turn,omitempty"`
 }
 
 // OpenProgram opens a program or a sub-program, whose budget is reserved from
@@ -188,6 +190,7 @@
 	// call that is running instead, if any; with another refusal it is the
 	// call as it is.
 	Call *CallState `json:"call,omitempty"`
+	Turn *TurnState `json:"turn,omitempty"`
 }
 
 // Refusal says why a command was not carried out.
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -25,6 +25,7 @@
 	// forgotten counts programs that were removed. As long as it is 0, an
 	// unknown program is known never to have run anything.
 	forgotten int64
+	turns     turns
 }
 
 // New returns an empty machine.
@@ -39,6 +40,7 @@
 		timers:   newTimers(),
 		memory:   newMemory(),
 		closed:   newTimers(),
+		turns:    newTurns(),
 	}
 }
 
@@ -77,6 +79,10 @@
 		m.serverGone(*c.ServerGone)
 	case c.Tick != nil:
 		m.tick()
+	case c.ReserveTurn != nil:
+		return m.reserveTurn(c.ReserveTurn)
+	case c.SettleTurn != nil:
+		return m.settleTurn(c.SettleTurn)
 	}
 	return Result{}
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -20,6 +21,9 @@
 	Forgotten int64     `json:"forgotten"`
 	Due       []Release `json:"due,omitempty"`
 	Gone      []place   `json:"gone,omitempty"`
+	// Accounts and turns follow the programs.
+	Accounts int `json:"accounts,omitempty"`
+	Turns    int `json:"turns,omitempty"`
 }
 
 // Snapshot writes the whole state as JSON records. Equal states give equal
@@ -38,7 +42,25 @@
 	for _, p := range m.programs {
 		programs = append(programs, p.capture())
 	}
-	return func(w io.Writer) error { return writeSnapshot(w, h, programs) }
+	accounts, kept := m.turns.capture()
+	h.Accounts, h.Turns = len(accounts), len(kept)
+	return func(w io.Writer) error { return writeSnapshot(w, h, programs, accounts, kept) }
+}
+
+// capture copies what later commands change in place; the inputs and outputs
+// of turns never change.
+func (t *turns) capture() ([]account, []keptTurn) {
+	accounts := make([]account, 0, len(t.accounts))
+	for _, a := range t.accounts {
+		c := *a
+		c.Reserved = maps.Clone(a.Reserved)
+		accounts = append(accounts, c)
+	}
+	kept := make([]keptTurn, 0, len(t.kept))
+	for _, k := range t.kept {
+		kept = append(kept, *k)
+	}
+	return accounts, kept
 }
 
 // capture copies what later commands change in place. Settled calls never
@@ -54,7 +76,9 @@
 	return c
 }
 
-func writeSnapshot(w io.Writer, h header, programs []program) error {
+func writeSnapshot(w io.Writer, h header, programs []program, accounts []account, kept []keptTurn) error {
+	slices.SortFunc(accounts, func(a, b account) int { return strings.Compare(a.Program, b.Program) })
+	slices.SortFunc(kept, func(a, b keptTurn) int { return strings.Compare(a.Turn, b.Turn) })
 	slices.SortFunc(programs, func(a, b program) int { return strings.Compare(a.ID, b.ID) })
 	buffered := bufio.NewWriterSize(w, 64<<10)
 	encoder := json.NewEncoder(buffered)
@@ -66,6 +90,16 @@
 			return fmt.Errorf("write program %q: %w", programs[i].ID, err)
 		}
 	}
+	for i := range accounts {
+		if err := encoder.Encode(&accounts[i]); err != nil {
+			return fmt.Errorf("write account %q: %w", accounts[i].Program, err)
+		}
+	}
+	for i := range kept {
+		if err := encoder.Encode(&kept[i]); err != nil {
+			return fmt.Errorf("write turn %q: %w", kept[i].Turn, err)
+		}
+	}
 	return buffered.Flush()
 }
 
@@ -97,10 +131,31 @@
 			return fmt.Errorf("program %q: %w", p.ID, err)
 		}
 	}
+	if err := n.turns.restore(decoder, h); err != nil {
+		return err
+	}
 	*m = *n
 	return nil
 }
 
+func (t *turns) restore(decoder *json.Decoder, h header) error {
+	for i := range h.Accounts {
+		a := &account{Reserved: map[string]int64{}}
+		if err := decoder.Decode(a); err != nil {
+			return fmt.Errorf("read account %d of %d: %w", i+1, h.Accounts, err)
+		}
+		t.accounts[a.Program] = a
+	}
+	for i := range h.Turns {
+		k := new(keptTurn)
+		if err := decoder.Decode(k); err != nil {
+			return fmt.Errorf("read turn %d of %d: %w", i+1, h.Turns, err)
+		}
+		t.kept[k.Turn] = k
+	}
+	return nil
+}
+
 // add rebuilds the indexes of a program that was read.
 func (m *Machine) add(p *program) error {
 	if m.programs[p.ID] != nil {
--- /dev/null
+++ b/ledger/turn.go
@@ -0,0 +1,196 @@
+package ledger
+
+import (
+	"bytes"
+	"maps"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// UnknownTurn refuses a turn that continues one that does not exist or has
+// expired.
+const UnknownTurn verdict.Reason = "unknown-turn"
+
+const (
+	// sweepInterval in milliseconds separates two removals of expired turns and
+	// accounts.
+	sweepInterval = 10_000
+	// accountRetention in milliseconds is how long the spending of a program is
+	// remembered after its last turn. A stopped program may return within the
+	// retention of its route, which is a minute or so.
+	accountRetention = 600_000
+	// maxChain bounds the turns of one conversation.
+	maxChain = 4_096
+)
+
+// ReserveTurn sets aside the most tokens that one turn of a program can
+// generate. The turns of a program may run side by side; what they have
+// reserved and spent together never exceeds the budget.
+type ReserveTurn struct {
+	Program string `json:"program"`
+	Turn    string `json:"turn"`
+	Budget  int64  `json:"budget"` // tokens that the program may generate
+	Most    int64  `json:"most"`   // tokens that this turn may generate
+	// Previous is the turn that this one continues, or empty.
+	Previous string `json:"previous,omitempty"`
+}
+
+// SettleTurn replaces the reservation of a turn by the tokens that its caller
+// was handed.
+type SettleTurn struct {
+	Program string `json:"program"`
+	Turn    string `json:"turn"`
+	Tokens  int64  `json:"tokens"`
+	// Keep is set for a turn that ended whole and that others may continue.
+	Keep *KeptTurn `json:"keep,omitempty"`
+}
+
+// KeptTurn is what a later turn of the chain is built from.
+type KeptTurn struct {
+	Previous  string `json:"previous,omitempty"`
+	Input     []byte `json:"input"`
+	Output    []byte `json:"output"`
+	Retention int64  `json:"retention"` // milliseconds
+}
+
+// TurnState is the answer to a command about a turn.
+type TurnState struct {
+	Turn     string `json:"turn"`
+	Spent    int64  `json:"spent"`
+	Reserved int64  `json:"reserved"`
+}
+
+// account is the spending of one program's turns.
+type account struct {
+	Program  string           `json:"program"`
+	Spent    int64            `json:"spent"`
+	Reserved map[string]int64 `json:"reserved,omitempty"` // by turn
+	UsedAt   int64            `json:"used-at"`
+}
+
+func (a *account) reserved() int64 {
+	sum := int64(0)
+	for _, n := range a.Reserved {
+		sum += n
+	}
+	return sum
+}
+
+// keptTurn is a link of a conversation.
+type keptTurn struct {
+	Turn string `json:"turn"`
+	KeptTurn
+	Expires int64 `json:"expires"` // Unix milliseconds
+}
+
+// turns is the part of the machine that keeps turns.
+type turns struct {
+	accounts map[string]*account
+	kept     map[string]*keptTurn
+	sweepAt  int64
+}
+
+func newTurns() turns {
+	return turns{accounts: map[string]*account{}, kept: map[string]*keptTurn{}}
+}
+
+func (m *Machine) reserveTurn(c *ReserveTurn) Result {
+	m.sweepTurns()
+	if c.Previous != "" && m.turn(c.Previous) == nil {
+		return refuse(verdict.NotRun, UnknownTurn, "turn %q does not exist or has expired", c.Previous)
+	}
+	a := m.turns.accounts[c.Program]
+	if a == nil {
+		a = &account{Program: c.Program, Reserved: map[string]int64{}}
+		m.turns.accounts[c.Program] = a
+	}
+	a.UsedAt = m.clock
+	if _, again := a.Reserved[c.Turn]; !again {
+		if a.Spent+a.reserved()+c.Most > c.Budget {
+			r := refuse(verdict.NotRun, verdict.BudgetExceeded, "budget of %d tokens: %d spent, %d reserved, %d wanted",
+				c.Budget, a.Spent, a.reserved(), c.Most)
+			r.Turn = a.state(c.Turn)
+			return r
+		}
+		a.Reserved[c.Turn] = c.Most
+	}
+	return Result{Turn: a.state(c.Turn)}
+}
+
+func (a *account) state(turn string) *TurnState {
+	return &TurnState{Turn: turn, Spent: a.Spent, Reserved: a.reserved()}
+}
+
+// settleTurn charges a turn once: only the first settlement finds the
+// reservation.
+func (m *Machine) settleTurn(c *SettleTurn) Result {
+	m.sweepTurns()
+	a := m.turns.accounts[c.Program]
+	if a == nil {
+		return refuse(verdict.Ran, verdict.UnknownProgram, "program %q has no reservation", c.Program)
+	}
+	if _, ok := a.Reserved[c.Turn]; ok {
+		delete(a.Reserved, c.Turn)
+		a.Spent += c.Tokens
+	}
+	a.UsedAt = m.clock
+	if k := c.Keep; k != nil && m.turns.kept[c.Turn] == nil {
+		m.turns.kept[c.Turn] = &keptTurn{Turn: c.Turn, KeptTurn: *k, Expires: m.clock + k.Retention}
+		m.extendChain(k.Previous, m.clock+k.Retention)
+	}
+	return Result{Turn: a.state(c.Turn)}
+}
+
+// extendChain keeps a chain as long as its newest turn.
+func (m *Machine) extendChain(turn string, expires int64) {
+	for range maxChain {
+		k := m.turns.kept[turn]
+		if k == nil {
+			return
+		}
+		k.Expires = max(k.Expires, expires)
+		turn = k.Previous
+	}
+}
+
+// turn returns a kept turn that has not expired, or nil.
+func (m *Machine) turn(id string) *keptTurn {
+	k := m.turns.kept[id]
+	if k == nil || k.Expires <= m.clock {
+		return nil
+	}
+	return k
+}
+
+// Chain returns the inputs and outputs of a turn and of all before it, oldest
+// first, and false if one of them is missing.
+func (m *Machine) Chain(turn string) ([]byte, bool) {
+	var links []*keptTurn
+	size := 0
+	for turn != "" {
+		k := m.turns.kept[turn]
+		if k == nil || len(links) >= maxChain {
+			return nil, false
+		}
+		links = append(links, k)
+		size += len(k.Input) + len(k.Output)
+		turn = k.Previous
+	}
+	out := bytes.NewBuffer(make([]byte, 0, size))
+	for i := len(links) - 1; i >= 0; i-- {
+		out.Write(links[i].Input)
+		out.Write(links[i].Output)
+	}
+	return out.Bytes(), true
+}
+
+// sweepTurns removes what has expired. Lookups check the expiry themselves, so
+// that replicas that sweep at other times give the same results.
+func (m *Machine) sweepTurns() {
+	if m.clock < m.turns.sweepAt {
+		return
+	}
+	m.turns.sweepAt = m.clock + sweepInterval
+	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool { return k.Expires+sweepInterval <= m.clock })
+	maps.DeleteFunc(m.turns.accounts, func(_ string, a *account) bool { return a.UsedAt+accountRetention <= m.clock })
+}
--- a/replica/form.go
+++ b/replica/form.go
@@ -33,7 +33,28 @@
 	return formation{nonce: n.Random.Uint64(), known: map[string]Ref{}, empty: map[string]emptyPeer{}}
 }
 
-func (n *Node) coordinator() string { return slices.Min(n.Initial) }
+func (n *Node) coordinator() string {
+	if len(n.Initial) == 0 {
+		return ""
+	}
+	return slices.Min(n.Initial)
+}
+
+// SetContacts sets the ids of replicas of an open group that this one asks to
+// let it join.
+func (n *Node) SetContacts(ids []string) { n.contacts = ids }
+
+func (n *Node) joinTargets() []string {
+	if !n.Open {
+		return n.Initial
+	}
+	ids := append(slices.Clone(n.Initial), n.contacts...)
+	for _, x := range n.members {
+		ids = append(ids, x.ID)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
 
 // tickJoin announces a replica that no leader talks to: one with an empty log,
 // or one that the leader does not know because the membership that named it
@@ -43,7 +64,7 @@
 		return
 	}
 	n.form.joinAt = now.Elapsed + n.Timing.Heartbeat
-	for _, id := range n.Initial {
+	for _, id := range n.joinTargets() {
 		if id != n.Self.ID {
 			to := n.form.known[id]
 			to.ID = id
@@ -57,7 +78,7 @@
 // formGroup writes the first membership once all initial members have said
 // that their logs are empty. Only the member with the lowest id does so.
 func (n *Node) formGroup(now Now) {
-	if n.Self.ID != n.coordinator() {
+	if n.Self.ID != n.coordinator() || !slices.Contains(n.Initial, n.Self.ID) {
 		return
 	}
 	var members Members
--- a/replica/group.go
+++ b/replica/group.go
@@ -27,6 +27,9 @@
 	// the group, including this one.
 	ID    string
 	Peers []string
+	// Open lets other replicas join the group and removes lost ones. Peers is
+	// empty for a replica that joins.
+	Open bool
 	// Dir is the data folder of this replica of this group.
 	Dir string
 }
@@ -97,7 +100,9 @@
 	stopped  sync.Once
 	closed   sync.Once
 	failure  error // set before stop is closed
-	busy     int   // writes under way; owned by the loop
+	contacts atomic.Pointer[[]string]
+	retiring atomic.Pointer[[]string]
+	busy     int // writes under way; owned by the loop
 	reading  map[uint64][]*request
 	readID   uint64
 	workers  sync.WaitGroup
@@ -157,7 +162,7 @@
 func (g *Group) start(r disk.Recovered) error {
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Ref{ID: r.Identity.ID, Incarnation: r.Identity.Incarnation}
-	node, err := NewNode(g.now(), NodeOptions{Self: self, Initial: g.config.Peers, Timing: g.options.timing, Random: seed}, r)
+	node, err := NewNode(g.now(), NodeOptions{Self: self, Initial: g.config.Peers, Open: g.config.Open, Timing: g.options.timing, Random: seed}, r)
 	if err != nil {
 		return err
 	}
@@ -189,6 +194,13 @@
 	}
 }
 
+// SetContacts sets the ids of replicas that this one asks to let it join an
+// open group.
+func (g *Group) SetContacts(ids []string) { g.contacts.Store(&ids) }
+
+// SetRetiring sets the ids of members that are to leave an open group for good.
+func (g *Group) SetRetiring(ids []string) { g.retiring.Store(&ids) }
+
 // Leader returns the id of the group's leader, and false if none is known.
 func (g *Group) Leader() (id string, ok bool) {
 	r := g.leader.Load()
--- a/replica/handover.go
+++ b/replica/handover.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // HandOver makes the leader stop taking proposals and ask the most advanced
 // voter to take over once it has the whole log. It returns false if this
@@ -23,7 +26,7 @@
 	var match uint64
 	for _, r := range n.others() {
 		p := n.lead.progress[r]
-		if n.members.isVoter(r) && now.Elapsed-p.heardAt < 2*n.Timing.Heartbeat+100*time.Millisecond && p.match >= match {
+		if n.members.isVoter(r) && !slices.Contains(n.retiring, r.ID) && now.Elapsed-p.heardAt < 2*n.Timing.Heartbeat+100*time.Millisecond && p.match >= match {
 			best, match = r, p.match
 		}
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -42,6 +42,12 @@
 				g.handle(g.node.Compact(g.now(), info, g.options.keepEntries))
 			}
 		case <-ticker.C:
+			if ids := g.contacts.Load(); ids != nil {
+				g.node.SetContacts(*ids)
+			}
+			if ids := g.retiring.Load(); ids != nil {
+				g.node.SetRetiring(*ids)
+			}
 			g.handle(g.node.Tick(g.now()))
 			g.status.Store(g.node.status())
 		}
--- a/replica/node.go
+++ b/replica/node.go
@@ -39,6 +39,9 @@
 	// votes; the longest is half as much again. A leader that has not heard from a
 	// quorum, or whose disk has not finished a write, for this long steps down.
 	Election time.Duration
+	// Remove is the silence after which an open group removes a member; 0
+	// means never.
+	Remove time.Duration
 }
 
 // DefaultTiming keeps fail-over under 3 s: at most 1.5 s until a replica
@@ -109,9 +112,12 @@
 // NodeOptions are the fixed properties of a replica.
 type NodeOptions struct {
 	Self Ref
-	// Initial are the ids of the replicas that form the group.
+	// Initial are the ids of the replicas that form the group. A replica
+	// without them only joins a group that exists.
 	Initial []string
-	Timing  Timing
+	// Open lets replicas with other ids join, and removes lost ones.
+	Open   bool
+	Timing Timing
 	// Random spreads election timeouts.
 	Random *rand.Rand
 }
@@ -146,10 +152,12 @@
 	mayVoteAt time.Duration // when it votes even so
 	recallAt  time.Duration
 
-	lead  leadership
-	form  formation
-	seen  map[Ref]Seen // promises of each replica, this one too
-	chunk incomingChunks
+	lead     leadership
+	form     formation
+	contacts []string     // ids that a joining replica asks, besides Initial
+	retiring []string     // ids of members that are to leave
+	seen     map[Ref]Seen // promises of each replica, this one too
+	chunk    incomingChunks
 }
 
 // NewNode returns the core of a replica with the state found on its disk.
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/disk"
@@ -13,6 +14,9 @@
 }
 
 func (n *Node) onJoiner(now Now, r Ref) {
+	if slices.Contains(n.retiring, r.ID) {
+		return
+	}
 	if _, ok := n.members.find(r); !ok && r.ID != n.Self.ID {
 		n.lead.joining[r.ID] = joiner{ref: r, at: now.Elapsed}
 	}
@@ -31,14 +35,125 @@
 }
 
 func (n *Node) nextMembers(now Now) Members {
-	for _, id := range n.Initial {
+	if next := n.withoutRetiring(now); next != nil {
+		return next
+	}
+	for _, id := range n.candidates() {
 		if next := n.nextFor(now, id); next != nil {
 			return next
 		}
 	}
+	return n.withoutLost(now)
+}
+
+// candidates returns the ids that may be members: the initial ones, and in an
+// open group those of the members and of all that ask to join.
+func (n *Node) candidates() []string {
+	if !n.Open {
+		return n.Initial
+	}
+	ids := slices.Clone(n.Initial)
+	for _, x := range n.members {
+		ids = append(ids, x.ID)
+	}
+	for id := range n.lead.joining {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// lostVoter returns a voter of an open group that a new member replaces: one
+// that has been silent for three election timeouts while all others answer. It
+// is removed before the new member votes, for the same reason as the former
+// incarnation of a member.
+func (n *Node) lostVoter(now Now) Ref {
+	if !n.Open {
+		return Ref{}
+	}
+	var lost Ref
+	for _, x := range n.members {
+		switch {
+		case x.Learner || n.active(now, x.Ref):
+		case lost == (Ref{}) && n.silentFor(now, x.Ref) >= 3*n.Timing.Election:
+			lost = x.Ref
+		default:
+			return Ref{}
+		}
+	}
+	return lost
+}
+
+// SetRetiring sets the ids of members that are to leave an open group for good.
+func (n *Node) SetRetiring(ids []string) { n.retiring = ids }
+
+// withoutRetiring removes one member that is to leave, if all others answer. A
+// leader that is to leave hands over first.
+func (n *Node) withoutRetiring(now Now) Members {
+	if len(n.retiring) == 0 {
+		return nil
+	}
+	for _, x := range n.members {
+		if !x.Learner && !n.active(now, x.Ref) && !slices.Contains(n.retiring, x.ID) {
+			return nil
+		}
+	}
+	for _, x := range n.members {
+		if !slices.Contains(n.retiring, x.ID) {
+			continue
+		}
+		if x.Ref != n.Self {
+			return n.members.without(x.Ref)
+		}
+		if h := n.lead.handover; h == (Ref{}) || !n.active(now, h) {
+			n.lead.handover = n.successor(now)
+			n.finishHandover(now)
+		}
+	}
 	return nil
 }
 
+// minVoters is the number of voters below which an open group removes none: of
+// three, one may be lost.
+const minVoters = 3
+
+// withoutLost removes one member of an open group that has been silent for
+// Timing.Remove, if all other voters answer. A host that is gone for good would
+// otherwise count towards the quorum for ever; one that returns joins again.
+func (n *Node) withoutLost(now Now) Members {
+	if !n.Open || n.Timing.Remove <= 0 {
+		return nil
+	}
+	var lost Ref
+	voters := 0
+	for _, x := range n.members {
+		silent := x.Ref != n.Self && n.silentFor(now, x.Ref) >= n.Timing.Remove
+		switch {
+		case x.Learner && silent:
+			return n.members.without(x.Ref)
+		case x.Learner:
+		case silent && lost == (Ref{}):
+			lost = x.Ref
+		case !n.active(now, x.Ref):
+			return nil
+		default:
+			voters++
+		}
+	}
+	if lost == (Ref{}) || voters < minVoters {
+		return nil
+	}
+	return n.members.without(lost)
+}
+
+func (n *Node) silentFor(now Now, r Ref) time.Duration {
+	p := n.lead.progress[r]
+	if p == nil {
+		return 0
+	}
+	return now.Elapsed - p.heardAt
+}
+
 // nextFor returns the membership after the next step for one id: a new
 // incarnation becomes a learner; once it has caught up, the old one is removed
 // and then the new one made a voter. The old one goes first because it counts
@@ -66,15 +181,18 @@
 	case newest.Learner && !n.active(now, newest.Ref) && n.active(now, lives[0].Ref):
 		return n.members.without(newest.Ref) // a late message announced it
 	case newest.Learner && n.caughtUp(now, newest.Ref):
-		return n.afterCatchUp(lives)
+		return n.afterCatchUp(now, lives)
 	}
 	return nil
 }
 
-func (n *Node) afterCatchUp(lives Members) Members {
+func (n *Node) afterCatchUp(now Now, lives Members) Members {
 	if len(lives) > 1 {
 		return n.members.without(lives[0].Ref)
 	}
+	if lost := n.lostVoter(now); lost != (Ref{}) {
+		return n.members.without(lost)
+	}
 	return n.members.with(Member{Ref: lives[0].Ref})
 }
 
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -63,6 +63,9 @@
 	AttainedTokens int64
 	Idempotent     bool
 	Fingerprint    uint64
+	// Affinity names what requests share that run best on the same server,
+	// such as the first part of their prompt; 0 for nothing.
+	Affinity uint64
 	// Avoid are servers that failed an earlier attempt of this call.
 	Avoid []string
 }
--- /dev/null
+++ b/sse/frame.go
@@ -0,0 +1,79 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Frame is one event as it was sent.
+type Frame struct {
+	// Raw are all bytes of the event with the empty line that ends it.
+	Raw []byte
+	// ID is the event's id; empty if it has none.
+	ID string
+	// Data are the event's data lines, joined by line feeds.
+	Data []byte
+}
+
+// FrameReader reads events without changing their bytes, to pass them on.
+type FrameReader struct {
+	r        *bufio.Reader
+	maxBytes int
+}
+
+// NewFrameReader returns a reader of events of at most maxBytes.
+func NewFrameReader(r io.Reader, maxBytes int) *FrameReader {
+	return &FrameReader{r: bufio.NewReader(r), maxBytes: maxBytes}
+}
+
+// Next returns the next event. At the end of the stream it returns io.EOF, or
+// io.ErrUnexpectedEOF if the stream ends within an event.
+func (f *FrameReader) Next() (Frame, error) {
+	var e Frame
+	seen := false
+	for {
+		start := len(e.Raw)
+		if err := f.readLine(&e.Raw); err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return Frame{}, err
+		}
+		line := bytes.TrimRight(e.Raw[start:], "\r\n")
+		if len(line) == 0 {
+			if len(bytes.TrimSpace(e.Raw)) == 0 {
+				continue
+			}
+			return e, nil
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			e.ID = string(value)
+		case "data":
+			if seen {
+				e.Data = append(e.Data, '\n')
+			}
+			seen = true
+			e.Data = append(e.Data, value...)
+		}
+	}
+}
+
+// readLine appends a line with its end.
+func (f *FrameReader) readLine(to *[]byte) error {
+	for {
+		part, err := f.r.ReadSlice('\n')
+		*to = append(*to, part...)
+		if len(*to) > f.maxBytes {
+			return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, f.maxBytes)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
