replica: a new host replaces a lost voter before it gets a vote

Test TestOpenGroupOutlivesReplacementsInTurn failed before. A new leader takes all members for active at first, so silence is counted from its own term.

--- a/replica/leader.go
+++ b/replica/leader.go
@@ -26,6 +26,7 @@
 	waiting bool   // a probe is under way
 	flying  []uint64
 	heardAt time.Duration
+	heard   bool   // since this replica leads
 	round   uint64 // last round that was echoed
 	// Transfer of a snapshot; Index 0 when there is none.
 	snapshot disk.SnapshotInfo
@@ -211,7 +212,7 @@
 	if p == nil {
 		return // not a member: an old incarnation, or one removed
 	}
-	p.heardAt = now.Elapsed
+	p.heardAt, p.heard = now.Elapsed, true
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		n.onAppendRejected(m, p)
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -63,25 +63,24 @@
 	return slices.Compact(ids)
 }
 
-// lostVoter returns a voter of an open group that a new member replaces: one
-// that has been silent for three election timeouts while all others answer. It
-// is removed before the new member votes, for the same reason as the former
-// incarnation of a member.
-func (n *Node) lostVoter(now Now) Ref {
+// lostVoter returns whether a voter of an open group is silent, and the one that
+// a new member replaces, once it has been silent for two election timeouts
+// while all others answer. A new member gets no vote before that: of three
+// voters and one more, the loss of another one would leave two of four.
+func (n *Node) lostVoter(now Now) (lost Ref, silent bool) {
 	if !n.Open {
-		return Ref{}
+		return Ref{}, false
 	}
-	var lost Ref
 	for _, x := range n.members {
-		switch {
-		case x.Learner || n.active(now, x.Ref):
-		case lost == (Ref{}) && n.silentFor(now, x.Ref) >= 3*n.Timing.Election:
-			lost = x.Ref
-		default:
-			return Ref{}
+		if x.Learner || n.active(now, x.Ref) && n.heardInTerm(x.Ref) {
+			continue
+		}
+		if silent || n.silentFor(now, x.Ref) < 2*n.Timing.Election {
+			return Ref{}, true
 		}
+		lost, silent = x.Ref, true
 	}
-	return lost
+	return lost, silent
 }
 
 // SetRetiring sets the ids of members that are to leave an open group for good.
@@ -146,6 +145,13 @@
 	return n.members.without(lost)
 }
 
+// heardInTerm returns whether a member has answered this leader at all. A new
+// leader counts all members as active at first.
+func (n *Node) heardInTerm(r Ref) bool {
+	p := n.lead.progress[r]
+	return r == n.Self || p != nil && p.heard
+}
+
 func (n *Node) silentFor(now Now, r Ref) time.Duration {
 	p := n.lead.progress[r]
 	if p == nil {
@@ -190,7 +196,10 @@
 	if len(lives) > 1 {
 		return n.members.without(lives[0].Ref)
 	}
-	if lost := n.lostVoter(now); lost != (Ref{}) {
+	if lost, silent := n.lostVoter(now); silent {
+		if lost == (Ref{}) {
+			return nil
+		}
 		return n.members.without(lost)
 	}
 	return n.members.with(Member{Ref: lives[0].Ref})
