--- a/forward/answer.go
+++ b/forward/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -44,6 +45,7 @@
 		if _, err := w.Write(body); err != nil {
 			r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
 		}
+		r.answered(t, resp.StatusCode)
 		return nil
 	}
 }
@@ -142,6 +144,7 @@
 	}
 	r.queue.Finished(t.id, t.server, schedule.Usage{PromptTokens: r.call.PromptTokens, OutputTokens: int(r.events * r.perEvent)}, schedule.Succeeded)
 	r.board.noteSession(r.call.Session, t.server)
+	r.answered(t, resp.StatusCode)
 	if r.call.Turn != nil && r.call.Route.KeepsHistory {
 		if err := r.keep(); err != nil {
 			r.logger.Warn("turn not recorded; its stream is broken off", zap.String("request", r.call.ID), zap.Error(err))
@@ -188,6 +191,9 @@
 		if r.call.Route.KeepsHistory && r.call.Turn != nil {
 			r.output = append(append(r.output, f.Data...), '\n')
 		}
+		if r.events == 1 {
+			r.timing.firstEvent = time.Since(r.call.Arrived)
+		}
 		if n == 0 {
 			r.queue.FirstToken(t.id, t.server)
 		} else {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -195,10 +195,27 @@
 	perEvent  int64 // tokens
 	output    []byte
 	lastEvent string
+	timing    timing
 	reserved  bool
 	kept      bool // the turn was recorded for others to continue
 }
 
+// timing says where the time of a call went, since its arrival.
+type timing struct {
+	reserved   time.Duration // the turn was recorded
+	placed     time.Duration // a server was chosen, last time
+	firstEvent time.Duration
+}
+
+// answered logs the end of a call that a server has answered.
+func (r *run) answered(t target, status int) {
+	c := r.call
+	r.logger.Info("call answered", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+		zap.String("server", t.server), zap.Int("status", status), zap.Int("attempts", r.sent), zap.Int64("events", r.events),
+		zap.Duration("reserved", r.timing.reserved), zap.Duration("placed", r.timing.placed),
+		zap.Duration("first-event", r.timing.firstEvent), zap.Duration("total", time.Since(c.Arrived)))
+}
+
 // reserve sets aside the tokens of a turn and fetches the conversation before
 // it.
 func (r *run) reserve(ctx context.Context) error {
@@ -222,6 +239,7 @@
 			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
 	}
 	r.reserved = true
+	r.timing.reserved = time.Since(r.call.Arrived)
 	if t.Previous != "" {
 		r.body = append(chain, r.body...)
 	}
@@ -300,6 +318,7 @@
 			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
 	}
 	address := r.board.address(a.Server)
+	r.timing.placed = time.Since(c.Arrived)
 	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
 		zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.sent), zap.Int64("table", r.board.version()), zap.Duration("waited", time.Since(c.Arrived)))
