schedule: lines of turns share three home servers of their prefix

Cause: hosts that see the load of a moment ago all took the same least loaded server: 36 runs on one while the median was 6; and a line of turns that came through another host was read anew. Ruled out: a lower limit of occupancy alone (0.5 to 0.2): no change beyond noise.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -296,6 +296,7 @@
 		ID:    schedule.CallID{Program: r.program(), Call: int(r.serial.Add(1)), Attempt: r.sent + 1},
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.board.lastServer(c.Session),
+		Line: xxhash.Sum64String(c.Session),
 	}
 	if x := r.board.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -2,25 +2,27 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 // prefixAffinity sends requests with the same shared prefix to the same few
-// servers, so that the prefix is read once and stays cached, and grows the set
-// of these servers with the load. All hosts order the servers in the same way,
-// without talking to each other.
+// servers, and each line of turns to one of them, so that prompts are read once
+// and stay cached. All hosts order the servers in the same way, without talking
+// to each other.
 //
 // It answers a load of many programs over few long shared prompts: spread
-// evenly, every server would read every prefix, and shared caches would hold
-// little else.
+// evenly, every server would read every prefix, and a line of turns that moves
+// from host to host would be read anew each time.
 type prefixAffinity struct {
-	// crowded is the occupancy up to which the first servers in the order of
-	// the prefix are filled before the next ones get work.
+	// homes is the number of servers that share the lines of one prefix.
+	homes int
+	// crowded is the occupancy from which work goes to the next server in the
+	// order of the prefix: the prompts that others read delay each token.
 	crowded float64
-	// stay is the occupancy up to which a program stays on the server of its
-	// last call.
+	// stay is the occupancy up to which a line stays on its last server.
 	stay float64
 	// local is the data centre whose servers come first; empty for none.
 	local string
@@ -28,11 +30,11 @@
 	fallback router
 }
 
-// WithPrefixAffinity groups requests by the first part of their prompt on
-// servers of the data centre first, if it is given.
+// WithPrefixAffinity groups requests by the first part of their prompt, on
+// servers of the data centre first if it is given.
 func WithPrefixAffinity(dataCentre string) Option {
 	return func(s *Scheduler) {
-		s.router = prefixAffinity{crowded: 0.5, stay: 0.85, local: dataCentre, fallback: s.router}
+		s.router = prefixAffinity{homes: 3, crowded: 0.35, stay: 0.5, local: dataCentre, fallback: s.router}
 	}
 }
 
@@ -43,30 +45,71 @@
 	if v := c.last; v != nil && c.pool.isOpen(v) && v.full() <= p.stay && v.steady(s.now) && !c.avoids(v) {
 		return choice{server: v, reason: "cached-prefix"}
 	}
-	var first, least *server
-	var firstRank rank
-	for _, v := range c.pool.open {
-		if c.runOn(v) != nil || c.avoids(v) {
-			continue
+	if v := p.home(s, c); v != nil {
+		return choice{server: v, reason: "prefix-home"}
+	}
+	if v := p.lessFull(s, c); v != nil {
+		return choice{server: v, reason: "less-full"}
+	}
+	return p.fallback.choose(s, c)
+}
+
+// home returns the server of the line among the first ones of its prefix, or
+// the first of the others that is not crowded.
+func (p prefixAffinity) home(s *Scheduler, c *call) *server {
+	ranked := make([]rankedServer, 0, len(c.pool.members))
+	for _, v := range c.pool.members {
+		if v.available() {
+			ranked = append(ranked, rankedServer{v, p.rank(c.Affinity, v)})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b rankedServer) int {
+		if a.before(b.rank) {
+			return -1
+		}
+		return 1
+	})
+	first := 0
+	if n := min(p.homes, len(ranked)); n > 0 {
+		first = int(c.Line % uint64(n))
+	}
+	usable := func(v *server) bool {
+		return c.pool.isOpen(v) && v.full() <= p.crowded && v.steady(s.now) && c.runOn(v) == nil && !c.avoids(v)
+	}
+	if first < len(ranked) && usable(ranked[first].server) {
+		return ranked[first].server
+	}
+	for _, r := range ranked {
+		if usable(r.server) {
+			return r.server
 		}
-		if least == nil || v.full() < least.full() {
-			least = v
+	}
+	return nil
+}
+
+type rankedServer struct {
+	server *server
+	rank
+}
+
+// lessFull returns the less full one of two random servers. All hosts see the
+// load of a moment ago: if each took the least loaded server, they would all
+// take the same one.
+func (p prefixAffinity) lessFull(s *Scheduler, c *call) *server {
+	var best *server
+	for range 2 {
+		if len(c.pool.open) == 0 {
+			return nil
 		}
-		if v.full() >= p.crowded || !v.steady(s.now) {
+		v := c.pool.open[s.random.IntN(len(c.pool.open))]
+		if c.runOn(v) != nil || c.avoids(v) || !v.steady(s.now) {
 			continue
 		}
-		if r := p.rank(c.Affinity, v); first == nil || r.before(firstRank) {
-			first, firstRank = v, r
+		if best == nil || v.full() < best.full() {
+			best = v
 		}
 	}
-	switch {
-	case first != nil:
-		return choice{server: first, reason: "prefix-home"}
-	case least != nil:
-		return choice{server: least, reason: "least-occupied"}
-	default:
-		return p.fallback.choose(s, c)
-	}
+	return best
 }
 
 // rank orders the servers for one prefix.
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -66,6 +66,9 @@
 	// Affinity names what requests share that run best on the same server,
 	// such as the first part of their prompt; 0 for nothing.
 	Affinity uint64
+	// Line names the line of calls that the request belongs to, whose prompts
+	// begin with each other; 0 for none.
+	Line uint64
 	// Avoid are servers that failed an earlier attempt of this call.
 	Avoid []string
 }
