cluster: heartbeats of 100 ms, elections after 400 ms

Cause: after a fault of all hosts the logs had no leader for 1 to 1.75 s, and callers give a turn up within about as long.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -37,6 +37,10 @@
 	// towards the quorum. A host that is killed or frozen is back within
 	// seconds; removing it then would only cost two membership changes.
 	removeAfter = 12 * time.Second
+	// heartbeat and election set how long the log has no leader after a fault.
+	// Callers give up within a second or two, and a round trip takes 3 ms.
+	heartbeat = 100 * time.Millisecond
+	election  = 400 * time.Millisecond
 	// hostMemory is how long a control host is remembered that is silent.
 	hostMemory = 20 * time.Second
 	// maxTableRounds bounds the attempts to write a table beside other writers.
@@ -93,8 +97,7 @@
 	h.mesh = newMesh(func(id string) *control.Peer {
 		return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
 	})
-	timing := replica.DefaultTiming()
-	timing.Remove = removeAfter
+	timing := replica.Timing{Heartbeat: heartbeat, Election: election, Remove: removeAfter}
 	var err error
 	h.group, err = replica.Open(
 		replica.Config{ID: c.ID, Peers: c.Founders, Open: true, Dir: filepath.Join(c.DataFolder, "log")},
