cluster: recover sooner after a fault of all hosts

Now they start at once, dials are short until a host has answered, and callers are told to return within 0.3 to 0.8 s.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -29,6 +29,11 @@
 	loadInterval = 250 * time.Millisecond
 	// syncTimeout bounds one question; a connection that exceeds it is dropped.
 	syncTimeout = 600 * time.Millisecond
+	// firstRetry is the interval at which a control host that does not answer is
+	// asked again at first. It doubles up to syncInterval, and the time for an
+	// answer grows with it: the opening packet to a host without power is lost.
+	firstRetry   = 100 * time.Millisecond
+	firstTimeout = 200 * time.Millisecond
 	// leaderAttempt bounds one request to the leader, so that a host that was
 	// cut off silently does not use up the caller's time.
 	leaderAttempt = 1200 * time.Millisecond
@@ -101,6 +106,7 @@
 	revision   int64
 	heardAt    time.Time
 	namedAt    time.Time // by itself or by another control host
+	answered   bool      // the last time
 	lost       bool
 }
 
@@ -188,11 +194,18 @@
 func (l *Link) follow(ctx context.Context, h *linkHost) {
 	defer l.wait.Done()
 	defer h.Close()
+	retry := firstRetry
 	for {
-		l.ask(ctx, h)
 		interval := syncInterval
-		if l.summing(h) {
+		switch {
+		case !l.ask(ctx, h, firstTimeout+retry):
+			interval = retry
+			retry = min(2*retry, syncInterval)
+		case l.summing(h):
 			interval = loadInterval
+			fallthrough
+		default:
+			retry = firstRetry
 		}
 		if !pause.For(ctx, interval) {
 			return
@@ -208,8 +221,13 @@
 	return l.heard == h.id
 }
 
-func (l *Link) ask(ctx context.Context, h *linkHost) {
+// ask asks a control host once, and returns whether it has answered. A host
+// that answered the last time gets syncTimeout, any other one a shorter time.
+func (l *Link) ask(ctx context.Context, h *linkHost, timeout time.Duration) bool {
 	l.mu.Lock()
+	if h.answered {
+		timeout = syncTimeout
+	}
 	summing := l.heard == h.id
 	r := syncRequest{Host: l.config.ID, Life: h.life, Revision: h.revision, WantRuns: summing}
 	l.mu.Unlock()
@@ -218,18 +236,19 @@
 	} else {
 		r.Runs, r.Suspects = l.observer.Report()
 	}
-	attempt, cancel := context.WithTimeout(ctx, syncTimeout)
+	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
 	var out syncResponse
 	if err := h.Call(attempt, methodSync, r, &out); err != nil {
 		h.Reset()
 		l.lose(h, err)
-		return
+		return false
 	}
 	if l.config.Ledger == nil && out.TableVersion > l.version() {
 		l.fetchTable(ctx, h)
 	}
 	l.take(h, out, summing)
+	return true
 }
 
 func (l *Link) version() int64 {
@@ -242,6 +261,7 @@
 func (l *Link) lose(h *linkHost, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	h.answered = false
 	if !h.lost && l.ctx.Err() == nil {
 		l.logger.Warn("control host lost", zap.String("control-host", h.id), zap.Error(err))
 		h.lost = true
@@ -278,6 +298,7 @@
 	if h.lost {
 		l.logger.Info("control host regained", zap.String("control-host", h.id))
 	}
+	h.answered = true
 	h.lost, h.heardAt, h.dataCentre = false, time.Now(), r.DataCentre
 	full := r.Full || r.Life != h.life
 	h.life, h.revision = r.Life, r.Revision
--- a/cluster/mesh.go
+++ b/cluster/mesh.go
@@ -17,6 +17,10 @@
 	// silent without a reset.
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveTimeout  = 700 * time.Millisecond
+	// sendTimeout bounds one message with the connection that it may need. The
+	// opening packet to a host without power is lost, and sent again only after
+	// a second.
+	sendTimeout = 250 * time.Millisecond
 	// peerIdle is the time without a message after which a peer is forgotten.
 	peerIdle = 30 * time.Second
 
@@ -91,14 +95,28 @@
 		case <-ctx.Done():
 			return
 		case v := <-p.queue:
-			attempt, cancel := context.WithTimeout(ctx, keepAliveTimeout)
-			// A message that cannot be sent is lost, as on a network.
-			_ = p.Notify(attempt, v.method, v.params)
+			attempt, cancel := context.WithTimeout(ctx, sendTimeout)
+			if err := p.Notify(attempt, v.method, v.params); err != nil {
+				// Messages that cannot be sent are lost, as on a network.
+				p.dropQueue()
+			}
 			cancel()
 		}
 	}
 }
 
+// dropQueue drops what has waited behind a failed message: it would be old news
+// by the time the host is back.
+func (p *meshPeer) dropQueue() {
+	for {
+		select {
+		case <-p.queue:
+		default:
+			return
+		}
+	}
+}
+
 // keepAlive drops a connection whose peer does not answer, and forgets a peer
 // that is not used any more.
 func (m *mesh) keepAlive(ctx context.Context, cancel context.CancelFunc, id string, p *meshPeer) {
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -286,13 +286,16 @@
 
 // keepLedger runs the host until the context ends or its log stops.
 func keepLedger(ctx context.Context, s platform.Settings, key control.Key, link *cluster.Link, host *atomic.Pointer[cluster.Host], logger *zap.Logger) error {
-	for pause.For(ctx, planInterval) {
+	for ; ctx.Err() == nil; pause.For(ctx, planInterval) {
 		plan := link.Ledger()
-		if plan == nil || s.FirstStart && len(plan.Founders) == 0 {
-			continue
+		if plan == nil {
+			plan = &cluster.LedgerView{}
 		}
 		h := host.Load()
 		if h == nil {
+			if s.FirstStart && len(plan.Founders) == 0 {
+				continue // the founders are decided once
+			}
 			l, err := listen(s.PeerAddress(s.IP))
 			if err != nil {
 				return err
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -37,6 +37,10 @@
 	maxAnswerBytes = 16 << 20
 	// maxDiscard bounds what is read of an answer that nobody wants.
 	maxDiscard = 64 << 10
+	// minRecovery and recoverySpread are when callers may return that were
+	// refused because the ledger has no leader.
+	minRecovery    = 300 * time.Millisecond
+	recoverySpread = 500 * time.Millisecond
 	// defaultRetryAfter is told callers when nothing better is known.
 	defaultRetryAfter = 200 * time.Millisecond
 )
@@ -236,7 +240,7 @@
 			return v
 		}
 		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the turn could not be recorded",
-			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
+			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
 	}
 	r.reserved = true
 	r.timing.reserved = time.Since(r.call.Arrived)
@@ -281,6 +285,12 @@
 	return err
 }
 
+// recoveryRetryAfter spreads the return of callers over the time that the
+// ledger takes to choose another leader.
+func recoveryRetryAfter() time.Duration {
+	return minRecovery + rand.N(recoverySpread)
+}
+
 // target is a server that takes an attempt.
 type target struct {
 	id      schedule.CallID
