Refuse requests three seconds after the signal to stop

The gate let requests of open programs in; the platform's do not depend on the host. The test of the gate failed before.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,6 +30,12 @@
 	maxStrays = 4
 	// maxStrayBytes bounds the body of a foreign response.
 	maxStrayBytes = 1 << 20
+	// inlineBody is the size of bodies up to which a request is written before
+	// its response is read: it fits the buffers on the way.
+	inlineBody = 32 << 10
+	// writeGrace is the time for the write of a longer request to return once
+	// its answer is there.
+	writeGrace = 10 * time.Millisecond
 	// unackedTimeout ends connections that have gone silent.
 	unackedTimeout = 2 * time.Second
 	// linuxUserTimeout is TCP_USER_TIMEOUT.
@@ -153,7 +159,11 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ServerFailed, "connect to "+address, verdict.WithCause(err))
 	}
 	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
-	go func() { x.written <- o.write(c.nc) }()
+	if len(o.Body) <= inlineBody {
+		x.written <- o.write(c.nc)
+	} else {
+		go func() { x.written <- o.write(c.nc) }()
+	}
 	r := <-x.response
 	if r.err != nil {
 		stop()
@@ -291,6 +301,14 @@
 	return true
 }
 
+// release ends the current exchange and keeps the connection.
+func (c *conn) release() {
+	c.mu.Lock()
+	c.current = nil
+	c.mu.Unlock()
+	c.pool.put(c)
+}
+
 func (c *conn) waiting() *pooledExchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -319,10 +337,6 @@
 		if err != nil || !<-x.bodyDone {
 			return
 		}
-		c.mu.Lock()
-		c.current = nil
-		c.mu.Unlock()
-		c.pool.put(c)
 	}
 }
 
@@ -372,10 +386,12 @@
 		select {
 		case err := <-b.exchange.written:
 			reusable = reusable && err == nil
-		default:
+		case <-time.After(writeGrace):
 			reusable = false // the server answered before it had the whole body
 		}
-		if !reusable {
+		if reusable {
+			b.conn.release()
+		} else {
 			b.conn.nc.Close()
 		}
 		b.exchange.bodyDone <- reusable
--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,300 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// script is a backend server that answers the n-th request of a connection by
+// writing bytes as they are.
+type script struct {
+	listener net.Listener
+	conns    atomic.Int64
+	answer   func(n int, r *http.Request, body []byte, w net.Conn) (goOn bool)
+}
+
+func newScript(t *testing.T, answer func(n int, r *http.Request, body []byte, w net.Conn) bool) *script {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &script{listener: l, answer: answer}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !s.answer(n, r, body, c) {
+			return
+		}
+	}
+}
+
+func (s *script) address() string { return s.listener.Addr().String() }
+
+func mineByID(id string) Mine {
+	return func(r *http.Response) bool { return r.Header.Get("Id") == id }
+}
+
+func outgoingFor(id string) *Outgoing {
+	return &Outgoing{Method: "POST", Target: "/x?y=1", Host: "a.example", Header: http.Header{"Id": {id}}, Body: []byte("body-" + id)}
+}
+
+func ask(t *testing.T, p *Pool, address, id string) (string, error) {
+	t.Helper()
+	resp, err := p.Do(t.Context(), address, outgoingFor(id), mineByID(id))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against requests that are changed on the way, and against a new
+// connection for each.
+func TestPoolReusesConnections(t *testing.T) {
+	s := newScript(t, func(_ int, r *http.Request, body []byte, w net.Conn) bool {
+		fmt.Fprint(w, reply(r.Header.Get("Id"), r.Method+" "+r.RequestURI+" "+r.Host+" "+string(body)))
+		return true
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		body, err := ask(t, p, s.address(), id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "POST /x?y=1 a.example body-"+id)
+	}
+	assert.Equal(t, s.conns.Load(), int64(1))
+}
+
+// Guards against an answer that belongs to another request: a late second one,
+// or bytes that follow a complete answer.
+func TestPoolSkipsStrayResponses(t *testing.T) {
+	tests := []struct {
+		name  string
+		extra string // after the first answer
+	}{
+		{"second answer", reply("0", "again")},
+		{"garbage", "\x00\x01 what nobody asked for\r\n\r\n"},
+		{"late answer before the next", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScript(t, func(n int, r *http.Request, _ []byte, w net.Conn) bool {
+				out := reply(r.Header.Get("Id"), "right "+r.Header.Get("Id")) + tt.extra
+				if tt.extra == "" && n == 1 {
+					out = reply("0", "wrong") + out
+				}
+				fmt.Fprint(w, out)
+				return true
+			})
+			p := NewPool(nil)
+			defer p.Close()
+			for _, id := range []string{"0", "1", "2"} {
+				body, err := ask(t, p, s.address(), id)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "right "+id)
+			}
+		})
+	}
+}
+
+// Guards against a verdict that calls a request not run that a server may have
+// run, and against the reverse.
+func TestPoolVerdicts(t *testing.T) {
+	closed := newScript(t, nil)
+	closed.listener.Close()
+	silent := newScript(t, func(int, *http.Request, []byte, net.Conn) bool { return false })
+	torn := newScript(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-")
+		return false
+	})
+	garbage := newScript(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprint(w, "no protocol at all\r\n\r\n")
+		return false
+	})
+	strangers := newScript(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprint(w, strings.Repeat(reply("x", "wrong"), maxStrays))
+		return false
+	})
+	tests := []struct {
+		name    string
+		address string
+		want    verdict.Verdict
+	}{
+		{"refused", closed.address(), verdict.NotRun},
+		{"closed without an answer", silent.address(), verdict.MayHaveRun},
+		{"torn head", torn.address(), verdict.MayHaveRun},
+		{"garbage", garbage.address(), verdict.MayHaveRun},
+		{"only answers of others", strangers.address(), verdict.MayHaveRun},
+	}
+	p := NewPool(nil)
+	defer p.Close()
+	for _, tt := range tests {
+		_, err := ask(t, p, tt.address, "1")
+		assert.Equal(t, verdict.Of(err), tt.want, tt.name)
+	}
+}
+
+// Guards against a cut answer that looks complete, with and without a length.
+func TestPoolTellsCutAnswers(t *testing.T) {
+	tests := []struct {
+		name, head, body string
+		reset, whole     bool
+	}{
+		{"with a length", "Content-Length: 10\r\n", "12345", false, false},
+		{"in chunks", "Transfer-Encoding: chunked\r\n", "5\r\n12345\r\n", false, false},
+		{"until the end of the connection", "", "12345", false, true},
+		{"reset before the end", "", "12345", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScript(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+				fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: 1\r\n"+tt.head+"\r\n"+tt.body)
+				if tt.reset {
+					assert.Check(t, w.(*net.TCPConn).SetLinger(0))
+				}
+				return false
+			})
+			p := NewPool(nil)
+			defer p.Close()
+			body, err := ask(t, p, s.address(), "1")
+			if tt.whole {
+				assert.NilError(t, err)
+				assert.Equal(t, body, "12345")
+			} else {
+				assert.Assert(t, err != nil)
+			}
+		})
+	}
+}
+
+// Guards against the rest of a long body being taken for the next request: a
+// server may answer before it has read it.
+func TestPoolEarlyAnswer(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	seen := make(chan string, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						seen <- err.Error()
+						return
+					}
+					seen <- r.Method + " " + r.Header.Get("Id")
+					fmt.Fprint(c, reply(r.Header.Get("Id"), "early"))
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	p := NewPool(nil)
+	defer p.Close()
+	for _, id := range []string{"1", "2"} {
+		o := outgoingFor(id)
+		o.Body = bytes.Repeat([]byte("GET /smuggled HTTP/1.1\r\n\r\n"), 1<<17)
+		resp, err := p.Do(t.Context(), l.Addr().String(), o, mineByID(id))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		resp.Body.Close()
+	}
+	assert.Equal(t, <-seen, "POST 1")
+	for next := range seen {
+		if next == "POST 2" {
+			break
+		}
+		assert.Assert(t, !strings.HasPrefix(next, "GET"), next)
+	}
+}
+
+// Guards against a request that goes on at the server after its caller has
+// left.
+func TestPoolClosesOnCancel(t *testing.T) {
+	started, gone := make(chan struct{}), make(chan struct{})
+	s := newScript(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+		close(started)
+		_, _ = w.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := p.Do(ctx, s.address(), outgoingFor("1"), mineByID("1"))
+	assert.Equal(t, verdict.From(err).Reason(), verdict.Cancelled)
+	<-gone
+}
+
+// Guards against a request that must not run twice on a connection that the
+// server may just be closing.
+func TestPoolAvoidsConnectionsIdleForLong(t *testing.T) {
+	s := newScript(t, func(_ int, r *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprint(w, reply(r.Header.Get("Id"), ""))
+		return true
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	_, err := ask(t, p, s.address(), "1")
+	assert.NilError(t, err)
+	o := outgoingFor("2")
+	o.MaxIdle = time.Nanosecond
+	resp, err := p.Do(t.Context(), s.address(), o, mineByID("2"))
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, errors.Join(err, resp.Body.Close()))
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
--- a/balancer/gate.go
+++ b/balancer/gate.go
@@ -11,9 +11,9 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-// retryAfter is the hint of refusals: by then, the load balancer sends the
-// retry to another host.
-const retryAfter = time.Second
+// defaultRetryAfter is the hint of refusals: by then, the load balancer sends
+// the retry to another host.
+const defaultRetryAfter = time.Second
 
 // Gate drives a Drain. It lets requests in and out, answers health checks and
 // carries out what the drain decides. It is safe for concurrent use.
@@ -24,6 +24,7 @@
 	handOver func(context.Context) error
 	log      *zap.Logger
 	delay    time.Duration
+	retry    time.Duration
 
 	requests context.Context // of all requests; ended by CancelRequests
 	cancel   context.CancelFunc
@@ -39,6 +40,10 @@
 // WithDelay sets how long the load balancer takes to notice an unhealthy host.
 func WithDelay(d time.Duration) Option { return func(g *Gate) { g.delay = d } }
 
+// WithRetryAfter sets when callers that are refused may return, where the
+// default is too long for them.
+func WithRetryAfter(d time.Duration) Option { return func(g *Gate) { g.retry = d } }
+
 // WithReady sets what makes a serving host unhealthy, such as a lost lease.
 func WithReady(ready func() error) Option { return func(g *Gate) { g.ready = ready } }
 
@@ -64,6 +69,7 @@
 		handOver: func(context.Context) error { return nil },
 		log:      zap.NewNop(),
 		delay:    defaultDelay,
+		retry:    defaultRetryAfter,
 		done:     make(chan struct{}),
 	}
 	g.requests, g.cancel = context.WithCancel(context.Background())
@@ -82,7 +88,7 @@
 	if g.drain.Enter(newProgram) {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, verdict.Draining, "this entry host is shutting down", verdict.WithRetryAfter(retryAfter))
+	return verdict.New(verdict.NotRun, verdict.Draining, "this entry host is shutting down", verdict.WithRetryAfter(g.retry))
 }
 
 // Leave ends a request that was let in.
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -28,8 +28,12 @@
 
 const (
 	// drainDelay is the time that the balancer takes to notice an unhealthy
-	// host: two checks, a second apart.
-	drainDelay = 2500 * time.Millisecond
+	// host: two checks, a second apart. What arrives later is refused, since a
+	// stream of four seconds would not end before the process is killed.
+	drainDelay = 3 * time.Second
+	// drainRetryAfter is told callers that are refused: a new connection goes
+	// to another host.
+	drainRetryAfter = 50 * time.Millisecond
 	// closeMargin is left of the time to stop for closing what is open.
 	closeMargin = 700 * time.Millisecond
 	// settingsInterval separates two looks at the settings file, which may
@@ -183,7 +187,7 @@
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger),
 			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre)))
-		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithLogger(logger), balancer.WithReady(func() error {
+		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
 				return errors.New("no routing table yet")
 			}
@@ -224,7 +228,7 @@
 // gated counts requests, so that a shutdown waits for them.
 func gated(g *balancer.Gate, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := g.Enter(false); err != nil {
+		if err := g.Enter(true); err != nil {
 			platform.Refuse(w, err)
 			return
 		}
--- /dev/null
+++ b/cmd/sycamoreline-platform/roles_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/balancer"
+)
+
+// Guards against requests that are taken long after the signal to stop and cut
+// off when the process has to end: on a host that stays busy, one stream after
+// the other kept it from stopping until it was killed.
+func TestRequestsAreRefusedAfterTheDrainDelay(t *testing.T) {
+	var due []func()
+	now := time.Unix(0, 0)
+	g := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter),
+		balancer.WithClock(func() time.Time { return now }, func(_ time.Duration, f func()) { due = append(due, f) }))
+	h := gated(g, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	ask := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/", nil))
+		return w.Code
+	}
+	assert.NilError(t, g.Enter(true)) // a stream that goes on
+	g.Signal()
+	assert.Equal(t, ask(), http.StatusOK)
+	now = now.Add(drainDelay)
+	for _, f := range due {
+		f()
+	}
+	assert.Equal(t, ask(), http.StatusServiceUnavailable)
+	g.Leave()
+	<-g.Done()
+}
--- /dev/null
+++ b/forward/forwarder_test.go
@@ -0,0 +1,387 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/cluster"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/registry"
+	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+var _ cluster.Observer = (*board)(nil)
+
+// testWire marks responses by plain headers.
+type testWire struct{}
+
+func (testWire) Header(c *Call, a Attempt) http.Header {
+	h := http.Header{"Id": {c.ID}}
+	if a.LastEvent != "" {
+		h.Set("Last", a.LastEvent)
+	}
+	return h
+}
+
+func (testWire) Reply(c *Call, r *http.Response) Reply {
+	id := r.Header.Get("Id")
+	return Reply{
+		Mine: id == "" || id == c.ID, NotRun: r.Header.Get("Not-Run") != "",
+		WrongServer: r.StatusCode == http.StatusMisdirectedRequest, Signed: r.Header.Get("Signed") != "",
+	}
+}
+
+func (testWire) Passed(r *http.Response) http.Header { return http.Header{"Signed": r.Header["Signed"]} }
+
+// testTurns keeps a ledger without a log.
+type testTurns struct {
+	mu     sync.Mutex
+	ledger *ledger.Machine
+	down   bool
+}
+
+func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
+	}
+	r := l.ledger.ApplyCommand(1, ledger.Command{ReserveTurn: &t})
+	if r.Refusal != nil {
+		return nil, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
+	}
+	chain, _ := l.ledger.Chain(t.Previous)
+	return chain, nil
+}
+
+func (l *testTurns) Settle(_ context.Context, t ledger.SettleTurn) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return verdict.New(verdict.MayHaveRun, verdict.ControlUnavailable, "no leader")
+	}
+	l.ledger.ApplyCommand(1, ledger.Command{SettleTurn: &t})
+	return nil
+}
+
+// server is a backend server that answers each request by a function, which
+// returns whether the connection stays.
+type server struct {
+	listener net.Listener
+	mu       sync.Mutex
+	got      []string // bodies
+	last     []string // last events asked for
+}
+
+func startServer(t *testing.T, answer func(n int, r *http.Request, w io.Writer) bool) *server {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &server{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(c net.Conn, answer func(n int, r *http.Request, w io.Writer) bool) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.got = append(s.got, string(body))
+		s.last = append(s.last, r.Header.Get("Last"))
+		n := len(s.got)
+		s.mu.Unlock()
+		if !answer(n, r, c) {
+			return
+		}
+	}
+}
+
+func (s *server) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.got)
+}
+
+func answerWhole(body string) func(int, *http.Request, io.Writer) bool {
+	return func(_ int, r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body)
+		return true
+	}
+}
+
+func hangUp(int, *http.Request, io.Writer) bool { return false }
+
+func turnAway(_ int, _ *http.Request, w io.Writer) bool {
+	fmt.Fprint(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+// streamEvents writes events from a number on, and ends the stream whole if
+// asked to.
+func streamEvents(w io.Writer, id string, from, to int, whole bool) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for i := from; i <= to; i++ {
+		e := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+	}
+	if whole {
+		fmt.Fprint(w, "0\r\n\r\n")
+	}
+}
+
+// world is a forwarder with its servers.
+type world struct {
+	t     *testing.T
+	f     *Forwarder
+	turns *testTurns
+}
+
+func newWorld(t *testing.T, servers ...*server) *world {
+	t.Helper()
+	w := &world{t: t, turns: &testTurns{ledger: ledger.New()}}
+	w.f = New(testWire{}, w.turns)
+	t.Cleanup(w.f.Close)
+	w.f.Board().Routes(route.NewIndex(&route.Table{Version: 1, Services: []route.Service{
+		{Name: "engine", Engine: &route.Engine{Slots: 4, CacheTokens: 1000, TokensPerEvent: 10}}, {Name: "plain"},
+	}}))
+	entries := map[string]registry.Entry{}
+	for i, s := range servers {
+		for _, service := range []string{"engine", "plain"} {
+			id := fmt.Sprint(service, i)
+			entries[id] = registry.Entry{ID: id, Service: service, Address: s.listener.Addr().String(), Slots: 4, State: registry.Ready}
+		}
+	}
+	w.f.Board().Servers(entries)
+	return w
+}
+
+func (w *world) call(id string, r *route.Route) *Call {
+	r.Timeout = 3 * time.Second
+	if len(r.Targets) == 0 {
+		service := "plain"
+		if r.Kind == route.Stream {
+			service = "engine"
+		}
+		r.Targets = []route.Target{{Service: service, Weight: 1}}
+	}
+	return &Call{ID: id, Method: "POST", Target: "/x", Host: "a", Route: r, Arrived: time.Now(), Body: []byte("in-" + id + ";")}
+}
+
+// serve returns the answer, and whether the caller saw it broken off.
+func (w *world) serve(c *Call) (rec *httptest.ResponseRecorder, broken bool, err error) {
+	rec = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			assert.Equal(w.t, p, http.ErrAbortHandler)
+			broken = true
+		}
+	}()
+	err = w.f.Serve(w.t.Context(), rec, c)
+	return rec, false, err
+}
+
+// Guards against requests that run twice, are lost although another server
+// would take them, or get a verdict that is not true.
+func TestServeWhole(t *testing.T) {
+	tests := []struct {
+		name    string
+		kind    route.Kind
+		first   func(int, *http.Request, io.Writer) bool // server 0; server 1 answers
+		only    bool                                     // there is no server 1
+		body    string
+		verdict verdict.Verdict
+	}{
+		{"answered", route.NonIdempotent, answerWhole("yes"), true, "yes", verdict.Ran},
+		{"turned away, then taken", route.NonIdempotent, turnAway, false, "yes", verdict.Ran},
+		{"turned away by all", route.NonIdempotent, turnAway, true, "", verdict.NotRun},
+		{"lost answer, idempotent", route.Idempotent, hangUp, false, "yes", verdict.Ran},
+		{"lost answer, non-idempotent", route.NonIdempotent, hangUp, true, "", verdict.MayHaveRun},
+		{"no signature", route.NonIdempotent, func(_ int, _ *http.Request, w io.Writer) bool {
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+			return true
+		}, true, "", verdict.MayHaveRun},
+		{"cut short", route.NonIdempotent, func(_ int, r *http.Request, w io.Writer) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: 9\r\n\r\nno", r.Header.Get("Id"))
+			return false
+		}, true, "", verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			servers := []*server{startServer(t, tt.first)}
+			if !tt.only {
+				servers = append(servers, startServer(t, answerWhole("yes")))
+			}
+			w := newWorld(t, servers...)
+			for i := range 4 { // so that both servers come first sometimes
+				rec, _, err := w.serve(w.call(fmt.Sprint("r", i), &route.Route{Name: "r", Kind: tt.kind, MaxAttempts: 2}))
+				if tt.body != "" {
+					assert.NilError(t, err)
+					assert.Equal(t, rec.Body.String(), tt.body)
+					continue
+				}
+				assert.Equal(t, verdict.Of(err), tt.verdict)
+				if tt.verdict == verdict.MayHaveRun {
+					assert.Equal(t, servers[0].requests(), i+1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that loses or repeats an event when it goes on at
+// another server, and against one that looks whole although it is not.
+func TestServeStream(t *testing.T) {
+	cut := func(_ int, r *http.Request, w io.Writer) bool {
+		streamEvents(w, r.Header.Get("Id"), 1, 2, false)
+		fmt.Fprint(w, "14\r\nid: 3\ndata: e") // within an event
+		return false
+	}
+	rest := func(_ int, r *http.Request, w io.Writer) bool {
+		from := 1
+		if last := r.Header.Get("Last"); last != "" {
+			_, err := fmt.Sscan(last, &from)
+			assert.Check(t, err)
+			from++
+		}
+		streamEvents(w, r.Header.Get("Id"), from, 4, true)
+		return true
+	}
+	whole := "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprint("resumable ", resumable), func(t *testing.T) {
+			first := startServer(t, func(n int, r *http.Request, w io.Writer) bool {
+				if n == 1 {
+					return cut(n, r, w)
+				}
+				return rest(n, r, w)
+			})
+			w := newWorld(t, first)
+			c := w.call("s", &route.Route{Name: "s", Kind: route.Stream, MaxAttempts: 2, Resumable: resumable})
+			rec, broken, err := w.serve(c)
+			assert.NilError(t, err)
+			assert.Equal(t, broken, !resumable)
+			if resumable {
+				assert.Equal(t, rec.Body.String(), whole)
+				assert.DeepEqual(t, first.last, []string{"", "2"})
+			} else {
+				assert.Equal(t, rec.Body.String(), whole[:len(whole)/2])
+				assert.Equal(t, first.requests(), 1)
+			}
+		})
+	}
+}
+
+func turnRoute() *route.Route {
+	return &route.Route{Name: "t", Kind: route.Stream, MaxAttempts: 1, KeepsHistory: true, Retention: time.Minute}
+}
+
+// Guards against turns that spend more than their program may, and against a
+// conversation that is not what was said.
+func TestServeTurns(t *testing.T) {
+	s := startServer(t, func(n int, r *http.Request, w io.Writer) bool {
+		streamEvents(w, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	w := newWorld(t, s)
+	turn := func(id, previous string) error {
+		c := w.call(id, turnRoute())
+		c.Program, c.Turn = "p", &Turn{Budget: 70, Most: 30, Previous: previous}
+		_, broken, err := w.serve(c)
+		assert.Assert(t, !broken)
+		return err
+	}
+	assert.NilError(t, turn("a", ""))
+	assert.NilError(t, turn("b", "a"))
+	assert.Equal(t, s.got[1], "in-a;e1\ne2\nin-b;")
+	err := turn("c", "b") // 40 spent, 30 more fit
+	assert.NilError(t, err)
+	assert.Equal(t, s.got[2], "in-a;e1\ne2\nin-b;e1\ne2\nin-c;")
+	err = turn("d", "c")
+	assert.Equal(t, verdict.From(err).Reason(), verdict.BudgetExceeded)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	err = turn("e", "never")
+	assert.Equal(t, verdict.From(err).Reason(), ledger.UnknownTurn)
+	assert.Equal(t, s.requests(), 3)
+}
+
+// Guards against a turn whose caller believes it whole although no other host
+// could continue it, and against one that runs without a reservation.
+func TestServeTurnsWithoutLedger(t *testing.T) {
+	w := &world{}
+	s := startServer(t, func(_ int, r *http.Request, out io.Writer) bool {
+		streamEvents(out, r.Header.Get("Id"), 1, 2, true)
+		w.turns.mu.Lock()
+		w.turns.down = true
+		w.turns.mu.Unlock()
+		return true
+	})
+	*w = *newWorld(t, s)
+	c := w.call("a", turnRoute())
+	c.Program, c.Turn = "p", &Turn{Budget: 100, Most: 30}
+	_, broken, err := w.serve(c)
+	assert.NilError(t, err)
+	assert.Assert(t, broken)
+	c = w.call("b", turnRoute())
+	c.Program, c.Turn = "p", &Turn{Budget: 100, Most: 30}
+	_, _, err = w.serve(c)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	assert.Assert(t, verdict.From(err).RetryAfter() > 0)
+	assert.Equal(t, s.requests(), 1)
+}
+
+// Guards against a request that crashes one server after the other.
+func TestServeRefusesWhatCrashesServers(t *testing.T) {
+	w := newWorld(t, startServer(t, answerWhole("yes")))
+	c := w.call("a", &route.Route{Name: "r", Kind: route.Idempotent, MaxAttempts: 1})
+	w.f.Board().Suspects([]cluster.Suspect{{Fingerprint: fingerprint(c), Servers: []string{"x", "y", "z"}}})
+	_, _, err := w.serve(c)
+	assert.Equal(t, verdict.From(err).Reason(), verdict.Suspect)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	other := w.call("b", c.Route)
+	other.Body = []byte("another request")
+	_, _, err = w.serve(other)
+	assert.NilError(t, err)
+}
+
+// Guards against a request that waits for its deadline although no server runs
+// its service.
+func TestServeWithoutServers(t *testing.T) {
+	w := newWorld(t)
+	c := w.call("a", &route.Route{Name: "r", Kind: route.Idempotent, MaxAttempts: 1})
+	c.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, _, err := w.serve(c)
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	assert.Assert(t, !errors.Is(err, io.EOF))
+	assert.Assert(t, !strings.Contains(err.Error(), "may have run"))
+}
--- /dev/null
+++ b/ledger/turn_test.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+func reserveTestTurn(m *Machine, now int64, turn, previous string, budget, most int64) Result {
+	return m.ApplyCommand(now, Command{ReserveTurn: &ReserveTurn{Program: "p", Turn: turn, Previous: previous, Budget: budget, Most: most}})
+}
+
+func settleTestTurn(m *Machine, now int64, turn string, tokens int64, keep *KeptTurn) Result {
+	return m.ApplyCommand(now, Command{SettleTurn: &SettleTurn{Program: "p", Turn: turn, Tokens: tokens, Keep: keep}})
+}
+
+// Guards against turns side by side that spend more than their program may,
+// whatever is sent twice, lost or restored from a snapshot on the way.
+func TestTurnsStayInBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		budget := rapid.Int64Range(0, 1000).Draw(t, "budget")
+		granted := map[string]int64{} // most, by running turn
+		spent, now := int64(0), int64(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 5000).Draw(t, "pause")
+			switch rapid.SampledFrom([]string{"reserve", "again", "settle", "settle-twice", "restore"}).Draw(t, "step") {
+			case "reserve":
+				turn, most := fmt.Sprint("t", i), rapid.Int64Range(0, 400).Draw(t, "most")
+				r := reserveTestTurn(m, now, turn, "", budget, most)
+				fits := spent+sum(granted)+most <= budget
+				assert.Equal(t, r.Refusal == nil, fits)
+				if fits {
+					granted[turn] = most
+				} else {
+					assert.Equal(t, r.Refusal.Verdict, verdict.NotRun)
+					assert.Equal(t, r.Refusal.Reason, verdict.BudgetExceeded)
+				}
+			case "again":
+				for turn, most := range granted {
+					assert.Assert(t, reserveTestTurn(m, now, turn, "", budget, most).Refusal == nil)
+				}
+			case "settle", "settle-twice":
+				for turn, most := range granted {
+					used := rapid.Int64Range(0, most).Draw(t, "used")
+					settleTestTurn(m, now, turn, used, nil)
+					settleTestTurn(m, now, turn, used, nil)
+					spent += used
+					delete(granted, turn)
+					break
+				}
+			case "restore":
+				m = restored(t, m)
+			}
+			assert.Assert(t, spent+sum(granted) <= budget)
+		}
+	})
+}
+
+func sum(m map[string]int64) (n int64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// fataler is a test or a property.
+type fataler interface {
+	Log(args ...any)
+	FailNow()
+	Fail()
+}
+
+func restored(t fataler, m *Machine) *Machine {
+	var b bytes.Buffer
+	assert.NilError(t, m.Snapshot(&b))
+	n := New()
+	assert.NilError(t, n.Restore(bytes.NewReader(b.Bytes())))
+	var again bytes.Buffer
+	assert.NilError(t, n.Snapshot(&again))
+	assert.Equal(t, b.String(), again.String())
+	return n
+}
+
+// Guards against a conversation that loses a turn, mixes branches, or is
+// forgotten before its newest turn has expired.
+func TestChain(t *testing.T) {
+	m := New()
+	keep := func(now int64, turn, previous string) {
+		assert.Assert(t, reserveTestTurn(m, now, turn, previous, 1000, 1).Refusal == nil)
+		settleTestTurn(m, now, turn, 1, &KeptTurn{Previous: previous, Input: []byte("in-" + turn + ";"), Output: []byte("out-" + turn + ";"), Retention: 60_000})
+	}
+	keep(0, "a", "")
+	keep(1000, "b", "a")
+	keep(2000, "c", "a") // another branch
+	m = restored(t, m)
+	chain, ok := m.Chain("b")
+	assert.Assert(t, ok)
+	assert.Equal(t, string(chain), "in-a;out-a;in-b;out-b;")
+	chain, _ = m.Chain("c")
+	assert.Equal(t, string(chain), "in-a;out-a;in-c;out-c;")
+
+	// The first turn lives as long as the newest one of its chain.
+	assert.Assert(t, reserveTestTurn(m, 61_500, "d", "c", 1000, 1).Refusal == nil)
+	r := reserveTestTurn(m, 61_500, "e", "b", 1000, 1)
+	assert.Equal(t, r.Refusal.Reason, UnknownTurn)
+	r = reserveTestTurn(m, 61_500, "f", "never", 1000, 1)
+	assert.Equal(t, r.Refusal.Verdict, verdict.NotRun)
+}
+
+// Guards against memory that grows for ever, and against a program that is
+// forgotten while it may still return.
+func TestExpiredTurnsAreRemoved(t *testing.T) {
+	m := New()
+	reserveTestTurn(m, 0, "a", "", 10, 5)
+	settleTestTurn(m, 0, "a", 5, &KeptTurn{Input: []byte("x"), Retention: 1000})
+	r := m.ApplyCommand(60_000, Command{ReserveTurn: &ReserveTurn{Program: "q", Turn: "z", Budget: 1, Most: 1}})
+	assert.Assert(t, r.Refusal == nil)
+	assert.Equal(t, len(m.turns.kept), 0)
+	assert.Equal(t, reserveTestTurn(m, 60_000, "b", "", 10, 6).Refusal.Reason, verdict.BudgetExceeded)
+	m.ApplyCommand(60_000+2*accountRetention, Command{ReserveTurn: &ReserveTurn{Program: "q", Turn: "y", Budget: 1, Most: 0}})
+	assert.Equal(t, len(m.turns.accounts), 1)
+}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,128 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sycamoreline/sycamoreline/faults"
+)
+
+func TestMain(m *testing.M) { os.Exit(faults.Main(m)) }
+
+// Guards against work for a server that has said that it is leaving: late and
+// repeated announcements must not bring it back.
+func TestLateAnnouncements(t *testing.T) {
+	tests := []struct {
+		name string
+		said []Entry
+		want State
+	}{
+		{"ready after leaving", []Entry{{State: Leaving, Sequence: 5}, {State: Ready, Sequence: 9}}, Leaving},
+		{"ready after gone", []Entry{{State: Gone, Sequence: 5}, {State: Ready, Sequence: 9}}, Gone},
+		{"older birth", []Entry{{State: Ready, Born: 2, Sequence: 1}, {State: Leaving, Born: 1, Sequence: 9}}, Ready},
+		{"started again", []Entry{{State: Gone, Born: 1, Sequence: 9}, {State: Ready, Born: 2, Sequence: 1}}, Ready},
+	}
+	for _, tt := range tests {
+		table := New()
+		for _, e := range tt.said {
+			e.ID, e.Address = "i", "10.0.0.1:80"
+			table.Announce(0, e)
+		}
+		assert.Equal(t, table.records["i"].entry.State, tt.want, tt.name)
+	}
+}
+
+// Guards against control hosts that disagree for good because they heard the
+// same announcements in another order.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var said []Entry
+		for range rapid.IntRange(1, 12).Draw(t, "announcements") {
+			said = append(said, Entry{
+				ID: "i", Born: rapid.Int64Range(0, 2).Draw(t, "born"), Sequence: rapid.Int64Range(0, 5).Draw(t, "sequence"),
+				State: rapid.SampledFrom([]State{Ready, Leaving, Gone}).Draw(t, "state"),
+			})
+		}
+		first, second := New(), New()
+		for _, e := range said {
+			first.Announce(0, e)
+		}
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
+		for _, i := range r.Perm(len(said)) {
+			second.Announce(0, said[i])
+		}
+		a, b := first.records["i"].entry, second.records["i"].entry
+		assert.Equal(t, a.Born, b.Born)
+		assert.Equal(t, a.State, b.State)
+	})
+}
+
+// Guards against readers that miss a change, and against entries of dead
+// servers that are kept in use.
+func TestSilentServersAreTold(t *testing.T) {
+	table, view := New(), NewView()
+	table.Announce(0, Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, Born: 1})
+	view.Update("control", true, table.Since(0))
+	assert.Equal(t, len(view.Servers()), 1)
+	read := table.Revision()
+	table.Expire(Silence + time.Second)
+	view.Update("control", false, table.Since(read))
+	assert.Equal(t, len(view.Servers()), 0)
+	read = table.Revision()
+	table.Announce(Silence+2*time.Second, Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, Born: 1, Sequence: 1})
+	view.Update("control", false, table.Since(read))
+	assert.Equal(t, len(view.Servers()), 1)
+}
+
+// Guards against work for a server whose address has been given to another one.
+func TestReusedAddress(t *testing.T) {
+	view := NewView()
+	view.Update("a", true, []Change{{Entry: Entry{ID: "old", Service: "s", Address: "10.0.0.1:80", State: Ready, Born: 1}}})
+	view.Update("b", true, []Change{{Entry: Entry{ID: "new", Service: "t", Address: "10.0.0.1:80", State: Ready, Born: 2}}})
+	servers := view.Servers()
+	assert.Equal(t, len(servers), 1)
+	assert.Equal(t, servers["new"].Service, "t")
+}
+
+// Guards against a control host that was cut off from the servers and takes
+// them out of use everywhere.
+func TestOneControlHostThatHearsIsEnough(t *testing.T) {
+	view := NewView()
+	e := Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, Born: 1}
+	view.Update("cut-off", true, []Change{{Entry: e, Silent: true}})
+	view.Update("hears", true, []Change{{Entry: e}})
+	assert.Equal(t, len(view.Servers()), 1)
+	view.Forget("hears")
+	assert.Equal(t, len(view.Servers()), 0)
+}
+
+// Guards against a late message of a former incarnation that takes the new one
+// away.
+func TestLeave(t *testing.T) {
+	table := New()
+	table.Announce(0, Entry{ID: "i", State: Ready, Born: 2})
+	_, ok := table.Leave(0, "i", 1)
+	assert.Assert(t, !ok)
+	_, ok = table.Leave(0, "unknown", 0)
+	assert.Assert(t, !ok)
+	e, ok := table.Leave(0, "i", 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, e.State, Gone)
+}
+
+func ExampleTable_Announce() {
+	t := New()
+	_, changed := t.Announce(0, Entry{ID: "i", State: Ready, Sequence: 1})
+	fmt.Println(changed)
+	newer, changed := t.Announce(time.Second, Entry{ID: "i", State: Ready, Sequence: 2})
+	fmt.Println(newer, changed)
+	// Output:
+	// true
+	// true false
+}
--- /dev/null
+++ b/schedule/affinity_test.go
@@ -0,0 +1,105 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func affinityScheduler(seed uint64, local string, opts ...Option) *Scheduler {
+	s := New(rand.NewPCG(seed, 1), append([]Option{WithPrefixAffinity(local)}, opts...)...)
+	for i := range 12 {
+		s.SetServer(0, Server{
+			ID: fmt.Sprint("s", i), DataCentre: fmt.Sprint("dc", i%3), Slots: 24, CacheTokens: 1 << 20, Models: []ServerModel{{Name: "m"}},
+		})
+	}
+	return s
+}
+
+func affinityRequest(n int, prefix, line uint64) Request {
+	return Request{ID: CallID{Program: fmt.Sprint("p", n), Call: n, Attempt: 1}, Model: "m", Affinity: prefix, Line: line, PromptTokens: 14_000}
+}
+
+// Guards against a line of turns that is read anew because it came through
+// another host: hosts that have not talked to each other choose the same server
+// for it, and few servers for one prefix.
+//
+// The load pattern: conversations over a few shared prompts, whose turns come
+// through any host.
+func TestHostsAgreeOnTheHomeOfALine(t *testing.T) {
+	hosts := []*Scheduler{affinityScheduler(1, ""), affinityScheduler(2, ""), affinityScheduler(3, "")}
+	used := map[string]bool{}
+	for line := range uint64(20) {
+		chosen := ""
+		for i, s := range hosts {
+			n := int(line)*10 + i
+			s.Enqueue(0, affinityRequest(n, 7, line))
+			a, ok := s.Next(0)
+			assert.Assert(t, ok)
+			if chosen == "" {
+				chosen = a.Server
+			}
+			assert.Equal(t, a.Server, chosen)
+			s.Finished(0, a.ID, a.Server, Usage{}, Succeeded)
+		}
+		used[chosen] = true
+	}
+	assert.Equal(t, len(used), 3)
+}
+
+// Guards against hosts that all pick the server which looked least loaded a
+// moment ago.
+//
+// The load pattern: fifteen hosts get a burst within the time in which they
+// hear of each other's runs, while the homes of its prefix are full.
+func TestBurstSpreadsOverStaleViews(t *testing.T) {
+	others := map[string]int{}
+	for i := range 12 {
+		others[fmt.Sprint("s", i)] = 12
+	}
+	others["s5"] = 11 // the least loaded one, in everybody's view
+	runs := map[string]int{}
+	for host := range 15 {
+		s := affinityScheduler(uint64(host), "")
+		s.SetHosts(0, 15)
+		s.SetOthers(0, others)
+		for n := range 8 {
+			s.Enqueue(0, affinityRequest(n, uint64(n), uint64(n)))
+			a, ok := s.Next(0)
+			assert.Assert(t, ok)
+			runs[a.Server]++
+		}
+	}
+	for id, n := range runs {
+		assert.Assert(t, n <= 3*15*8/12, "server %s got %d of %d runs", id, n, 15*8)
+	}
+}
+
+// Guards against a slow server that keeps the lines of its prefix.
+//
+// The load pattern: a neighbour slows one server while programs go on.
+func TestLinesLeaveASlowServer(t *testing.T) {
+	s := affinityScheduler(1, "")
+	s.Enqueue(0, affinityRequest(1, 7, 1))
+	a, _ := s.Next(0)
+	s.servers[a.Server].speed.slow = true
+	r := affinityRequest(2, 7, 1)
+	r.LastServer = a.Server
+	s.Enqueue(time.Second, r)
+	b, ok := s.Next(time.Second)
+	assert.Assert(t, ok)
+	assert.Assert(t, b.Server != a.Server)
+}
+
+// Guards against traffic between data centres that a nearer server would save.
+func TestHomesAreInTheOwnDataCentre(t *testing.T) {
+	s := affinityScheduler(1, "dc1")
+	for n := range 12 {
+		s.Enqueue(0, affinityRequest(n, uint64(n), uint64(n)))
+		a, _ := s.Next(0)
+		assert.Equal(t, s.servers[a.Server].DataCentre, "dc1")
+	}
+}
