forward: remember conversations on the entry host

Cause: each turn of a conversation fetched all of it from the ledger's leader, some 200 KB as base64 over a link of 130 Mbit/s. The ledger is still asked whether the turn exists.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -211,13 +211,13 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6})
+	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}, false)
 	assert.NilError(t, err)
 	assert.NilError(t, entry.Settle(ctx, ledger.SettleTurn{Program: "p", Turn: "a", Tokens: 4, Keep: &ledger.KeptTurn{Input: []byte("in;"), Output: []byte("out;"), Retention: 60_000}}))
-	chain, err := entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "b", Budget: 10, Most: 6, Previous: "a"})
+	chain, err := entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "b", Budget: 10, Most: 6, Previous: "a"}, true)
 	assert.NilError(t, err)
 	assert.Equal(t, string(chain), "in;out;")
-	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "c", Budget: 10, Most: 1})
+	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "c", Budget: 10, Most: 1}, false)
 	assert.Equal(t, verdict.From(err).Reason(), verdict.BudgetExceeded)
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -353,11 +353,11 @@
 }
 
 // Reserve sets aside the tokens of a turn, and returns the conversation that it
-// continues. Errors carry a verdict about the reservation: it is NotRun when
+// continues if that is wanted. Errors carry a verdict about the reservation: it is NotRun when
 // nothing was reserved.
-func (l *Link) Reserve(ctx context.Context, t ledger.ReserveTurn) (chain []byte, err error) {
+func (l *Link) Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (chain []byte, err error) {
 	var out reserveResponse
-	r := reserveRequest{ReserveTurn: t, WantChain: t.Previous != ""}
+	r := reserveRequest{ReserveTurn: t, WantChain: wantChain}
 	if err := l.callLeader(ctx, methodReserve, r, &out); err != nil {
 		return nil, err
 	}
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -36,6 +36,9 @@
 	drainRetryAfter = 50 * time.Millisecond
 	// closeMargin is left of the time to stop for closing what is open.
 	closeMargin = 700 * time.Millisecond
+	// chainShare is the part of the memory, one in so many, for conversations
+	// that may be continued on this host.
+	chainShare = 8
 	// settingsInterval separates two looks at the settings file, which may
 	// change without a signal.
 	settingsInterval = 2 * time.Second
@@ -185,7 +188,7 @@
 		link := cluster.NewLink(cluster.LinkConfig{
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
-		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger),
+		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
 			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre)))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"hash"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	nonIdempotentIdle = 2 * time.Second
 	// maxAnswerBytes bounds answers that are passed on as a whole.
 	maxAnswerBytes = 16 << 20
+	// defaultChainBytes bounds the conversations that a host remembers.
+	defaultChainBytes = 16 << 20
 	// maxDiscard bounds what is read of an answer that nobody wants.
 	maxDiscard = 64 << 10
 	// minRecovery and recoverySpread are when callers may return that were
@@ -47,7 +50,9 @@
 
 // Turns records the turns of programs.
 type Turns interface {
-	Reserve(ctx context.Context, t ledger.ReserveTurn) (chain []byte, err error)
+	// Reserve sets aside the tokens of a turn. With wantChain it returns the
+	// conversation up to the previous turn.
+	Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (chain []byte, err error)
 	Settle(ctx context.Context, t ledger.SettleTurn) error
 }
 
@@ -60,6 +65,7 @@
 	queue  *dispatch.Queue
 	pool   *backend.Pool
 	board  *board
+	chains *chains
 	serial atomic.Int64 // numbers the sendings
 
 	wait   sync.WaitGroup
@@ -71,9 +77,10 @@
 type Option func(*options)
 
 type options struct {
-	dial      backend.Dial
-	logger    *zap.Logger
-	scheduler []schedule.Option
+	chainBytes int
+	dial       backend.Dial
+	logger     *zap.Logger
+	scheduler  []schedule.Option
 }
 
 // WithDial replaces TCP.
@@ -87,9 +94,12 @@
 	return func(o *options) { o.scheduler = append(o.scheduler, opts...) }
 }
 
+// WithChainBytes bounds the conversations that are remembered, in bytes.
+func WithChainBytes(n int) Option { return func(o *options) { o.chainBytes = n } }
+
 // New returns a Forwarder without servers.
 func New(w Wire, t Turns, opts ...Option) *Forwarder {
-	o := options{logger: zap.NewNop()}
+	o := options{logger: zap.NewNop(), chainBytes: defaultChainBytes}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -100,6 +110,7 @@
 	f := &Forwarder{
 		wire: w, turns: t, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
+		chains: newChains(o.chainBytes),
 	}
 	f.board = newBoard(f)
 	return f
@@ -188,6 +199,7 @@
 	*Forwarder
 	call        *Call
 	body        []byte // with the conversation before it
+	before      *link  // the conversation
 	fingerprint uint64
 	crashes     int // servers that the request was on when they ended
 	progress    progress
@@ -226,9 +238,13 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	t := r.call.Turn
+	known := false
+	if t.Previous != "" {
+		r.before, known = r.chains.get(t.Previous)
+	}
 	chain, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
 		Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous,
-	})
+	}, t.Previous != "" && !known)
 	if err != nil {
 		v := verdict.From(err)
 		r.reserved = v.Verdict() != verdict.NotRun
@@ -244,9 +260,10 @@
 	}
 	r.reserved = true
 	r.timing.reserved = time.Since(r.call.Arrived)
-	if t.Previous != "" {
-		r.body = append(chain, r.body...)
+	if t.Previous != "" && !known {
+		r.before = r.chains.put(t.Previous, nil, chain)
 	}
+	r.body = r.before.body(r.body)
 	return nil
 }
 
@@ -281,6 +298,7 @@
 	})
 	if err == nil {
 		r.kept = true
+		r.chains.put(r.call.ID, r.before, slices.Concat(r.call.Body, r.output))
 	}
 	return err
 }
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -44,16 +44,20 @@
 	}
 }
 
-func (testWire) Passed(r *http.Response) http.Header { return http.Header{"Signed": r.Header["Signed"]} }
+func (testWire) Passed(r *http.Response) http.Header {
+	return http.Header{"Signed": r.Header["Signed"]}
+}
 
 // testTurns keeps a ledger without a log.
 type testTurns struct {
 	mu     sync.Mutex
 	ledger *ledger.Machine
 	down   bool
+	// fetched counts the conversations that were asked for.
+	fetched int
 }
 
-func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn) ([]byte, error) {
+func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn, wantChain bool) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -63,6 +67,10 @@
 	if r.Refusal != nil {
 		return nil, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
 	}
+	if !wantChain {
+		return nil, nil
+	}
+	l.fetched++
 	chain, _ := l.ledger.Chain(t.Previous)
 	return chain, nil
 }
@@ -324,9 +332,12 @@
 	assert.NilError(t, turn("a", ""))
 	assert.NilError(t, turn("b", "a"))
 	assert.Equal(t, s.got[1], "in-a;e1\ne2\nin-b;")
-	err := turn("c", "b") // 40 spent, 30 more fit
+	assert.Equal(t, w.turns.fetched, 0)
+	w.f.chains = newChains(1000) // as on a host that has not seen the turn
+	err := turn("c", "b")        // 40 spent, 30 more fit
 	assert.NilError(t, err)
 	assert.Equal(t, s.got[2], "in-a;e1\ne2\nin-b;e1\ne2\nin-c;")
+	assert.Equal(t, w.turns.fetched, 1)
 	err = turn("d", "c")
 	assert.Equal(t, verdict.From(err).Reason(), verdict.BudgetExceeded)
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
