--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -189,7 +189,7 @@
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
-			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre)))
+			forward.WithScheduler(schedule.WithPrefixAffinity("")))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
 				return errors.New("no routing table yet")
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -349,7 +349,7 @@
 	address := r.board.address(a.Server)
 	r.timing.placed = time.Since(c.Arrived)
 	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
-		zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
+		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.sent), zap.Int64("table", r.board.version()), zap.Duration("waited", time.Since(c.Arrived)))
 	return target{id: request.ID, server: a.Server, address: address}, a, nil
 }
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -34,7 +34,7 @@
 // servers of the data centre first if it is given.
 func WithPrefixAffinity(dataCentre string) Option {
 	return func(s *Scheduler) {
-		s.router = prefixAffinity{homes: 3, crowded: 0.35, stay: 0.5, local: dataCentre, fallback: s.router}
+		s.router = prefixAffinity{homes: 3, crowded: 0.35, stay: 0.75, local: dataCentre, fallback: s.router}
 	}
 }
 
