Serve metrics and log without blocking on the platform

New packages: logsink (lines are gathered and written in the background, dropped and counted when nobody reads; lines of one kind bounded a second, warnings excepted) and metrics (one page for both commands, moved out of the entry command).

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -14,10 +14,12 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/metrics"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/replica"
@@ -62,6 +64,7 @@
 	Key      control.Key
 	Address  func(id string) string // of a control host's port for other hosts
 	Dial     control.DialFunc       // nil for TCP
+	Metrics  tally.Scope            // nil for none
 }
 
 // Host is a control host.
@@ -94,6 +97,9 @@
 		registry: registry.New(), loads: newLoads(), ledger: newLedgerHosts(), renewed: map[string]registry.Entry{},
 		known: map[string]time.Duration{}, seeds: c.Seeds,
 	}
+	if h.config.Metrics == nil {
+		h.config.Metrics = tally.NoopScope
+	}
 	h.mesh = newMesh(func(id string) *control.Peer {
 		return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
 	})
@@ -176,6 +182,27 @@
 	if len(entries) > 0 || hello {
 		h.tell(to, entries)
 	}
+	if hello {
+		h.count()
+	}
+}
+
+// count shows the state of the log and of the registry.
+func (h *Host) count() {
+	s, m := h.group.Status(), h.config.Metrics
+	leads := 0.0
+	if h.leading() == nil {
+		leads = 1
+	}
+	m.Gauge("log-leads").Update(leads)
+	m.Gauge("log-term").Update(float64(s.Term))
+	m.Gauge("log-commit").Update(float64(s.Commit))
+	m.Gauge("log-members").Update(float64(len(s.Members)))
+	m.Gauge("table-version").Update(float64(h.state.tableVersion()))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.Gauge("backend-servers").Update(float64(h.registry.Len()))
+	m.Gauge("entry-hosts").Update(float64(len(h.loads.hosts)))
 }
 
 // others returns the ids of all other control hosts that may be there. The
@@ -318,10 +345,13 @@
 	if err := h.leading(); err != nil {
 		return err
 	}
+	started := time.Now()
 	data, err := h.group.Propose(ctx, encode(c))
 	if err != nil {
+		h.config.Metrics.Counter("proposals-failed").Inc(1)
 		return err
 	}
+	h.config.Metrics.Histogram("proposal-latency", metrics.LatencyBuckets).RecordDuration(time.Since(started))
 	return json.Unmarshal(data, result)
 }
 
--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -6,18 +6,21 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sycamoreline/sycamoreline/logsink"
+	"github.com/sycamoreline/sycamoreline/metrics"
 	"github.com/sycamoreline/sycamoreline/platform"
 )
 
@@ -40,10 +43,26 @@
 	os.Exit(int(status))
 }
 
+// metricsInterval is how often values are gathered. They are read every five
+// seconds.
+const metricsInterval = 2500 * time.Millisecond
+
+// maxLines bounds the log lines of one kind each second, refusals and failures
+// excepted.
+const maxLines = 200
+
+// parts is what every role is built from.
+type parts struct {
+	settings platform.Settings
+	path     string // of the settings file
+	logger   *zap.Logger
+	metrics  tally.Scope
+}
+
 // roleCommand runs a role until it gets a signal to stop.
 type roleCommand struct {
 	name, synopsis string
-	module         func(s platform.Settings, path string, logger *zap.Logger) fx.Option
+	module         func(p parts) fx.Option
 }
 
 func (c *roleCommand) Name() string           { return c.name }
@@ -62,15 +81,19 @@
 	if err != nil {
 		return usageFault(err)
 	}
-	logger, err := newLogger(os.Stdout, s)
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	logger, err := newLogger(sink, s)
 	if err != nil {
 		return usageFault(err)
 	}
+	scope, page, closer := metrics.New(metricsInterval)
+	defer closer.Close()
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
 	logger.Info("starting", zap.String("data-centre", s.DataCentre), zap.Strings("seeds", s.Seeds), zap.Bool("first-start", s.FirstStart))
-	app := fx.New(c.module(s, path, logger), fx.StopTimeout(s.Drain()),
+	app := fx.New(c.module(parts{s, path, logger, scope}), fx.Invoke(serveMetrics(s, page, logger)), fx.StopTimeout(s.Drain()),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(ctx); err != nil {
 		logger.Error("not started", zap.Error(err))
@@ -98,7 +121,7 @@
 	return subcommands.ExitUsageError
 }
 
-func newLogger(out io.Writer, s platform.Settings) (*zap.Logger, error) {
+func newLogger(out zapcore.WriteSyncer, s platform.Settings) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, fmt.Errorf("log-level: %q: want debug, info, warn or error", s.LogLevel)
@@ -106,8 +129,8 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), level)
-	return zap.New(core).With(zap.String("host", s.Host)), nil
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), out, level)
+	return zap.New(logsink.Limit(core, maxLines)).With(zap.String("host", s.Host)), nil
 }
 
 // checkCommand checks a settings file.
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -120,7 +120,8 @@
 }
 
 // controlModule is a control host.
-func controlModule(s platform.Settings, path string, logger *zap.Logger) fx.Option {
+func controlModule(p parts) fx.Option {
+	s, path, logger := p.settings, p.path, p.logger
 	return fx.Invoke(func(life fx.Lifecycle, shutdown fx.Shutdowner) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -137,7 +138,7 @@
 				}
 				c := cluster.HostConfig{
 					ID: s.IP, DataCentre: s.DataCentre, DataFolder: s.DataFolder, Seeds: s.SeedHosts(), Key: key,
-					Address: s.PeerAddress, Tolerate: s.Tolerate,
+					Address: s.PeerAddress, Tolerate: s.Tolerate, Metrics: p.metrics,
 				}
 				if s.FirstStart {
 					c.Founders = cluster.Founding(c.Seeds)
@@ -179,7 +180,8 @@
 }
 
 // entryModule is an entry host.
-func entryModule(s platform.Settings, path string, logger *zap.Logger) fx.Option {
+func entryModule(p parts) fx.Option {
+	s, path, logger := p.settings, p.path, p.logger
 	return fx.Invoke(func(life fx.Lifecycle) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -188,7 +190,7 @@
 		link := cluster.NewLink(cluster.LinkConfig{
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
-		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
+		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
 			forward.WithScheduler(schedule.WithPrefixAffinity("")))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
@@ -245,7 +247,8 @@
 
 // ledgerModule is a host of the ledger. It learns from the control hosts who
 // the others are.
-func ledgerModule(s platform.Settings, path string, logger *zap.Logger) fx.Option {
+func ledgerModule(p parts) fx.Option {
+	s, path, logger := p.settings, p.path, p.logger
 	return fx.Invoke(func(life fx.Lifecycle, shutdown fx.Shutdowner) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -268,7 +271,7 @@
 				link.Start(nil)
 				go withSeeds(ctx, path, s, logger, link.SetSeeds)
 				running.Go(func() {
-					if err := keepLedger(ctx, s, key, link, &host, logger); err != nil {
+					if err := keepLedger(ctx, p, key, link, &host); err != nil {
 						logger.Error("ledger stopped", zap.Error(err))
 						if err := shutdown.Shutdown(fx.ExitCode(1)); err != nil {
 							logger.Error("shutdown failed", zap.Error(err))
@@ -292,7 +295,8 @@
 }
 
 // keepLedger runs the host until the context ends or its log stops.
-func keepLedger(ctx context.Context, s platform.Settings, key control.Key, link *cluster.Link, host *atomic.Pointer[cluster.Host], logger *zap.Logger) error {
+func keepLedger(ctx context.Context, p parts, key control.Key, link *cluster.Link, host *atomic.Pointer[cluster.Host]) error {
+	s, logger := p.settings, p.logger
 	for ; ctx.Err() == nil; pause.For(ctx, planInterval) {
 		plan := link.Ledger()
 		if plan == nil {
@@ -309,7 +313,7 @@
 			}
 			c := cluster.HostConfig{
 				ID: s.IP, DataCentre: s.DataCentre, DataFolder: s.DataFolder, Seeds: plan.Hosts, Key: key, Address: s.PeerAddress,
-				Tolerate: s.Tolerate,
+				Tolerate: s.Tolerate, Metrics: p.metrics,
 			}
 			if s.FirstStart && slices.Contains(plan.Founders, s.IP) {
 				c.Founders = plan.Founders
@@ -330,3 +334,17 @@
 	}
 	return nil
 }
+
+// serveMetrics shows the metrics at the port that the deploy file names.
+func serveMetrics(s platform.Settings, page http.Handler, logger *zap.Logger) func(fx.Lifecycle) {
+	return func(life fx.Lifecycle) {
+		var pages *server
+		life.Append(fx.Hook{
+			OnStart: func(context.Context) (err error) {
+				pages, err = serve(s.MetricsAddress(), page, logger)
+				return err
+			},
+			OnStop: func(ctx context.Context) error { return pages.stop(ctx) },
+		})
+	}
+}
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -10,10 +10,7 @@
 
 	"github.com/google/subcommands"
 	"github.com/gorilla/mux"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
-	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -26,6 +23,7 @@
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/metrics"
 	"github.com/sycamoreline/sycamoreline/operator"
 	"github.com/sycamoreline/sycamoreline/service"
 	"github.com/sycamoreline/sycamoreline/settings"
@@ -101,21 +99,16 @@
 	return c
 }
 
-// metrics are the metrics of one entry host and their page.
-type metrics struct {
+// metricsPage holds the metrics of one entry host and their page.
+type metricsPage struct {
 	scope   tally.Scope
 	handler http.Handler
 }
 
-func newMetrics(life fx.Lifecycle) metrics {
-	registry := prometheus.NewRegistry()
-	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "sycamoreline", CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
-		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
-	}, metricsInterval)
+func newMetrics(life fx.Lifecycle) metricsPage {
+	scope, handler, closer := metrics.New(metricsInterval)
 	life.Append(fx.StopHook(closer.Close))
-	return metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	return metricsPage{scope: scope, handler: handler}
 }
 
 type dispatchParts struct {
@@ -124,7 +117,7 @@
 	Client   *control.Client
 	Clock    dispatch.Clock
 	Board    *board.Board
-	Metrics  metrics
+	Metrics  metricsPage
 	Engines  *engine.Client
 	Services *service.Client
 }
@@ -173,7 +166,7 @@
 	Clock       dispatch.Clock
 	Board       *board.Board
 	Dispatcher  *dispatch.Dispatcher
-	Metrics     metrics
+	Metrics     metricsPage
 	Gate        *balancer.Gate
 }
 
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -115,7 +115,8 @@
 			err = r.unplaced(err)
 		}
 		if r.progress.started {
-			r.logger.Info("stream broken off", zap.String("request", r.call.ID), zap.Int64("events", r.events), zap.Error(err))
+			r.counts.broken(r.call)
+			r.logger.Warn("stream broken off", zap.String("request", r.call.ID), zap.Int64("events", r.events), zap.Error(err))
 			r.settle()
 			panic(http.ErrAbortHandler)
 		}
--- a/forward/board.go
+++ b/forward/board.go
@@ -175,6 +175,10 @@
 	if b.dropExclusions() {
 		b.apply()
 	}
+	b.mu.Lock()
+	servers := len(b.servers)
+	b.mu.Unlock()
+	b.forwarder.counts.view(b.version(), servers, hosts)
 	b.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
 		s.SetHosts(now, hosts)
 		s.SetOthers(now, runs)
--- /dev/null
+++ b/forward/counts.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sycamoreline/sycamoreline/metrics"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// counts are the metrics of calls. Routes are tagged by name, of which a
+// deployment has some hundred.
+type counts struct {
+	scope tally.Scope
+}
+
+func newCounts(s tally.Scope) *counts { return &counts{scope: s} }
+
+func (k *counts) route(c *Call) tally.Scope {
+	return k.scope.Tagged(map[string]string{"route": c.Route.Name})
+}
+
+func (k *counts) answered(c *Call, status int, t timing) {
+	s := k.route(c)
+	s.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("calls").Inc(1)
+	s.Histogram("call-latency", metrics.LatencyBuckets).RecordDuration(time.Since(c.Arrived))
+	s.Histogram("call-placed", metrics.LatencyBuckets).RecordDuration(t.placed)
+	if t.firstEvent > 0 {
+		s.Histogram("call-first-event", metrics.LatencyBuckets).RecordDuration(t.firstEvent)
+	}
+	if c.Turn != nil {
+		k.scope.Histogram("turn-reserved", metrics.LatencyBuckets).RecordDuration(t.reserved)
+	}
+}
+
+func (k *counts) refused(c *Call, e *verdict.Error) {
+	k.route(c).Tagged(map[string]string{"verdict": e.Verdict().String(), "reason": string(e.Reason())}).Counter("calls-refused").Inc(1)
+}
+
+func (k *counts) broken(c *Call) { k.route(c).Counter("streams-broken").Inc(1) }
+
+func (k *counts) failedAttempt(e *verdict.Error) {
+	k.scope.Tagged(map[string]string{"verdict": e.Verdict().String(), "reason": string(e.Reason())}).Counter("attempts-failed").Inc(1)
+}
+
+// view shows what the host knows.
+func (k *counts) view(version int64, servers, hosts int) {
+	k.scope.Gauge("table-version").Update(float64(version))
+	k.scope.Gauge("servers").Update(float64(servers))
+	k.scope.Gauge("entry-hosts").Update(float64(hosts))
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/backend"
@@ -66,6 +67,7 @@
 	pool   *backend.Pool
 	board  *board
 	chains *chains
+	counts *counts
 	serial atomic.Int64 // numbers the sendings
 
 	wait   sync.WaitGroup
@@ -79,6 +81,7 @@
 type options struct {
 	chainBytes int
 	dial       backend.Dial
+	metrics    tally.Scope
 	logger     *zap.Logger
 	scheduler  []schedule.Option
 }
@@ -89,6 +92,9 @@
 // WithLogger sets the log of decisions.
 func WithLogger(l *zap.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithMetrics sets where calls are counted.
+func WithMetrics(s tally.Scope) Option { return func(o *options) { o.metrics = s } }
+
 // WithScheduler adds options of the scheduler.
 func WithScheduler(opts ...schedule.Option) Option {
 	return func(o *options) { o.scheduler = append(o.scheduler, opts...) }
@@ -99,7 +105,7 @@
 
 // New returns a Forwarder without servers.
 func New(w Wire, t Turns, opts ...Option) *Forwarder {
-	o := options{logger: zap.NewNop(), chainBytes: defaultChainBytes}
+	o := options{logger: zap.NewNop(), chainBytes: defaultChainBytes, metrics: tally.NoopScope}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -110,7 +116,7 @@
 	f := &Forwarder{
 		wire: w, turns: t, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
-		chains: newChains(o.chainBytes),
+		chains: newChains(o.chainBytes), counts: newCounts(o.metrics),
 	}
 	f.board = newBoard(f)
 	return f
@@ -173,7 +179,8 @@
 // refused logs the outcome of a call that got no answer of a server.
 func (f *Forwarder) refused(c *Call, err error) error {
 	e := verdict.From(err)
-	f.logger.Info("call refused", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+	f.counts.refused(c, e)
+	f.logger.Warn("call refused", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
 		zap.String("verdict", e.Verdict().String()), zap.String("reason", string(e.Reason())),
 		zap.Duration("after", time.Since(c.Arrived)), zap.Duration("retry-after", e.RetryAfter()), zap.Error(err))
 	return e
@@ -226,6 +233,7 @@
 // answered logs the end of a call that a server has answered.
 func (r *run) answered(t target, status int) {
 	c := r.call
+	r.counts.answered(c, status, r.timing)
 	r.logger.Info("call answered", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
 		zap.String("server", t.server), zap.Int("status", status), zap.Int("attempts", r.sent), zap.Int64("events", r.events),
 		zap.Duration("reserved", r.timing.reserved), zap.Duration("placed", r.timing.placed),
@@ -425,7 +433,8 @@
 		ended = r.board.noteBroken(ctx, r.fingerprint, t)
 	}
 	step := r.progress.next(r.call.Route, notRun, ended)
-	r.logger.Info("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.sent),
+	r.counts.failedAttempt(v)
+	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.sent),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", ended), zap.Bool("retry", step == Retry), zap.Error(err))
 	if step == Retry && ctx.Err() == nil {
 		return nil
--- /dev/null
+++ b/logsink/sink.go
@@ -0,0 +1,141 @@
+// Package logsink writes log lines without ever holding up who logs them.
+package logsink
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// flushInterval is how long lines are gathered, so that a busy process does
+	// not pay a system call for each.
+	flushInterval = 50 * time.Millisecond
+	// maxPending bounds the lines that wait for a reader that does not read, in
+	// bytes. More are dropped and counted.
+	maxPending = 512 << 10
+)
+
+// Sink gathers lines and writes them in the background. It implements
+// zapcore.WriteSyncer.
+type Sink struct {
+	out  io.Writer
+	kick chan struct{}
+	stop chan struct{}
+	done chan struct{}
+
+	mu      sync.Mutex
+	pending []byte
+	dropped int64
+	closed  bool
+}
+
+// New returns a sink that writes to out.
+func New(out io.Writer) *Sink {
+	s := &Sink{out: out, kick: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+// Write takes a line. It never blocks and never fails.
+func (s *Sink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.pending)+len(line) > maxPending {
+		s.dropped++
+		return len(line), nil
+	}
+	s.pending = append(s.pending, line...)
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Sync returns at once: lines are written in the background.
+func (*Sink) Sync() error { return nil }
+
+// Close writes what is left and waits.
+func (s *Sink) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	s.mu.Unlock()
+	close(s.stop)
+	<-s.done
+}
+
+func (s *Sink) run() {
+	defer close(s.done)
+	for {
+		select {
+		case <-s.stop:
+			s.flush()
+			return
+		case <-s.kick:
+		}
+		select {
+		case <-s.stop:
+			s.flush()
+			return
+		case <-time.After(flushInterval):
+		}
+		s.flush()
+	}
+}
+
+func (s *Sink) flush() {
+	s.mu.Lock()
+	lines, dropped := s.pending, s.dropped
+	s.pending, s.dropped = nil, 0
+	s.mu.Unlock()
+	if dropped > 0 {
+		lines = fmt.Appendf(lines, `{"level":"warn","msg":"log lines dropped","lines":%d}`+"\n", dropped)
+	}
+	if len(lines) == 0 {
+		return
+	}
+	if _, err := s.out.Write(lines); err != nil {
+		s.mu.Lock()
+		s.dropped++ // there is nowhere else to report it
+		s.mu.Unlock()
+	}
+}
+
+// Limit lets at most perSecond lines with the same message below the level of
+// warnings through each second; refusals, failures and changes of state are
+// logged as warnings or are rare.
+func Limit(core zapcore.Core, perSecond int) zapcore.Core {
+	below := zapcore.NewSamplerWithOptions(onlyBelow{core, zapcore.WarnLevel}, time.Second, perSecond, 0)
+	above, err := zapcore.NewIncreaseLevelCore(core, zapcore.WarnLevel)
+	if err != nil {
+		return below // the core takes warnings only
+	}
+	return zapcore.NewTee(below, above)
+}
+
+// onlyBelow passes entries below a level on.
+type onlyBelow struct {
+	zapcore.Core
+	level zapcore.Level
+}
+
+func (o onlyBelow) Enabled(l zapcore.Level) bool { return l < o.level && o.Core.Enabled(l) }
+
+func (o onlyBelow) With(fields []zapcore.Field) zapcore.Core {
+	return onlyBelow{o.Core.With(fields), o.level}
+}
+
+func (o onlyBelow) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if o.Enabled(e.Level) {
+		return o.Core.Check(e, c)
+	}
+	return c
+}
--- /dev/null
+++ b/logsink/sink_test.go
@@ -0,0 +1,55 @@
+package logsink
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a process that stands still because nobody reads its log, and
+// against lines that are lost without a word.
+func TestSinkNeverBlocks(t *testing.T) {
+	r, w := io.Pipe()
+	s := New(w)
+	line := []byte(strings.Repeat("x", 1000) + "\n")
+	for range 3 * maxPending / len(line) {
+		n, err := s.Write(line)
+		assert.NilError(t, err)
+		assert.Equal(t, n, len(line))
+	}
+	var got bytes.Buffer
+	var read sync.WaitGroup
+	read.Go(func() { _, _ = io.Copy(&got, r) })
+	s.Close()
+	w.Close()
+	read.Wait()
+	assert.Assert(t, strings.Contains(got.String(), `"msg":"log lines dropped"`))
+	assert.Assert(t, bytes.Count(got.Bytes(), line) > 100)
+}
+
+// Guards against a log that grows with the load, and against one that leaves
+// out refusals and failures.
+func TestLimit(t *testing.T) {
+	var out bytes.Buffer
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&out), zapcore.InfoLevel)
+	l := zap.New(Limit(core, 10)).With(zap.String("host", "h"))
+	for range 100 {
+		l.Info("call placed")
+		l.Warn("call refused")
+		l.Debug("not wanted")
+	}
+	assert.Equal(t, strings.Count(out.String(), "call refused"), 100)
+	placed := strings.Count(out.String(), "call placed")
+	assert.Assert(t, placed >= 10 && placed < 100, "%d lines", placed) // a second may end on the way
+	assert.Equal(t, strings.Count(out.String(), "not wanted"), 0)
+	assert.Equal(t, strings.Count(out.String(), `"host":"h"`), 100+placed)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -89,6 +89,9 @@
 // Revision counts the changes that readers must see.
 func (t *Table) Revision() int64 { return t.revision }
 
+// Len returns the number of servers that are remembered, gone ones included.
+func (t *Table) Len() int { return len(t.records) }
+
 // Announce takes in an announcement. It returns whether the entry is newer
 // than what is held, and whether more than its sequence number changed.
 func (t *Table) Announce(now time.Duration, e Entry) (newer, changed bool) {
