forward: report the tokens of a run over 100 ms

Cause, from the reasons now logged: lines of turns left their server because it looked slow. Events arrive in clumps, so that most single pauses are far below the mean, and every server looked slow beside the median of its pool. A line that leaves is read anew. schedule names why a line could not stay, and takes the thresholds of slowness as an option; on the platform they leave aside what neighbours do for half a second.

--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -39,6 +39,10 @@
 	// chainShare is the part of the memory, one in so many, for conversations
 	// that may be continued on this host.
 	chainShare = 8
+	// slowBelow and recoveredAbove leave aside what neighbours do to a server for
+	// half a second: a factor of two and a half.
+	slowBelow      = 0.3
+	recoveredAbove = 0.5
 	// settingsInterval separates two looks at the settings file, which may
 	// change without a signal.
 	settingsInterval = 2 * time.Second
@@ -191,7 +195,7 @@
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
-			forward.WithScheduler(schedule.WithPrefixAffinity("")))
+			forward.WithScheduler(schedule.WithPrefixAffinity(""), schedule.WithSlowness(slowBelow, recoveredAbove)))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
 				return errors.New("no routing table yet")
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -176,7 +176,8 @@
 func (r *run) passEvents(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response, s *silence) error {
 	frames := sse.NewFrameReader(resp.Body, maxEventBytes)
 	flusher := http.NewResponseController(w)
-	for n := 0; ; n++ {
+	pace := pace{queue: r.queue, clock: r.clock}
+	for {
 		f, err := frames.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -195,11 +196,7 @@
 		if r.events == 1 {
 			r.timing.firstEvent = time.Since(r.call.Arrived)
 		}
-		if n == 0 {
-			r.queue.FirstToken(t.id, t.server)
-		} else {
-			r.queue.Tokens(t.id, t.server, int(max(1, r.perEvent)))
-		}
+		pace.event(t, int(max(1, r.perEvent)))
 		if _, err := w.Write(f.Raw); err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left", verdict.WithCause(err))
 		}
--- /dev/null
+++ b/forward/pace_test.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/schedule"
+)
+
+type paceLog struct {
+	first  int
+	tokens []int
+}
+
+func (l *paceLog) FirstToken(schedule.CallID, string)        { l.first++ }
+func (l *paceLog) Tokens(_ schedule.CallID, _ string, n int) { l.tokens = append(l.tokens, n) }
+
+// Guards against servers that look slow because their events arrive in clumps:
+// lines of turns then left them and were read anew elsewhere.
+//
+// The load pattern: a hundred events of 18 tokens, two at a time every 46 ms.
+func TestPaceReportsOverAnInterval(t *testing.T) {
+	now := time.Duration(0)
+	l := &paceLog{}
+	p := pace{queue: l, clock: func() time.Duration { return now }}
+	for range 50 {
+		p.event(target{}, 18)
+		p.event(target{}, 18)
+		now += 46 * time.Millisecond
+	}
+	assert.Equal(t, l.first, 1)
+	assert.Assert(t, len(l.tokens) > 10)
+	for _, n := range l.tokens {
+		assert.Assert(t, n >= 2*18, "%d tokens in one report", n)
+	}
+}
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -42,18 +42,39 @@
 	if c.Affinity == 0 {
 		return p.fallback.choose(s, c)
 	}
-	if v := c.last; v != nil && c.pool.isOpen(v) && v.full() <= p.stay && v.steady(s.now) && !c.avoids(v) {
-		return choice{server: v, reason: "cached-prefix"}
+	moved := p.mustMove(s, c)
+	if moved == "" {
+		return choice{server: c.last, reason: "cached-prefix"}
 	}
 	if v := p.home(s, c); v != nil {
-		return choice{server: v, reason: "prefix-home"}
+		return choice{server: v, reason: "prefix-home" + moved}
 	}
 	if v := p.lessFull(s, c); v != nil {
-		return choice{server: v, reason: "less-full"}
+		return choice{server: v, reason: "less-full" + moved}
 	}
 	return p.fallback.choose(s, c)
 }
 
+// mustMove returns why a line cannot stay on its last server, as the end of the
+// decision's reason, or nothing if it can.
+func (p prefixAffinity) mustMove(s *Scheduler, c *call) string {
+	v := c.last
+	switch {
+	case v == nil:
+		return "-new-here"
+	case c.avoids(v):
+		return "-last-failed"
+	case !v.steady(s.now):
+		return "-last-slow"
+	case !c.pool.isOpen(v):
+		return "-last-closed"
+	case v.full() > p.stay:
+		return "-last-crowded"
+	default:
+		return ""
+	}
+}
+
 // home returns the server of the line among the first ones of its prefix, or
 // the first of the others that is not crowded.
 func (p prefixAffinity) home(s *Scheduler, c *call) *server {
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -14,16 +14,18 @@
 	ignoreReports bool
 	detect        bool // slowed servers
 	hedging       bool
+	thresholds    thresholds
 	unlimited     bool // calls are sent at once and queue in the engines
 }
 
 func defaultPolicies() policies {
 	return policies{
-		admitter: activeSlots{headroom: 0.25, bursts: true},
-		order:    leastAttained{penalty: 2 * time.Millisecond, maxPenalty: 20 * time.Second, classPenalty: time.Second},
-		router:   earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5},
-		shares:   true,
-		detect:   true,
-		hedging:  true,
+		admitter:   activeSlots{headroom: 0.25, bursts: true},
+		order:      leastAttained{penalty: 2 * time.Millisecond, maxPenalty: 20 * time.Second, classPenalty: time.Second},
+		router:     earliestFinish{samples: 8, recomputeWeight: 2, loadWeight: 0.25, excess: 0.5},
+		shares:     true,
+		detect:     true,
+		hedging:    true,
+		thresholds: defaultThresholds,
 	}
 }
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -102,13 +102,13 @@
 	s.advance(now)
 	v := s.servers[n.ID]
 	if v == nil {
-		v = &server{busy: -1, rounding: s.random.Float64(), speed: newSpeed()}
+		v = &server{busy: -1, rounding: s.random.Float64(), speed: newSpeed(s.thresholds)}
 		s.servers[n.ID] = v
 		s.serverOrder = append(s.serverOrder, v)
 	} else if v.same(&n) {
 		return
 	} else if v.Incarnation != n.Incarnation {
-		v.speed, v.cache, v.others = newSpeed(), cache{}, 0
+		v.speed, v.cache, v.others = newSpeed(s.thresholds), cache{}, 0
 	}
 	s.slots += n.modelSlots() - v.modelSlots()
 	v.Server = n
--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// slowBelow and recoveredAbove are relative speeds. A full batch and the
-	// prefill of long prompts alone bring a server down to about 0.6.
-	slowBelow      = 0.45
-	recoveredAbove = 0.7
+	// defaultSlowBelow and defaultRecoveredAbove are relative speeds. A full batch
+	// and the prefill of long prompts alone bring a server down to about 0.6.
+	defaultSlowBelow      = 0.45
+	defaultRecoveredAbove = 0.7
 	// speedMemory is the time constant of the token time of a server, divided
 	// by its runs: with four runs a change shows within about half a second.
 	speedMemory = 1.5
@@ -24,8 +24,22 @@
 	silence = 600 * time.Millisecond
 )
 
+// thresholds are the relative speeds at which a server becomes slow and is
+// recovered.
+type thresholds struct{ below, above float64 }
+
+var defaultThresholds = thresholds{defaultSlowBelow, defaultRecoveredAbove}
+
+// WithSlowness sets the relative speeds at which a server becomes slow and is
+// recovered, where neighbours slow servers so shortly that leaving them costs
+// more than it saves.
+func WithSlowness(below, recoveredAbove float64) Option {
+	return func(s *Scheduler) { s.thresholds = thresholds{below, recoveredAbove} }
+}
+
 // speed is the estimated speed of one server.
 type speed struct {
+	thresholds
 	relative  float64 // to the median of the pool; 1 is typical
 	token     float64 // mean seconds per token, 0 without observation
 	slow      bool
@@ -37,7 +51,7 @@
 	heldUntil time.Duration
 }
 
-func newSpeed() speed { return speed{relative: 1} }
+func newSpeed(t thresholds) speed { return speed{thresholds: t, relative: 1} }
 
 // held reports whether the server gets less than its slots.
 func (p *speed) held() bool { return p.slow || p.ramping || p.failures > 0 }
@@ -76,10 +90,10 @@
 func (p *speed) judge(now time.Duration, typical float64) {
 	p.relative = min(1.5, max(0.02, typical/p.token))
 	switch {
-	case !p.slow && p.relative < slowBelow:
+	case !p.slow && p.relative < p.below:
 		p.slow, p.ramping, p.slots = true, false, 1
 		p.nextProbe = now + probeInterval
-	case p.slow && p.relative > recoveredAbove:
+	case p.slow && p.relative > p.above:
 		p.slow, p.ramping = false, true
 		p.nextStep = now + returnStep
 	}
--- a/schedule/slowness_test.go
+++ b/schedule/slowness_test.go
@@ -46,7 +46,7 @@
 	}
 	assert.Assert(t, len(hedged) > 0, "no call was resumed elsewhere")
 	for i, v := range s.Snapshot().Servers {
-		assert.Equal(t, v.Speed < slowBelow, i == 0, "%s has speed %.2f", v.ID, v.Speed)
+		assert.Equal(t, v.Speed < defaultSlowBelow, i == 0, "%s has speed %.2f", v.ID, v.Speed)
 	}
 }
 
