ledger: remember the backend server of each line of turns

Cause: half of the later turns of a line came through another entry host, which did not know where its prompt was kept, and 5 in 10 of these moved. The answer to a reservation now names the line's last server, or its program's.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -352,16 +352,26 @@
 	}
 }
 
+// Reservation is what is known of a turn that may run.
+type Reservation struct {
+	Chain      []byte // the conversation before it, if that was wanted
+	LastServer string // ran the last turn of the line; empty if none is known
+}
+
 // Reserve sets aside the tokens of a turn, and returns the conversation that it
 // continues if that is wanted. Errors carry a verdict about the reservation: it is NotRun when
 // nothing was reserved.
-func (l *Link) Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (chain []byte, err error) {
+func (l *Link) Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (Reservation, error) {
 	var out reserveResponse
 	r := reserveRequest{ReserveTurn: t, WantChain: wantChain}
 	if err := l.callLeader(ctx, methodReserve, r, &out); err != nil {
-		return nil, err
+		return Reservation{}, err
+	}
+	v := Reservation{Chain: out.Chain}
+	if out.Result.Turn != nil {
+		v.LastServer = out.Result.Turn.LastServer
 	}
-	return out.Chain, refusal(out.Result.Refusal)
+	return v, refusal(out.Result.Refusal)
 }
 
 // Settle replaces the reservation of a turn by what was used, and keeps the
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -40,7 +40,6 @@
 			continue
 		}
 		r.queue.Finished(t.id, t.server, schedule.Usage{}, schedule.Succeeded)
-		r.board.noteSession(r.call.Session, "")
 		r.writeHead(w, resp, len(body))
 		if _, err := w.Write(body); err != nil {
 			r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
@@ -144,7 +143,7 @@
 		return silence.explain(err)
 	}
 	r.queue.Finished(t.id, t.server, schedule.Usage{PromptTokens: r.call.PromptTokens, OutputTokens: int(r.events * r.perEvent)}, schedule.Succeeded)
-	r.board.noteSession(r.call.Session, t.server)
+	r.ranOn = t.server
 	r.answered(t, resp.StatusCode)
 	if r.call.Turn != nil && r.call.Route.KeepsHistory {
 		if err := r.keep(); err != nil {
--- a/forward/board.go
+++ b/forward/board.go
@@ -27,8 +27,6 @@
 	suspectRetryAfter = 5 * time.Second
 	// crashMemory is how long a host reports a crash that it has seen.
 	crashMemory = 90 * time.Second
-	// maxSessions bounds the lines of turns whose last server is remembered.
-	maxSessions = 8192
 	// exclusion is how long a server that could not be reached is left alone.
 	exclusion = 3 * time.Second
 	// probeTimeout bounds the connection that tells whether a server has ended.
@@ -46,7 +44,6 @@
 	excluded map[string]exclusionRecord // servers not to be used, by id
 	crashed  map[uint64]*crash          // seen by this host
 	suspects map[uint64][]string        // of all hosts
-	sessions map[string]sessionPlace    // last server of each line of turns
 }
 
 // exclusionRecord is an incarnation of a server that is not to be used.
@@ -60,15 +57,10 @@
 	at      time.Time
 }
 
-type sessionPlace struct {
-	server string
-	at     time.Time
-}
-
 func newBoard(f *Forwarder) *board {
 	return &board{
 		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusionRecord{}, crashed: map[uint64]*crash{},
-		suspects: map[uint64][]string{}, sessions: map[string]sessionPlace{},
+		suspects: map[uint64][]string{},
 	}
 }
 
@@ -276,27 +268,3 @@
 	maps.DeleteFunc(b.excluded, func(_ string, x exclusionRecord) bool { return !time.Now().Before(x.until) })
 	return len(b.excluded) < n
 }
-
-// lastServer returns the server of the last call of a line of turns.
-func (b *board) lastServer(session string) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.sessions[session].server
-}
-
-func (b *board) noteSession(session, server string) {
-	if session == "" || server == "" {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.sessions[session] = sessionPlace{server: server, at: time.Now()}
-	if len(b.sessions) <= maxSessions {
-		return
-	}
-	for id, p := range b.sessions {
-		if time.Since(p.at) > time.Minute {
-			delete(b.sessions, id)
-		}
-	}
-}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/backend"
+	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/route"
@@ -53,7 +54,7 @@
 type Turns interface {
 	// Reserve sets aside the tokens of a turn. With wantChain it returns the
 	// conversation up to the previous turn.
-	Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (chain []byte, err error)
+	Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (cluster.Reservation, error)
 	Settle(ctx context.Context, t ledger.SettleTurn) error
 }
 
@@ -207,6 +208,8 @@
 	call        *Call
 	body        []byte // with the conversation before it
 	before      *link  // the conversation
+	lastServer  string // of the line of turns
+	ranOn       string // the server that ended the turn whole
 	fingerprint uint64
 	crashes     int // servers that the request was on when they ended
 	progress    progress
@@ -250,8 +253,9 @@
 	if t.Previous != "" {
 		r.before, known = r.chains.get(t.Previous)
 	}
-	chain, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
+	reservation, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
 		Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous,
+		Line: r.call.Session,
 	}, t.Previous != "" && !known)
 	if err != nil {
 		v := verdict.From(err)
@@ -269,9 +273,10 @@
 	r.reserved = true
 	r.timing.reserved = time.Since(r.call.Arrived)
 	if t.Previous != "" && !known {
-		r.before = r.chains.put(t.Previous, nil, chain)
+		r.before = r.chains.put(t.Previous, nil, reservation.Chain)
 	}
 	r.body = r.before.body(r.body)
+	r.lastServer = reservation.LastServer
 	return nil
 }
 
@@ -282,7 +287,9 @@
 		return
 	}
 	r.reserved = false
-	t := ledger.SettleTurn{Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent}
+	t := ledger.SettleTurn{
+		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
+	}
 	r.wait.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, lateSettleTimeout)
 		defer cancel()
@@ -298,7 +305,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, settleTimeout)
 	defer cancel()
 	err := r.turns.Settle(ctx, ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent,
+		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
 		Keep: &ledger.KeptTurn{
 			Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output,
 			Retention: r.call.Route.Retention.Milliseconds(),
@@ -331,7 +338,7 @@
 	request := schedule.Request{
 		ID:    schedule.CallID{Program: r.program(), Call: int(r.serial.Add(1)), Attempt: r.sent + 1},
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
-		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.board.lastServer(c.Session),
+		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.lastServer,
 		Line: xxhash.Sum64String(c.Session),
 	}
 	if x := r.board.service(service); x != nil && x.Engine != nil {
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -57,22 +57,22 @@
 	fetched int
 }
 
-func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn, wantChain bool) ([]byte, error) {
+func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn, wantChain bool) (cluster.Reservation, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
+		return cluster.Reservation{}, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
 	}
 	r := l.ledger.ApplyCommand(1, ledger.Command{ReserveTurn: &t})
 	if r.Refusal != nil {
-		return nil, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
+		return cluster.Reservation{}, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
 	}
 	if !wantChain {
-		return nil, nil
+		return cluster.Reservation{LastServer: r.Turn.LastServer}, nil
 	}
 	l.fetched++
 	chain, _ := l.ledger.Chain(t.Previous)
-	return chain, nil
+	return cluster.Reservation{Chain: chain, LastServer: r.Turn.LastServer}, nil
 }
 
 func (l *testTurns) Settle(_ context.Context, t ledger.SettleTurn) error {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -53,7 +53,7 @@
 	accounts := make([]account, 0, len(t.accounts))
 	for _, a := range t.accounts {
 		c := *a
-		c.Reserved = maps.Clone(a.Reserved)
+		c.Reserved, c.Lines = maps.Clone(a.Reserved), maps.Clone(a.Lines)
 		accounts = append(accounts, c)
 	}
 	kept := make([]keptTurn, 0, len(t.kept))
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -19,6 +19,8 @@
 	// remembered after its last turn. A stopped program may return within the
 	// retention of its route, which is a minute or so.
 	accountRetention = 600_000
+	// maxLines bounds the lines of one program whose server is remembered.
+	maxLines = 64
 	// maxChain bounds the turns of one conversation.
 	maxChain = 4_096
 )
@@ -33,6 +35,8 @@
 	Most    int64  `json:"most"`   // tokens that this turn may generate
 	// Previous is the turn that this one continues, or empty.
 	Previous string `json:"previous,omitempty"`
+	// Line names the line of turns that this one belongs to.
+	Line string `json:"line,omitempty"`
 }
 
 // SettleTurn replaces the reservation of a turn by the tokens that its caller
@@ -41,6 +45,10 @@
 	Program string `json:"program"`
 	Turn    string `json:"turn"`
 	Tokens  int64  `json:"tokens"`
+	// Line and Server say which backend server holds the line's prompt now;
+	// without a server, nothing changes.
+	Line   string `json:"line,omitempty"`
+	Server string `json:"server,omitempty"`
 	// Keep is set for a turn that ended whole and that others may continue.
 	Keep *KeptTurn `json:"keep,omitempty"`
 }
@@ -58,6 +66,9 @@
 	Turn     string `json:"turn"`
 	Spent    int64  `json:"spent"`
 	Reserved int64  `json:"reserved"`
+	// LastServer ran the last turn of the line; for a new line, the last turn of
+	// its program.
+	LastServer string `json:"last-server,omitempty"`
 }
 
 // account is the spending of one program's turns.
@@ -66,6 +77,9 @@
 	Spent    int64            `json:"spent"`
 	Reserved map[string]int64 `json:"reserved,omitempty"` // by turn
 	UsedAt   int64            `json:"used-at"`
+	// Lines are the last servers by line, and Last is that of any line.
+	Lines map[string]string `json:"lines,omitempty"`
+	Last  string            `json:"last,omitempty"`
 }
 
 func (a *account) reserved() int64 {
@@ -114,7 +128,12 @@
 		}
 		a.Reserved[c.Turn] = c.Most
 	}
-	return Result{Turn: a.state(c.Turn)}
+	state := a.state(c.Turn)
+	state.LastServer = a.Last
+	if server, ok := a.Lines[c.Line]; ok {
+		state.LastServer = server
+	}
+	return Result{Turn: state}
 }
 
 func (a *account) state(turn string) *TurnState {
@@ -134,6 +153,15 @@
 		a.Spent += c.Tokens
 	}
 	a.UsedAt = m.clock
+	if c.Server != "" {
+		a.Last = c.Server
+		if _, known := a.Lines[c.Line]; known || len(a.Lines) < maxLines {
+			if a.Lines == nil {
+				a.Lines = map[string]string{}
+			}
+			a.Lines[c.Line] = c.Server
+		}
+	}
 	if k := c.Keep; k != nil && m.turns.kept[c.Turn] == nil {
 		m.turns.kept[c.Turn] = &keptTurn{Turn: c.Turn, KeptTurn: *k, Expires: m.clock + k.Retention}
 		m.extendChain(k.Previous, m.clock+k.Retention)
--- a/ledger/turn_test.go
+++ b/ledger/turn_test.go
@@ -126,3 +126,26 @@
 	m.ApplyCommand(60_000+2*accountRetention, Command{ReserveTurn: &ReserveTurn{Program: "q", Turn: "y", Budget: 1, Most: 0}})
 	assert.Equal(t, len(m.turns.accounts), 1)
 }
+
+// Guards against a line of turns that is read anew because another host does not
+// know its server.
+func TestLastServerOfALine(t *testing.T) {
+	m := New()
+	reserve := func(turn, line string) string {
+		r := m.ApplyCommand(1, Command{ReserveTurn: &ReserveTurn{Program: "p", Turn: turn, Line: line, Budget: 100, Most: 1}})
+		assert.Assert(t, r.Refusal == nil)
+		return r.Turn.LastServer
+	}
+	settle := func(turn, line, server string) {
+		m.ApplyCommand(1, Command{SettleTurn: &SettleTurn{Program: "p", Turn: turn, Line: line, Server: server}})
+	}
+	assert.Equal(t, reserve("a", "main"), "")
+	settle("a", "main", "s1")
+	assert.Equal(t, reserve("b", "helper"), "s1") // begins with its parent's prompt
+	settle("b", "helper", "s2")
+	m = restored(t, m)
+	assert.Equal(t, reserve("c", "main"), "s1")
+	settle("c", "main", "") // it failed
+	assert.Equal(t, reserve("d", "main"), "s1")
+	assert.Equal(t, reserve("e", "helper"), "s2")
+}
