schedule: homes of a prefix in the own data centre first again

Now that the ledger tells where a line was, lines stay where they are whichever host they come through, and nearer homes save bytes between data centres.

--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -195,7 +195,7 @@
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
-			forward.WithScheduler(schedule.WithPrefixAffinity(""), schedule.WithSlowness(slowBelow, recoveredAbove)))
+			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre), schedule.WithSlowness(slowBelow, recoveredAbove)))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
 				return errors.New("no routing table yet")
