Short calls do not wait for late load, nor fail at a server that is full

Each host may now always have a few runs on a server, and a call that was turned away waits 8 ms and up to twice 100 ms.

--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -43,6 +43,10 @@
 	// half a second: a factor of two and a half.
 	slowBelow      = 0.3
 	recoveredAbove = 0.5
+	// engineFloor and serviceFloor are the runs that a host may have on a server
+	// whatever the others have there: both kinds queue a few more than they run.
+	engineFloor  = 2
+	serviceFloor = 3
 	// settingsInterval separates two looks at the settings file, which may
 	// change without a signal.
 	settingsInterval = 2 * time.Second
@@ -195,7 +199,7 @@
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
-			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre), schedule.WithSlowness(slowBelow, recoveredAbove)))
+			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre), schedule.WithSlowness(slowBelow, recoveredAbove), schedule.WithFloors(engineFloor, serviceFloor)))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
 				return errors.New("no routing table yet")
--- a/forward/call.go
+++ b/forward/call.go
@@ -91,8 +91,13 @@
 // Limits of attempts that did not run.
 const (
 	// maxUnrun bounds the sendings of one call that reached no server or were
-	// turned away: a service whose servers are all full is better left alone.
-	maxUnrun = 6
+	// turned away.
+	maxUnrun = 12
+	// firstBackoff and maxBackoff are the pauses before a call is sent again that
+	// a full server has turned away. The servers of a plain service work for
+	// some 20 ms on a call.
+	firstBackoff = 8 * time.Millisecond
+	maxBackoff   = 100 * time.Millisecond
 	// minRetryTime is the least time that must be left for another sending.
 	minRetryTime = 20 * time.Millisecond
 )
@@ -130,6 +135,18 @@
 	return Retry
 }
 
+// backoff returns the pause before the next sending of a call that was turned
+// away. It doubles each time; draw, in [0, 1), spreads the calls that were turned
+// away together.
+//
+// It answers the load of a service that has lost servers: six sendings within
+// 7 ms met the same full server, and the call was refused while slots fell free
+// every few milliseconds.
+func (p *progress) backoff(draw float64) time.Duration {
+	d := min(maxBackoff, firstBackoff<<min(p.unrun-1, 8))
+	return d/2 + time.Duration(draw*float64(d))
+}
+
 // class maps the priority of a route to a class of the scheduler.
 func class(r *route.Route) schedule.Class {
 	switch {
--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -40,3 +40,21 @@
 		assert.Equal(t, p.next(&tt.route, tt.notRun, tt.ended), tt.want, tt.name)
 	}
 }
+
+// Guards against calls that are refused within milliseconds although the only
+// server of their service is full for a moment.
+//
+// The load pattern: one server of six slots is left of three, and turns a burst
+// away; its calls take 20 ms.
+func TestBackoffOutlastsAFullServer(t *testing.T) {
+	p := progress{left: time.Second}
+	r := &route.Route{Kind: route.NonIdempotent, MaxAttempts: 1}
+	total := time.Duration(0)
+	for p.next(r, true, false) == Retry {
+		d := p.backoff(0)
+		assert.Assert(t, d > 0 && d <= maxBackoff)
+		assert.Assert(t, p.backoff(0.99) <= 2*maxBackoff)
+		total += d
+	}
+	assert.Assert(t, total > 300*time.Millisecond, "gave up after %v", total)
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -443,6 +444,9 @@
 	r.counts.failedAttempt(v)
 	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.sent),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", ended), zap.Bool("retry", step == Retry), zap.Error(err))
+	if step == Retry && notRun && v.Reason() == verdict.Overloaded {
+		pause.For(ctx, r.progress.backoff(rand.Float64()))
+	}
 	if step == Retry && ctx.Err() == nil {
 		return nil
 	}
--- a/schedule/affinity_test.go
+++ b/schedule/affinity_test.go
@@ -103,3 +103,30 @@
 		assert.Equal(t, s.servers[a.Server].DataCentre, "dc1")
 	}
 }
+
+// Guards against calls that wait until their deadline beside free slots.
+//
+// The load pattern: twenty hosts send calls of 20 ms to three servers of six
+// slots, and hear of each other's a quarter of a second late; some hosts are
+// slow, so that their runs seem to stay.
+func TestShortCallsDoNotWaitForLateLoad(t *testing.T) {
+	for _, floors := range []int{0, 3} {
+		placed := 0
+		for host := range 20 {
+			s := New(rand.NewPCG(uint64(host), 1), WithFloors(2, floors))
+			others := map[string]int{}
+			for i := range 3 {
+				id := fmt.Sprint("s", i)
+				s.SetServer(0, Server{ID: id, Service: "orders", Slots: 6})
+				others[id] = 6
+			}
+			s.SetHosts(0, 20)
+			s.SetOthers(0, others)
+			s.Enqueue(0, Request{ID: CallID{Program: "p", Call: 1, Attempt: 1}, Service: "orders"})
+			if _, ok := s.Next(0); ok {
+				placed++
+			}
+		}
+		assert.Equal(t, placed == 20, floors > 0, "%d of 20 hosts placed their call", placed)
+	}
+}
--- a/schedule/policies.go
+++ b/schedule/policies.go
@@ -15,6 +15,7 @@
 	detect        bool // slowed servers
 	hedging       bool
 	thresholds    thresholds
+	floors        floors
 	unlimited     bool // calls are sent at once and queue in the engines
 }
 
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -76,11 +76,29 @@
 	if s.hosts > 1 {
 		share := int(float64(n)/float64(s.hosts) + v.rounding)
 		free := n - v.others
-		n = max(share, min(n, free))
+		n = max(share, min(n, free), s.floor(v))
 	}
 	return v.speed.limit(n)
 }
 
+// floors are the runs that a host may always have on a server.
+type floors struct{ engine, service int }
+
+// WithFloors sets the least number of runs that a host may have on an engine
+// and on a plain service, whatever the others have there. Their load is known a
+// moment late: where calls are shorter than that, hosts would leave free slots
+// unused, and a server that is full after all says so.
+func WithFloors(engine, service int) Option {
+	return func(s *Scheduler) { s.floors = floors{engine, service} }
+}
+
+func (s *Scheduler) floor(v *server) int {
+	if v.Service != "" {
+		return s.floors.service
+	}
+	return s.floors.engine
+}
+
 // available reports whether new work may be sent, the slots aside.
 func (v *server) available() bool {
 	return !v.Leaving && !v.removed && !v.reserved && !v.remotelyReserved && !v.runsSuspect()
