replica: a leader with a slow disk hands over

A leader applies only what is on its own disk, so one slow disk held up commits that two other disks already had; only a write of over 400 ms counted as stalled. Also: the history command prints what logs say of one request or program; answers are read whole in one place; findings of the linter.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -332,7 +332,7 @@
 			x.response <- pooledResult{err: err}
 			return
 		}
-		response, err := c.response(x)
+		response, err := c.response(x) //nolint:bodyclose // whoever asked closes it
 		x.response <- pooledResult{response, err}
 		if err != nil || !<-x.bodyDone {
 			return
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -274,7 +274,10 @@
 		<-started
 		cancel()
 	}()
-	_, err := p.Do(ctx, s.address(), outgoingFor("1"), mineByID("1"))
+	resp, err := p.Do(ctx, s.address(), outgoingFor("1"), mineByID("1"))
+	if resp != nil {
+		resp.Body.Close()
+	}
 	assert.Equal(t, verdict.From(err).Reason(), verdict.Cancelled)
 	<-gone
 }
--- a/cluster/host.go
+++ b/cluster/host.go
@@ -23,7 +23,6 @@
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/replica"
-	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -43,6 +42,8 @@
 	// Callers give up within a second or two, and a round trip takes 3 ms.
 	heartbeat = 100 * time.Millisecond
 	election  = 400 * time.Millisecond
+	// slowWrite is far above the few milliseconds that a sound disk takes.
+	slowWrite = 40 * time.Millisecond
 	// hostMemory is how long a control host is remembered that is silent.
 	hostMemory = 20 * time.Second
 	// maxTableRounds bounds the attempts to write a table beside other writers.
@@ -103,7 +104,7 @@
 	h.mesh = newMesh(func(id string) *control.Peer {
 		return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
 	})
-	timing := replica.Timing{Heartbeat: heartbeat, Election: election, Remove: removeAfter}
+	timing := replica.Timing{Heartbeat: heartbeat, Election: election, SlowWrite: slowWrite, Remove: removeAfter}
 	var err error
 	h.group, err = replica.Open(
 		replica.Config{ID: c.ID, Peers: c.Founders, Open: true, Dir: filepath.Join(c.DataFolder, "log")},
@@ -465,9 +466,3 @@
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
-
-// Table returns the routing table that this host has applied; nil without one.
-func (h *Host) Table() *route.Table {
-	t, _, _ := h.state.current()
-	return t
-}
--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -36,6 +36,7 @@
 	commander.Register(&roleCommand{name: "control", synopsis: "run a control host", module: controlModule}, "")
 	commander.Register(&roleCommand{name: "ledger", synopsis: "run a host of the ledger of programs", module: ledgerModule}, "")
 	commander.Register(&checkCommand{}, "")
+	commander.Register(&historyCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := commander.Execute(ctx)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +33,7 @@
 		if err != nil {
 			return r.unplaced(err)
 		}
-		resp, body, err := r.exchange(ctx, t, a)
+		answer, err := r.exchange(ctx, t, a)
 		if err != nil {
 			if err := r.after(ctx, t, err); err != nil {
 				return err
@@ -40,15 +41,28 @@
 			continue
 		}
 		r.queue.Finished(t.id, t.server, schedule.Usage{}, schedule.Succeeded)
-		r.writeHead(w, resp, len(body))
-		if _, err := w.Write(body); err != nil {
-			r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
-		}
-		r.answered(t, resp.StatusCode)
+		r.writeWhole(w, answer)
+		r.answered(t, answer.status)
 		return nil
 	}
 }
 
+// wholeAnswer is a server's answer that has been read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header // that the caller gets
+	body   []byte
+}
+
+func (r *run) writeWhole(w http.ResponseWriter, a wholeAnswer) {
+	maps.Copy(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
+	}
+}
+
 // unplaced turns the failure to find a server into the verdict on the call.
 func (r *run) unplaced(err error) error {
 	if r.progress.ran == 0 {
@@ -57,20 +71,25 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "an earlier attempt may have run", verdict.WithCause(errors.Join(r.lastErr, err)))
 }
 
-func (r *run) exchange(ctx context.Context, t target, a schedule.Assignment) (*http.Response, []byte, error) {
+// exchange makes one attempt of a call that is answered as a whole.
+func (r *run) exchange(ctx context.Context, t target, a schedule.Assignment) (wholeAnswer, error) {
 	resp, err := r.send(ctx, t, a)
 	if err != nil {
-		return nil, nil, err
+		return wholeAnswer{}, err
 	}
 	defer resp.Body.Close()
+	return r.readWhole(ctx, t, resp)
+}
+
+func (r *run) readWhole(ctx context.Context, t target, resp *http.Response) (wholeAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errors.New("answer of over " + strconv.Itoa(maxAnswerBytes) + " bytes")
 	}
 	if err != nil {
-		return nil, nil, verdict.New(verdict.MayHaveRun, brokenReason(ctx), "answer of "+t.server+" broke off", verdict.WithCause(err))
+		return wholeAnswer{}, verdict.New(verdict.MayHaveRun, brokenReason(ctx), "answer of "+t.server+" broke off", verdict.WithCause(err))
 	}
-	return resp, body, nil
+	return wholeAnswer{status: resp.StatusCode, header: r.wire.Passed(resp), body: body}, nil
 }
 
 func brokenReason(ctx context.Context) verdict.Reason {
@@ -84,17 +103,6 @@
 	}
 }
 
-// writeHead passes the head of a response on. A length below 0 means a stream.
-func (r *run) writeHead(w http.ResponseWriter, resp *http.Response, length int) {
-	for name, values := range r.wire.Passed(resp) {
-		w.Header()[name] = values
-	}
-	if length >= 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(length))
-	}
-	w.WriteHeader(resp.StatusCode)
-}
-
 // stream sends a call whose answer is passed on event by event. Once it has
 // begun, it either ends whole or is broken visibly.
 func (r *run) stream(ctx context.Context, w http.ResponseWriter) error {
@@ -137,7 +145,8 @@
 	}
 	if !r.progress.started {
 		r.progress.started = true
-		r.writeHead(w, resp, -1)
+		maps.Copy(w.Header(), r.wire.Passed(resp))
+		w.WriteHeader(resp.StatusCode)
 	}
 	if err := r.passEvents(ctx, w, t, resp, silence); err != nil {
 		return silence.explain(err)
@@ -157,18 +166,16 @@
 
 // passFailure passes a server's own failure on, unless the stream has begun.
 func (r *run) passFailure(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	answer, err := r.readWhole(ctx, t, resp)
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, brokenReason(ctx), "answer of "+t.server+" broke off", verdict.WithCause(err))
+		return err
 	}
 	if r.progress.started {
 		return verdict.Newf(verdict.MayHaveRun, verdict.ServerFailed, "server %s answered %d to a resumed stream", t.server, resp.StatusCode)
 	}
 	r.queue.Finished(t.id, t.server, schedule.Usage{}, schedule.Rejected)
-	r.writeHead(w, resp, len(body))
-	if _, err := w.Write(body); err != nil {
-		r.logger.Info("caller left before its answer", zap.String("request", r.call.ID), zap.Error(err))
-	}
+	r.writeWhole(w, answer)
+	r.answered(t, answer.status)
 	return nil
 }
 
--- a/forward/board.go
+++ b/forward/board.go
@@ -33,9 +33,9 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
-// board is what an entry host knows of the deployment. It implements
+// Board is what an entry host knows of the deployment. It implements
 // cluster.Observer.
-type board struct {
+type Board struct {
 	forwarder *Forwarder
 
 	mu       sync.Mutex
@@ -57,42 +57,42 @@
 	at      time.Time
 }
 
-func newBoard(f *Forwarder) *board {
-	return &board{
+func newBoard(f *Forwarder) *Board {
+	return &Board{
 		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusionRecord{}, crashed: map[uint64]*crash{},
 		suspects: map[uint64][]string{},
 	}
 }
 
 // Index returns the routing table in force, or nil.
-func (b *board) Index() *route.Index {
+func (b *Board) Index() *route.Index {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.index
 }
 
-func (b *board) version() int64 {
+func (b *Board) version() int64 {
 	if x := b.Index(); x != nil {
 		return x.Version()
 	}
 	return 0
 }
 
-func (b *board) service(name string) *route.Service {
+func (b *Board) service(name string) *route.Service {
 	if x := b.Index(); x != nil {
 		return x.Service(name)
 	}
 	return nil
 }
 
-func (b *board) address(server string) string {
+func (b *Board) address(server string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.servers[server].Address
 }
 
 // Routes implements cluster.Observer.
-func (b *board) Routes(x *route.Index) {
+func (b *Board) Routes(x *route.Index) {
 	b.mu.Lock()
 	b.index = x
 	b.mu.Unlock()
@@ -100,7 +100,7 @@
 }
 
 // Servers implements cluster.Observer.
-func (b *board) Servers(servers map[string]registry.Entry) {
+func (b *Board) Servers(servers map[string]registry.Entry) {
 	b.mu.Lock()
 	for id, e := range b.servers {
 		if n, ok := servers[id]; !ok || n.Address != e.Address {
@@ -118,7 +118,7 @@
 }
 
 // apply gives the servers to the scheduler.
-func (b *board) apply() {
+func (b *Board) apply() {
 	b.mu.Lock()
 	var list []schedule.Server
 	for id, e := range b.servers {
@@ -142,7 +142,7 @@
 
 // describe translates an entry for the scheduler: an engine runs its service as
 // a model, so that its prompt cache counts.
-func (b *board) describe(e registry.Entry) schedule.Server {
+func (b *Board) describe(e registry.Entry) schedule.Server {
 	v := schedule.Server{
 		ID: e.ID, Incarnation: time.UnixMilli(e.Born).UTC().String(), DataCentre: e.DataCentre,
 		Slots: e.Slots, Leaving: e.State != registry.Ready,
@@ -163,7 +163,7 @@
 }
 
 // Load implements cluster.Observer.
-func (b *board) Load(runs map[string]int, hosts int) {
+func (b *Board) Load(runs map[string]int, hosts int) {
 	if b.dropExclusions() {
 		b.apply()
 	}
@@ -178,7 +178,7 @@
 }
 
 // Suspects implements cluster.Observer.
-func (b *board) Suspects(list []cluster.Suspect) {
+func (b *Board) Suspects(list []cluster.Suspect) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.suspects)
@@ -188,7 +188,7 @@
 }
 
 // Report implements cluster.Observer.
-func (b *board) Report() (map[string]int, []cluster.Suspect) {
+func (b *Board) Report() (map[string]int, []cluster.Suspect) {
 	var runs map[string]int
 	b.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { runs = s.Runs() })
 	b.mu.Lock()
@@ -205,7 +205,7 @@
 }
 
 // crashes returns how many servers a request is known to have crashed.
-func (b *board) crashes(fingerprint uint64) int {
+func (b *Board) crashes(fingerprint uint64) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := len(b.suspects[fingerprint])
@@ -218,7 +218,7 @@
 // noteBroken finds out whether the server of a broken attempt has ended, and
 // remembers the request if so. A server that still accepts connections is not
 // a crashed one.
-func (b *board) noteBroken(ctx context.Context, fingerprint uint64, t target) bool {
+func (b *Board) noteBroken(ctx context.Context, fingerprint uint64, t target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.address)
@@ -246,7 +246,7 @@
 }
 
 // exclude takes a server out of use until it starts again.
-func (b *board) exclude(server string) {
+func (b *Board) exclude(server string) {
 	b.mu.Lock()
 	e, ok := b.servers[server]
 	if ok {
@@ -261,7 +261,7 @@
 }
 
 // dropExclusions returns whether servers may be used again.
-func (b *board) dropExclusions() bool {
+func (b *Board) dropExclusions() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := len(b.excluded)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -67,7 +67,7 @@
 	clock  dispatch.Clock
 	queue  *dispatch.Queue
 	pool   *backend.Pool
-	board  *board
+	board  *Board
 	chains *chains
 	counts *counts
 	serial atomic.Int64 // numbers the sendings
@@ -143,7 +143,7 @@
 
 // Board returns what the forwarder knows of servers and load. It is a
 // cluster.Observer.
-func (f *Forwarder) Board() *board { return f.board }
+func (f *Forwarder) Board() *Board { return f.board }
 
 // Serve passes a call on and writes its answer. An error is a *verdict.Error
 // and means that nothing was written. A stream that cannot be ended whole
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -23,7 +23,7 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-var _ cluster.Observer = (*board)(nil)
+var _ cluster.Observer = (*Board)(nil)
 
 // testWire marks responses by plain headers.
 type testWire struct{}
@@ -317,7 +317,7 @@
 // Guards against turns that spend more than their program may, and against a
 // conversation that is not what was said.
 func TestServeTurns(t *testing.T) {
-	s := startServer(t, func(n int, r *http.Request, w io.Writer) bool {
+	s := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
 		streamEvents(w, r.Header.Get("Id"), 1, 2, true)
 		return true
 	})
--- /dev/null
+++ b/history/history.go
@@ -0,0 +1,92 @@
+// Package history finds what the logs of many hosts say of one request or one
+// program.
+package history
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds one log line, in bytes.
+const maxLine = 1 << 20
+
+// Line is a log line about a request.
+type Line struct {
+	At      time.Time
+	Host    string
+	Message string
+	Fields  map[string]any // the other fields
+}
+
+// Find returns the lines whose request, program or session is id, in order of
+// time. Text before the JSON of a line, and lines without JSON, are passed over.
+func Find(id string, logs ...io.Reader) ([]Line, error) {
+	var out []Line
+	for _, r := range logs {
+		lines := bufio.NewScanner(r)
+		lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+		for lines.Scan() {
+			if l, ok := parse(id, lines.Bytes()); ok {
+				out = append(out, l)
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.At.Compare(b.At) })
+	return out, nil
+}
+
+func parse(id string, text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 || !bytes.Contains(text, []byte(id)) {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if json.Unmarshal(text[start:], &fields) != nil {
+		return Line{}, false
+	}
+	if fields["request"] != id && fields["program"] != id && fields["session"] != id {
+		return Line{}, false
+	}
+	l := Line{Fields: fields}
+	l.Host, _ = fields["host"].(string)
+	l.Message, _ = fields["msg"].(string)
+	if at, ok := fields["ts"].(string); ok {
+		// The format of zap's ISO 8601 encoder.
+		l.At, _ = time.Parse("2006-01-02T15:04:05.000Z0700", at)
+	}
+	for _, name := range []string{"host", "msg", "ts", "level"} {
+		delete(fields, name)
+	}
+	return l, true
+}
+
+// ErrNone says that no line is about the id.
+var ErrNone = errors.New("no line names it as request, program or session")
+
+// Write prints lines with the time since the first one.
+func Write(w io.Writer, lines []Line) error {
+	if len(lines) == 0 {
+		return ErrNone
+	}
+	for _, l := range lines {
+		var fields []string
+		for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+			fields = append(fields, fmt.Sprintf("%s=%v", name, l.Fields[name]))
+		}
+		if _, err := fmt.Fprintf(w, "%10s  %-20s  %-18s  %s\n", l.At.Sub(lines[0].At), l.Host, l.Message, strings.Join(fields, " ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -4,7 +4,6 @@
 package registry
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -189,9 +188,6 @@
 // Forget drops what a control host said that is no longer one.
 func (v *View) Forget(source string) { delete(v.sources, source) }
 
-// Sources returns the control hosts that have been heard, in order.
-func (v *View) Sources() []string { return slices.Sorted(maps.Keys(v.sources)) }
-
 // Servers returns the servers in use: those that some control host holds to be
 // alive, with the newest entry of each. Of two at one address, only the later
 // born is left: the address has been given to it since.
@@ -201,7 +197,7 @@
 	for _, m := range v.sources {
 		for id, c := range m {
 			held, ok := newest[id]
-			if !ok || c.Entry.supersedes(&held) {
+			if !ok || c.supersedes(&held) {
 				newest[id] = c.Entry
 			}
 		}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -16,6 +16,7 @@
 	reads     []pendingRead
 	joining   map[string]joiner
 	handover  Ref
+	since     time.Duration // when this replica became leader
 }
 
 // progress is what a leader knows of one other replica.
@@ -36,7 +37,7 @@
 
 func (n *Node) becomeLeader(now Now) {
 	n.role, n.leader = Leader, n.Self
-	n.lead = leadership{progress: map[Ref]*progress{}, joining: map[string]joiner{}}
+	n.lead = leadership{progress: map[Ref]*progress{}, joining: map[string]joiner{}, since: now.Elapsed}
 	n.syncProgress(now)
 	n.lead.termStart = n.log.last() + 1
 	n.appendOwn(now, disk.NoOp, [][]byte{nil})
@@ -153,12 +154,28 @@
 		n.follow(now, n.hard.Term)
 		return
 	}
+	n.leaveSlowDisk(now)
 	n.repair(now)
 	if now.Elapsed >= n.lead.nextBeat {
 		n.beat(now)
 	}
 }
 
+// handoverRest is the number of election timeouts for which a new leader keeps
+// the lead even on a slow disk: where all disks are slow, handing over in turn
+// would only add to it.
+const handoverRest = 8
+
+// leaveSlowDisk hands over when a write takes long.
+func (n *Node) leaveSlowDisk(now Now) {
+	slow := n.Timing.SlowWrite > 0 && n.writes > 0 && now.Elapsed-n.writeSince >= n.Timing.SlowWrite
+	if !slow || n.lead.handover != (Ref{}) || now.Elapsed-n.lead.since < handoverRest*n.Timing.Election {
+		return
+	}
+	n.lead.handover = n.successor(now)
+	n.finishHandover(now)
+}
+
 // stalled returns whether the disk has not finished a write for long.
 func (n *Node) stalled(now Now) bool {
 	return n.writes > 0 && now.Elapsed-n.writeSince >= n.Timing.Election
--- a/replica/node.go
+++ b/replica/node.go
@@ -39,6 +39,10 @@
 	// votes; the longest is half as much again. A leader that has not heard from a
 	// quorum, or whose disk has not finished a write, for this long steps down.
 	Election time.Duration
+	// SlowWrite is the duration of a write from which a leader hands over: it
+	// applies only what is on its own disk, so that a slow one holds up the whole
+	// group while the other disks would do; 0 means never.
+	SlowWrite time.Duration
 	// Remove is the silence after which an open group removes a member; 0
 	// means never.
 	Remove time.Duration
--- a/replica/open_test.go
+++ b/replica/open_test.go
@@ -27,11 +27,21 @@
 	*Node
 	applied []string
 	down    bool
+	writing []openWrite
+	slow    time.Duration // of each write
+}
+
+type openWrite struct {
+	at      time.Duration // when it is done
+	persist Persist
+	after   []Message
 }
 
 const openTick = 25 * time.Millisecond
 
-var openTiming = Timing{Heartbeat: 300 * time.Millisecond, Election: time.Second, Remove: 12 * time.Second}
+var openTiming = Timing{
+	Heartbeat: 300 * time.Millisecond, Election: time.Second, SlowWrite: 50 * time.Millisecond, Remove: 12 * time.Second,
+}
 
 func newOpenWorld(t *testing.T, founders ...string) *openWorld {
 	w := &openWorld{t: t, random: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*openNode{}}
@@ -69,10 +79,29 @@
 			n.applied = append(n.applied, string(e.Data))
 		}
 	}
-	if !out.Persist.empty() {
-		w.handle(id, n.Persisted(Now{Elapsed: w.now}, out.Persist))
+	if out.Persist.empty() && len(n.writing) == 0 {
+		w.inbox = append(w.inbox, out.After...)
+		return
+	}
+	start := w.now
+	if k := len(n.writing); k > 0 {
+		start = n.writing[k-1].at
+	}
+	n.writing = append(n.writing, openWrite{start + n.slow, out.Persist, out.After})
+	if n.slow == 0 {
+		w.finishWrites(id)
+	}
+}
+
+func (w *openWorld) finishWrites(id string) {
+	for n := w.nodes[id]; len(n.writing) > 0 && n.writing[0].at <= w.now; {
+		done := n.writing[0]
+		n.writing = n.writing[1:]
+		w.inbox = append(w.inbox, done.after...)
+		if !done.persist.empty() {
+			w.handle(id, n.Persisted(Now{Elapsed: w.now}, done.persist))
+		}
 	}
-	w.inbox = append(w.inbox, out.After...)
 }
 
 func (w *openWorld) pass(d time.Duration) {
@@ -86,6 +115,7 @@
 		}
 		for _, id := range w.ids() {
 			if n := w.nodes[id]; !n.down {
+				w.finishWrites(id)
 				n.SetContacts(w.ids())
 				w.handle(id, n.Tick(Now{Elapsed: w.now}))
 			}
@@ -207,3 +237,19 @@
 		})
 	}
 }
+
+// Guards against a leader whose disk is slow, but not stalled, and that holds up
+// every commit although the other disks would do.
+func TestOpenGroupLeavesASlowDisk(t *testing.T) {
+	w := newOpenWorld(t, "a", "b", "c")
+	w.pass(handoverRest * openTiming.Election)
+	w.commit(time.Second)
+	slow := w.leader()
+	w.nodes[slow].slow = 200 * time.Millisecond
+	w.commit(2 * time.Second)
+	w.pass(time.Second)
+	assert.Assert(t, w.leader() != slow)
+	for range 5 {
+		w.commit(150 * time.Millisecond)
+	}
+}
