--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -236,11 +237,11 @@
 // again, and against a snapshot that lacks a part.
 func TestStateSnapshot(t *testing.T) {
 	s := newState()
-	s.Apply(1, 1, encode(command{Change: &tree.Change{ChangeID: "1", Writes: []tree.Write{
-		{Path: tablePath, Value: encode(route.Table{Version: 3})}, {Path: sourcePath, Value: json.RawMessage(`{"version":3}`)},
+	s.Apply(1, 1, strictjson.Encode(command{Change: &tree.Change{ChangeID: "1", Writes: []tree.Write{
+		{Path: tablePath, Value: strictjson.Encode(route.Table{Version: 3})}, {Path: sourcePath, Value: json.RawMessage(`{"version":3}`)},
 	}}}))
-	s.Apply(2, 1, encode(command{Program: &ledger.Command{ReserveTurn: &ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}}}))
-	s.Apply(3, 1, encode(command{Program: &ledger.Command{SettleTurn: &ledger.SettleTurn{Program: "p", Turn: "a", Keep: &ledger.KeptTurn{Input: []byte("in"), Retention: 1000}}}}))
+	s.Apply(2, 1, strictjson.Encode(command{Program: &ledger.Command{ReserveTurn: &ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}}}))
+	s.Apply(3, 1, strictjson.Encode(command{Program: &ledger.Command{SettleTurn: &ledger.SettleTurn{Program: "p", Turn: "a", Keep: &ledger.KeptTurn{Input: []byte("in"), Retention: 1000}}}}))
 	var b bytes.Buffer
 	assert.NilError(t, s.Snapshot(&b))
 	n := newState()
--- a/cluster/host.go
+++ b/cluster/host.go
@@ -23,6 +23,7 @@
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -347,7 +348,7 @@
 		return err
 	}
 	started := time.Now()
-	data, err := h.group.Propose(ctx, encode(c))
+	data, err := h.group.Propose(ctx, strictjson.Encode(c))
 	if err != nil {
 		h.config.Metrics.Counter("proposals-failed").Inc(1)
 		return err
@@ -404,7 +405,7 @@
 		change := tree.Change{
 			ChangeID: "table-" + strconv.FormatUint(rand.Uint64(), 36),
 			Writes: []tree.Write{
-				{Path: tablePath, Value: encode(s.Table), IfVersion: pathVersion},
+				{Path: tablePath, Value: strictjson.Encode(s.Table), IfVersion: pathVersion},
 				{Path: sourcePath, Value: s.Text, IfVersion: tree.AnyVersion},
 			},
 		}
--- a/cluster/ledgerhosts.go
+++ b/cluster/ledgerhosts.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -155,7 +156,7 @@
 	defer cancel()
 	change := tree.Change{
 		ChangeID: "set-" + strconv.FormatUint(rand.Uint64(), 36),
-		Writes:   []tree.Write{{Path: path, Value: encode(value)}},
+		Writes:   []tree.Write{{Path: path, Value: strictjson.Encode(value)}},
 	}
 	var o tree.Outcome
 	if err := h.propose(ctx, command{Change: &change}, &o); err != nil {
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -6,14 +6,15 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/replica"
 	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -45,7 +46,7 @@
 func (s *state) Apply(_ uint64, unixMillis int64, data []byte) []byte {
 	var c command
 	if err := json.Unmarshal(data, &c); err != nil {
-		return encode(tree.Outcome{Reason: verdict.BadRequest, Message: err.Error()})
+		return strictjson.Encode(tree.Outcome{Reason: verdict.BadRequest, Message: err.Error()})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -53,11 +54,11 @@
 	case c.Change != nil:
 		o := s.tree.ApplyChange(unixMillis, *c.Change)
 		s.loadTable()
-		return encode(o)
+		return strictjson.Encode(o)
 	case c.Program != nil:
-		return encode(s.ledger.ApplyCommand(unixMillis, *c.Program))
+		return strictjson.Encode(s.ledger.ApplyCommand(unixMillis, *c.Program))
 	default:
-		return encode(tree.Outcome{Reason: verdict.BadRequest, Message: "command is empty"})
+		return strictjson.Encode(tree.Outcome{Reason: verdict.BadRequest, Message: "command is empty"})
 	}
 }
 
@@ -129,10 +130,7 @@
 		if err != nil {
 			return err
 		}
-		if err := binary.Write(w, binary.BigEndian, uint64(configuration.Len())); err != nil {
-			return err
-		}
-		if _, err := w.Write(configuration.Bytes()); err != nil {
+		if err := replica.WriteSection(w, configuration.Bytes()); err != nil {
 			return err
 		}
 		return writeLedger(w)
@@ -143,27 +141,9 @@
 func (s *state) Restore(r io.Reader) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var length uint64
-	if err := binary.Read(r, binary.BigEndian, &length); err != nil {
-		return fmt.Errorf("snapshot: %w", err)
-	}
-	part := io.LimitReader(r, int64(length))
-	if err := s.tree.Restore(part); err != nil {
-		return err
-	}
-	// The tree may stop reading before the end of its part.
-	if _, err := io.Copy(io.Discard, part); err != nil {
+	if err := replica.ReadSection(r, s.tree.Restore); err != nil {
 		return err
 	}
 	s.loadTable()
 	return s.ledger.Restore(r)
 }
-
-// encode writes wire types, whose encoding cannot fail.
-func encode(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("encode %T: %v", v, err))
-	}
-	return data
-}
--- a/control/host.go
+++ b/control/host.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -241,7 +242,7 @@
 		return nil, verdict.Newf(verdict.MayHaveRun, verdict.CallInProgress,
 			"call %d runs on host %s", r.TakeOver.Call, r.OldHost)
 	}
-	return g.Propose(ctx, encode(ledger.Command{TakeOver: &r.TakeOver}))
+	return g.Propose(ctx, strictjson.Encode(ledger.Command{TakeOver: &r.TakeOver}))
 }
 
 func (h *Host) query(ctx context.Context, _ string, r groupRequest) (json.RawMessage, error) {
@@ -276,7 +277,7 @@
 		if _, ok := g.Leading(); !ok || !m.due(time.Now().UnixMilli()) {
 			continue
 		}
-		if _, err := g.Propose(ctx, encode(ledger.Command{Tick: &ledger.Tick{}})); err != nil {
+		if _, err := g.Propose(ctx, strictjson.Encode(ledger.Command{Tick: &ledger.Tick{}})); err != nil {
 			h.logger.Debug("tick failed", zap.Int("group", i+1), zap.Error(err))
 		}
 	}
--- a/control/hostlease.go
+++ b/control/hostlease.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -27,9 +28,9 @@
 	defer m.mu.RUnlock()
 	switch {
 	case q.Tree != nil:
-		return encode(m.tree.Answer(*q.Tree)), nil
+		return strictjson.Encode(m.tree.Answer(*q.Tree)), nil
 	case q.Member != nil:
-		return encode(m.members.Answer(*q.Member)), nil
+		return strictjson.Encode(m.members.Answer(*q.Member)), nil
 	default:
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "query is empty")
 	}
@@ -88,7 +89,7 @@
 	}
 	h.logger.Info("leases have run out", zap.Any("members", expired))
 	c := membership.Command{Expire: &membership.Expire{Members: expired}}
-	if _, err := h.groups[ConfigGroup].Propose(ctx, encode(configCommand{Member: &c})); err != nil {
+	if _, err := h.groups[ConfigGroup].Propose(ctx, strictjson.Encode(configCommand{Member: &c})); err != nil {
 		h.logger.Info("expiry not recorded", zap.Error(err))
 	}
 }
@@ -124,7 +125,7 @@
 
 // proposeMember commits a membership command.
 func (h *Host) proposeMember(ctx context.Context, c membership.Command) error {
-	data, err := h.groups[ConfigGroup].Propose(ctx, encode(configCommand{Member: &c}))
+	data, err := h.groups[ConfigGroup].Propose(ctx, strictjson.Encode(configCommand{Member: &c}))
 	if err != nil {
 		return err
 	}
--- a/control/machines.go
+++ b/control/machines.go
@@ -2,14 +2,14 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"encoding/json"
-	"fmt"
 	"io"
 	"sync"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/membership"
+	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 	"github.com/sycamoreline/sycamoreline/tree"
 )
 
@@ -36,29 +36,20 @@
 func (m *configMachine) Apply(_ uint64, unixMillis int64, command []byte) []byte {
 	var c configCommand
 	if err := json.Unmarshal(command, &c); err != nil {
-		return encode(tree.Outcome{Message: err.Error()})
+		return strictjson.Encode(tree.Outcome{Message: err.Error()})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
 	case c.Change != nil:
-		return encode(m.tree.ApplyChange(unixMillis, *c.Change))
+		return strictjson.Encode(m.tree.ApplyChange(unixMillis, *c.Change))
 	case c.Member != nil:
-		return encode(m.members.ApplyCommand(unixMillis, *c.Member))
+		return strictjson.Encode(m.members.ApplyCommand(unixMillis, *c.Member))
 	default:
-		return encode(tree.Outcome{Message: "command is empty"})
+		return strictjson.Encode(tree.Outcome{Message: "command is empty"})
 	}
 }
 
-// encode writes wire types, whose encoding cannot fail.
-func encode(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("encode %T: %v", v, err))
-	}
-	return data
-}
-
 // Snapshot implements replica.Machine. The tree comes first, preceded by its
 // length in bytes.
 func (m *configMachine) Snapshot(w io.Writer) error {
@@ -68,10 +59,7 @@
 	if err := m.tree.Snapshot(&configuration); err != nil {
 		return err
 	}
-	if err := binary.Write(w, binary.BigEndian, uint64(configuration.Len())); err != nil {
-		return err
-	}
-	if _, err := configuration.WriteTo(w); err != nil {
+	if err := replica.WriteSection(w, configuration.Bytes()); err != nil {
 		return err
 	}
 	return m.members.Snapshot(w)
@@ -81,16 +69,7 @@
 func (m *configMachine) Restore(r io.Reader) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var length uint64
-	if err := binary.Read(r, binary.BigEndian, &length); err != nil {
-		return fmt.Errorf("snapshot of the configuration group: %w", err)
-	}
-	part := io.LimitReader(r, int64(length))
-	if err := m.tree.Restore(part); err != nil {
-		return err
-	}
-	// The tree may stop reading before the end of its part.
-	if _, err := io.Copy(io.Discard, part); err != nil {
+	if err := replica.ReadSection(r, m.tree.Restore); err != nil {
 		return err
 	}
 	return m.members.Restore(r)
--- a/control/release.go
+++ b/control/release.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 )
 
 const (
@@ -54,7 +55,7 @@
 		}
 		c = ledger.Command{ReleaseConfirmed: &ledger.ReleaseConfirmed{Server: r.Server, ServerIncarnation: r.ServerIncarnation, Program: r.Program}}
 	}
-	if _, err := h.groups[group].Propose(ctx, encode(c)); err != nil {
+	if _, err := h.groups[group].Propose(ctx, strictjson.Encode(c)); err != nil {
 		h.logger.Info("release not recorded", zap.String("program", r.Program), zap.Error(err))
 	}
 }
