Bound the bodies in memory; a retired host is gone only once that is committed

Found by reading the diff: an entry host took any number of large bodies at once, and the report of a ledger host named its newest members, committed or not, so that an emptied host could be called completed a moment early.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -254,7 +254,9 @@
 		r.Leader = leader
 	}
 	for _, m := range s.Members {
-		r.Members = append(r.Members, m.ID)
+		if s.MembersCommitted {
+			r.Members = append(r.Members, m.ID)
+		}
 		if m.ID == h.config.ID && m.Incarnation == s.Incarnation && !m.Learner {
 			r.Voter = true
 		}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -70,10 +70,12 @@
 
 // LedgerReport is what a host of the ledger says of itself.
 type LedgerReport struct {
-	Name    string   `json:"name"` // as operators call the host
-	Leader  string   `json:"leader,omitempty"`
-	Term    uint64   `json:"term,omitempty"`
-	Members []string `json:"members,omitempty"` // of the log group
+	Name   string `json:"name"` // as operators call the host
+	Leader string `json:"leader,omitempty"`
+	Term   uint64 `json:"term,omitempty"`
+	// Members are those of the log group, and empty while a change of them is
+	// not committed: a host that is only about to leave may not be taken away.
+	Members []string `json:"members,omitempty"`
 	Voter   bool     `json:"voter,omitempty"`
 }
 
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -30,6 +30,9 @@
 	// chainShare is the part of the memory, one in so many, for conversations
 	// that may be continued on this host.
 	chainShare = 8
+	// bodyShare is the part of the memory, one in so many, for the bodies of
+	// requests in progress.
+	bodyShare = 5
 	// slowBelow and recoveredAbove leave aside what neighbours do to a server for
 	// half a second: a factor of two and a half.
 	slowBelow      = 0.3
@@ -129,7 +132,7 @@
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(gated(gate, platform.NewIngress(f, link.Index))), logger)
+				callers, err = serve(s.Listen.Callers, gate.Wrap(gated(gate, platform.NewIngress(f, link.Index, int64(s.MemoryMB<<20)/bodyShare))), logger)
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
