--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -115,6 +115,7 @@
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
 		f := forward.New(platform.Servers{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithChainBytes((s.MemoryMB<<20)/chainShare),
+			forward.WithBodyBytes(int64(s.MemoryMB<<20)/bodyShare),
 			forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre), schedule.WithSlowness(slowBelow, recoveredAbove), schedule.WithFloors(engineFloor, serviceFloor)))
 		gate := balancer.NewGate(balancer.WithDelay(drainDelay), balancer.WithRetryAfter(drainRetryAfter), balancer.WithLogger(logger), balancer.WithReady(func() error {
 			if link.Index() == nil {
@@ -132,7 +133,7 @@
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(gated(gate, platform.NewIngress(f, link.Index, int64(s.MemoryMB<<20)/bodyShare))), logger)
+				callers, err = serve(s.Listen.Callers, gate.Wrap(gated(gate, platform.NewIngress(f, link.Index))), logger)
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -5,8 +5,6 @@
 	"hash"
 	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +12,12 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/ledger"
-	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -41,6 +39,8 @@
 	maxAnswerBytes = 16 << 20
 	// defaultChainBytes bounds the conversations that a host remembers.
 	defaultChainBytes = 16 << 20
+	// defaultBodyBytes bounds the bodies of all calls in progress.
+	defaultBodyBytes = 64 << 20
 	// maxDiscard bounds what is read of an answer that nobody wants.
 	maxDiscard = 64 << 10
 	// minRecovery and recoverySpread are when callers may return that were
@@ -70,7 +70,8 @@
 	board  *Board
 	chains *chains
 	counts *counts
-	serial atomic.Int64 // numbers the sendings
+	bodies *semaphore.Weighted // bytes of calls in progress
+	serial atomic.Int64        // numbers the sendings
 
 	wait   sync.WaitGroup
 	ctx    context.Context
@@ -81,6 +82,7 @@
 type Option func(*options)
 
 type options struct {
+	bodyBytes  int64
 	chainBytes int
 	dial       backend.Dial
 	metrics    tally.Scope
@@ -105,9 +107,13 @@
 // WithChainBytes bounds the conversations that are remembered, in bytes.
 func WithChainBytes(n int) Option { return func(o *options) { o.chainBytes = n } }
 
+// WithBodyBytes bounds the bodies of all calls in progress together, in bytes.
+// More are refused: they would end the process for want of memory.
+func WithBodyBytes(n int64) Option { return func(o *options) { o.bodyBytes = n } }
+
 // New returns a Forwarder without servers.
 func New(w Wire, t Turns, opts ...Option) *Forwarder {
-	o := options{logger: zap.NewNop(), chainBytes: defaultChainBytes, metrics: tally.NoopScope}
+	o := options{logger: zap.NewNop(), chainBytes: defaultChainBytes, bodyBytes: defaultBodyBytes, metrics: tally.NoopScope}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -118,7 +124,7 @@
 	f := &Forwarder{
 		wire: w, turns: t, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
-		chains: newChains(o.chainBytes), counts: newCounts(o.metrics),
+		chains: newChains(o.chainBytes), counts: newCounts(o.metrics), bodies: semaphore.NewWeighted(o.bodyBytes),
 	}
 	f.board = newBoard(f)
 	return f
@@ -149,6 +155,12 @@
 // and means that nothing was written. A stream that cannot be ended whole
 // panics with http.ErrAbortHandler, so that the caller sees that it is broken.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, c *Call) error {
+	size := int64(len(c.Body))
+	if !f.bodies.TryAcquire(size) {
+		return f.refused(c, verdict.New(verdict.NotRun, verdict.Overloaded, "the bodies of calls in progress fill the memory for them",
+			verdict.WithRetryAfter(recoveryRetryAfter())))
+	}
+	defer f.bodies.Release(size)
 	limit := c.Arrived.Add(c.Route.Timeout)
 	if c.Deadline.IsZero() || limit.Before(c.Deadline) {
 		c.Deadline = limit
@@ -243,231 +255,3 @@
 		zap.Duration("reserved", r.timing.reserved), zap.Duration("placed", r.timing.placed),
 		zap.Duration("first-event", r.timing.firstEvent), zap.Duration("total", time.Since(c.Arrived)))
 }
-
-// reserve sets aside the tokens of a turn and fetches the conversation before
-// it.
-func (r *run) reserve(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	t := r.call.Turn
-	known := false
-	if t.Previous != "" {
-		r.before, known = r.chains.get(t.Previous)
-	}
-	reservation, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
-		Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous,
-		Line: r.call.Session,
-	}, t.Previous != "" && !known)
-	if err != nil {
-		v := verdict.From(err)
-		r.reserved = v.Verdict() != verdict.NotRun
-		if r.reserved {
-			// Nothing was sent: what may have been set aside is given back.
-			r.settle()
-		}
-		if v.Reason() == verdict.BudgetExceeded || v.Reason() == ledger.UnknownTurn {
-			return v
-		}
-		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the turn could not be recorded",
-			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
-	}
-	r.reserved = true
-	r.timing.reserved = time.Since(r.call.Arrived)
-	if t.Previous != "" && !known {
-		r.before = r.chains.put(t.Previous, nil, reservation.Chain)
-	}
-	r.body = r.before.body(r.body)
-	r.lastServer = reservation.LastServer
-	return nil
-}
-
-// settle records what a turn has used, unless that was done with its end. Nobody
-// waits for it: until then, the reservation counts.
-func (r *run) settle() {
-	if !r.reserved || r.kept {
-		return
-	}
-	r.reserved = false
-	t := ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
-	}
-	r.wait.Go(func() {
-		ctx, cancel := context.WithTimeout(r.ctx, lateSettleTimeout)
-		defer cancel()
-		if err := r.turns.Settle(ctx, t); err != nil {
-			r.logger.Warn("turn not settled; its reservation stays", zap.String("request", t.Turn), zap.String("program", t.Program), zap.Error(err))
-		}
-	})
-}
-
-// keep records a whole turn for others to continue, before its caller learns
-// that it is whole.
-func (r *run) keep() error {
-	ctx, cancel := context.WithTimeout(r.ctx, settleTimeout)
-	defer cancel()
-	err := r.turns.Settle(ctx, ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
-		Keep: &ledger.KeptTurn{
-			Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output,
-			Retention: r.call.Route.Retention.Milliseconds(),
-		},
-	})
-	if err == nil {
-		r.kept = true
-		r.chains.put(r.call.ID, r.before, slices.Concat(r.call.Body, r.output))
-	}
-	return err
-}
-
-// recoveryRetryAfter spreads the return of callers over the time that the
-// ledger takes to choose another leader.
-func recoveryRetryAfter() time.Duration {
-	return minRecovery + rand.N(recoverySpread)
-}
-
-// target is a server that takes an attempt.
-type target struct {
-	id      schedule.CallID
-	server  string
-	address string
-}
-
-// place waits for a backend server.
-func (r *run) place(ctx context.Context) (target, schedule.Assignment, error) {
-	c := r.call
-	service := c.Route.Pick(rand.Float64())
-	request := schedule.Request{
-		ID:    schedule.CallID{Program: r.program(), Call: int(r.serial.Add(1)), Attempt: r.sent + 1},
-		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
-		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.lastServer,
-		Line: xxhash.Sum64String(c.Session),
-	}
-	if x := r.board.service(service); x != nil && x.Engine != nil {
-		request.Model, request.PromptTokens = service, c.PromptTokens
-		r.perEvent = x.Engine.TokensPerEvent
-		if c.Turn != nil {
-			request.MaxTokens = int(c.Turn.Most)
-		}
-	} else {
-		request.Service = service
-	}
-	if r.crashes > 0 {
-		// Spreads requests that were on a crashed server, so that the one which
-		// crashed it does not meet the others again.
-		request.Affinity, request.LastServer = 0, ""
-	}
-	r.sent++
-	a, err := r.queue.Submit(ctx, request)
-	if err != nil {
-		return target{}, a, verdict.New(verdict.NotRun, reasonOf(err), "no backend server of "+service+" was free in time",
-			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
-	}
-	address := r.board.address(a.Server)
-	r.timing.placed = time.Since(c.Arrived)
-	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
-		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
-		zap.Int("attempt", r.sent), zap.Int64("table", r.board.version()), zap.Duration("waited", time.Since(c.Arrived)))
-	return target{id: request.ID, server: a.Server, address: address}, a, nil
-}
-
-// program returns the program that the scheduler counts the call for.
-func (r *run) program() string {
-	if r.call.Program == "" {
-		return r.call.ID
-	}
-	return r.call.Program
-}
-
-func reasonOf(err error) verdict.Reason {
-	if e := verdict.From(err); e.Reason() != verdict.Internal {
-		return e.Reason()
-	}
-	return verdict.DeadlineExceeded
-}
-
-// outgoing is the request as the server gets it.
-func (r *run) outgoing(a schedule.Assignment) *backend.Outgoing {
-	c := r.call
-	o := &backend.Outgoing{
-		Method: c.Method, Target: c.Target, Host: c.Host, Body: r.body,
-		Header: r.wire.Header(c, Attempt{
-			Server: a.Server, Remaining: time.Until(c.Deadline), Priority: c.Route.Priority, LastEvent: r.lastEvent,
-		}),
-	}
-	if c.Route.Kind != route.Idempotent {
-		o.MaxIdle = nonIdempotentIdle
-	}
-	return o
-}
-
-// send makes one attempt and returns the server's response. The error carries
-// the verdict on this attempt.
-func (r *run) send(ctx context.Context, t target, a schedule.Assignment) (*http.Response, error) {
-	if t.address == "" {
-		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "server "+t.server+" has just left")
-	}
-	resp, err := r.pool.Do(ctx, t.address, r.outgoing(a), func(h *http.Response) bool { return r.wire.Reply(r.call, h).Mine })
-	if err != nil {
-		return nil, err
-	}
-	reply := r.wire.Reply(r.call, resp)
-	backend.KeepFor(resp, reply.KeepFor)
-	switch {
-	case reply.WrongServer:
-		discard(resp)
-		r.board.exclude(t.server)
-		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "another server has the address of "+t.server)
-	case reply.NotRun:
-		discard(resp)
-		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "server "+t.server+" answered "+strconv.Itoa(resp.StatusCode))
-	case !reply.Signed:
-		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "response of "+t.server+" bears no signature")
-	}
-	return resp, nil
-}
-
-// after reports the end of an attempt to the scheduler, and decides what
-// follows. It returns nil if the call is to be sent again.
-func (r *run) after(ctx context.Context, t target, err error) error {
-	v := verdict.From(err)
-	notRun := v.Verdict() == verdict.NotRun
-	r.queue.Finished(t.id, t.server, schedule.Usage{}, endOf(v))
-	r.avoid = append(r.avoid, t.server)
-	r.lastErr = err
-	r.progress.left = time.Until(r.call.Deadline)
-	ended := false
-	if !notRun && ctx.Err() == nil {
-		ended = r.board.noteBroken(ctx, r.fingerprint, t)
-	}
-	step := r.progress.next(r.call.Route, notRun, ended)
-	r.counts.failedAttempt(v)
-	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.sent),
-		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", ended), zap.Bool("retry", step == Retry), zap.Error(err))
-	if step == Retry && notRun && v.Reason() == verdict.Overloaded {
-		pause.For(ctx, r.progress.backoff(rand.Float64()))
-	}
-	if step == Retry && ctx.Err() == nil {
-		return nil
-	}
-	if r.progress.ran > 0 || !notRun {
-		reason := verdict.ServerFailed
-		if ctx.Err() != nil {
-			reason = verdict.Timeout
-		}
-		return verdict.New(verdict.MayHaveRun, reason, "the backend server gave no whole answer", verdict.WithCause(err))
-	}
-	return verdict.New(verdict.NotRun, verdict.Overloaded, "no backend server took the request",
-		verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
-}
-
-func endOf(v *verdict.Error) schedule.End {
-	switch {
-	case v.Reason() == verdict.Cancelled || v.Reason() == verdict.Timeout:
-		return schedule.CallerCancelled
-	case v.Verdict() == verdict.NotRun && v.Reason() == verdict.ServerFailed:
-		return schedule.Unreachable
-	default:
-		return schedule.Rejected
-	}
-}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoreline/sycamoreline/cluster"
@@ -396,3 +397,27 @@
 	assert.Assert(t, !errors.Is(err, io.EOF))
 	assert.Assert(t, !strings.Contains(err.Error(), "may have run"))
 }
+
+// Guards against a process that ends for want of memory when many large requests
+// come at once.
+func TestServeBoundsBodies(t *testing.T) {
+	w := newWorld(t, startServer(t, answerWhole("yes")))
+	w.f.bodies = semaphore.NewWeighted(10)
+	for _, tt := range []struct {
+		body string
+		want verdict.Verdict
+	}{
+		{"0123456789", verdict.Ran},
+		{"0123456789x", verdict.NotRun},
+		{"01234", verdict.Ran}, // what was refused takes no room
+	} {
+		c := w.call("a", &route.Route{Name: "r", Kind: route.Idempotent, MaxAttempts: 1})
+		c.Body = []byte(tt.body)
+		_, _, err := w.serve(c)
+		if tt.want == verdict.Ran {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.Equal(t, verdict.Of(err), tt.want)
+	}
+}
--- /dev/null
+++ b/forward/turn.go
@@ -0,0 +1,94 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// reserve sets aside the tokens of a turn and fetches the conversation before
+// it.
+func (r *run) reserve(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	t := r.call.Turn
+	known := false
+	if t.Previous != "" {
+		r.before, known = r.chains.get(t.Previous)
+	}
+	reservation, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
+		Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous,
+		Line: r.call.Session,
+	}, t.Previous != "" && !known)
+	if err != nil {
+		v := verdict.From(err)
+		r.reserved = v.Verdict() != verdict.NotRun
+		if r.reserved {
+			// Nothing was sent: what may have been set aside is given back.
+			r.settle()
+		}
+		if v.Reason() == verdict.BudgetExceeded || v.Reason() == ledger.UnknownTurn {
+			return v
+		}
+		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the turn could not be recorded",
+			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
+	}
+	r.reserved = true
+	r.timing.reserved = time.Since(r.call.Arrived)
+	if t.Previous != "" && !known {
+		r.before = r.chains.put(t.Previous, nil, reservation.Chain)
+	}
+	r.body = r.before.body(r.body)
+	r.lastServer = reservation.LastServer
+	return nil
+}
+
+// settle records what a turn has used, unless that was done with its end. Nobody
+// waits for it: until then, the reservation counts.
+func (r *run) settle() {
+	if !r.reserved || r.kept {
+		return
+	}
+	r.reserved = false
+	t := ledger.SettleTurn{
+		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
+	}
+	r.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, lateSettleTimeout)
+		defer cancel()
+		if err := r.turns.Settle(ctx, t); err != nil {
+			r.logger.Warn("turn not settled; its reservation stays", zap.String("request", t.Turn), zap.String("program", t.Program), zap.Error(err))
+		}
+	})
+}
+
+// keep records a whole turn for others to continue, before its caller learns
+// that it is whole.
+func (r *run) keep() error {
+	ctx, cancel := context.WithTimeout(r.ctx, settleTimeout)
+	defer cancel()
+	err := r.turns.Settle(ctx, ledger.SettleTurn{
+		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
+		Keep: &ledger.KeptTurn{
+			Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output,
+			Retention: r.call.Route.Retention.Milliseconds(),
+		},
+	})
+	if err == nil {
+		r.kept = true
+		r.chains.put(r.call.ID, r.before, slices.Concat(r.call.Body, r.output))
+	}
+	return err
+}
+
+// recoveryRetryAfter spreads the return of callers over the time that the
+// ledger takes to choose another leader.
+func recoveryRetryAfter() time.Duration {
+	return minRecovery + rand.N(recoverySpread)
+}
