control: CBOR frames between hosts instead of jsonrpc2

Cause: a turn on five hosts of the ledger cost 1493 us of processor time (BenchmarkTurns, two commands). 70% of it was jsonrpc2 and encoding/json: each message is encoded and scanned three to four times, and log entries are base64 in JSON in JSON.

Ruled out: disk and fsync (11% in system calls), applying (7%). The message types of jsonrpc2 encode themselves in JSON, so another codec for it would not help.

Change: a length and a CBOR array a frame; frames that are sent while others are written share the next write; frames are bounded, to 4 KiB before the proof of the key; what is queued is written before a connection is closed.

A handler whose parameters were json.RawMessage failed to decode at first: found by TestSecondHostFailsAfterDiskIsReplaced, mended by typed parameters.

--- /dev/null
+++ b/cluster/bench_test.go
@@ -0,0 +1,69 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+
+	"github.com/sycamoreline/sycamoreline/ledger"
+)
+
+// BenchmarkTurns reserves and settles turns on five hosts of the ledger in one
+// process, with as many callers at a time as entry hosts of a large deployment
+// have. cpu-us/turn is the processor time of all hosts and callers together.
+func BenchmarkTurns(b *testing.B) {
+	ids := []string{"k1", "k2", "k3", "k4", "k5"}
+	d := newDeployment(b, ids...)
+	for _, id := range ids {
+		d.host(id, ids, ids)
+	}
+	l := d.link("e1", nil, &observer{}, nil)
+	l.mu.Lock()
+	l.takeLedger(LedgerView{Hosts: ids, Founders: ids})
+	l.mu.Unlock()
+	turn := func(ctx context.Context, n int) error {
+		id := fmt.Sprint("turn-", n)
+		if _, err := l.Reserve(ctx, ledger.ReserveTurn{Program: id, Turn: id, Budget: 1000, Most: 100}, false); err != nil {
+			return err
+		}
+		return l.Settle(ctx, ledger.SettleTurn{Program: id, Turn: id, Tokens: 50, Server: "i-0123456789"})
+	}
+	d.await("leader", func(ctx context.Context) bool { return turn(ctx, -1) == nil })
+	before := processorTime(b)
+	b.ResetTimer()
+	numbers := make(chan int)
+	done := make(chan error)
+	const callers = 32
+	for range callers {
+		go func() {
+			for n := range numbers {
+				if err := turn(b.Context(), n); err != nil {
+					done <- err
+					return
+				}
+			}
+			done <- nil
+		}()
+	}
+	for n := range b.N {
+		numbers <- n
+	}
+	close(numbers)
+	for range callers {
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
+	}
+	b.ReportMetric((processorTime(b)-before)/float64(b.N), "cpu-us/turn")
+}
+
+// processorTime returns the microseconds that this process has used.
+func processorTime(b *testing.B) float64 {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e3
+}
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -27,7 +27,7 @@
 
 // deployment runs hosts in this process on loopback ports.
 type deployment struct {
-	t   *testing.T
+	t   testing.TB
 	key control.Key
 	dir string
 
@@ -36,7 +36,7 @@
 	closers   []func()
 }
 
-func newDeployment(t *testing.T, ids ...string) *deployment {
+func newDeployment(t testing.TB, ids ...string) *deployment {
 	t.Helper()
 	key, err := control.NewKey("a key for the tests")
 	assert.NilError(t, err)
--- a/control/auth.go
+++ b/control/auth.go
@@ -11,8 +11,6 @@
 	"os"
 	"strings"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -81,11 +79,11 @@
 
 // authenticate proves the deployment key to the server and checks the
 // server's proof in turn.
-func authenticate(ctx context.Context, conn *jsonrpc2.Conn, key Key, peer string) error {
+func authenticate(ctx context.Context, c *conn, key Key, peer string) error {
 	var challenge struct {
 		Nonce string `json:"nonce"`
 	}
-	if err := conn.Call(ctx, methodChallenge, struct{}{}, &challenge); err != nil {
+	if err := c.call(ctx, methodChallenge, struct{}{}, &challenge); err != nil {
 		return err
 	}
 	nonce := newNonce()
@@ -95,7 +93,7 @@
 		Proof: key.proof("client "+peer, challenge.Nonce, nonce),
 	}
 	var response helloResponse
-	if err := conn.Call(ctx, methodHello, hello, &response); err != nil {
+	if err := c.call(ctx, methodHello, hello, &response); err != nil {
 		return err
 	}
 	if !key.check("server", challenge.Nonce, nonce, response.Proof) {
--- a/control/client.go
+++ b/control/client.go
@@ -113,10 +113,22 @@
 	if err != nil {
 		return res, verdict.New(verdict.NotRun, verdict.BadRequest, method+": cannot be encoded", verdict.WithCause(err))
 	}
-	err = c.callLeader(ctx, method, group, groupRequest{Group: group, Body: data}, &res)
+	err = c.callMachine(ctx, method, group, groupRequest{Group: group, Body: data}, &res)
 	return res, err
 }
 
+// callMachine is callLeader for methods whose result a machine gives in JSON.
+func (c *Client) callMachine(ctx context.Context, method string, group int, params, result any) error {
+	var data json.RawMessage
+	if err := c.callLeader(ctx, method, group, params, &data); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, result); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.Internal, method+": result cannot be decoded", verdict.WithCause(err))
+	}
+	return nil
+}
+
 // callLeader tries control hosts until one answers as the group's leader. The
 // verdict of its error is NotRun only when no request may have arrived.
 func (c *Client) callLeader(ctx context.Context, method string, group int, params, result any) error {
--- /dev/null
+++ b/control/conn.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// maxPending bounds the bytes that wait to be written. A sender waits beyond
+	// it until the peer has read some, or gives up.
+	maxPending = 4 << 20
+	// maxSpare bounds the buffer that is kept for the next write.
+	maxSpare = 64 << 10
+	// closeTimeout bounds the last write of a connection that is closed. A peer
+	// that does not read must not hold up the end of a process.
+	closeTimeout = 100 * time.Millisecond
+	// replyTimeout bounds how long a response waits for a peer that does not
+	// read.
+	replyTimeout = 5 * time.Second
+	// readBuffer holds a few messages of usual size.
+	readBuffer = 8 << 10
+)
+
+// conn is a connection between two hosts. Frames that are sent while others are
+// being written share the next write.
+type conn struct {
+	net     net.Conn
+	done    chan struct{} // closed when the connection has ended
+	ending  sync.Once
+	handled chan struct{} // closed when no more frames are handled
+	writing sync.Mutex    // held while bytes are written
+
+	mu      sync.Mutex
+	pending []byte
+	spare   []byte
+	wake    chan struct{} // there is something to write
+	drained chan struct{} // closed and replaced when pending has been taken
+	lastID  uint64
+	calls   map[uint64]chan frame
+}
+
+// handler takes the frames that are not responses, one at a time.
+type handler interface {
+	handle(c *conn, f frame)
+	// limit returns the most bytes of the next frame.
+	limit() uint64
+}
+
+// newConn starts a connection.
+func newConn(nc net.Conn, h handler) *conn {
+	c := &conn{
+		net: nc, done: make(chan struct{}), handled: make(chan struct{}), wake: make(chan struct{}, 1), drained: make(chan struct{}),
+		calls: map[uint64]chan frame{},
+	}
+	go c.read(h)
+	go c.write()
+	return c
+}
+
+// close writes what is queued and ends the connection.
+func (c *conn) close() {
+	c.ending.Do(func() {
+		// An error shows when the bytes are written.
+		_ = c.net.SetWriteDeadline(time.Now().Add(closeTimeout))
+		_ = c.flush()
+		c.net.Close()
+		close(c.done)
+	})
+}
+
+// abort ends the connection at once.
+func (c *conn) abort() {
+	c.ending.Do(func() {
+		c.net.Close()
+		close(c.done)
+	})
+}
+
+func (c *conn) read(h handler) {
+	defer close(c.handled)
+	defer c.abort()
+	r := bufio.NewReaderSize(c.net, readBuffer)
+	for {
+		f, err := readFrame(r, h.limit())
+		if err != nil {
+			return
+		}
+		if f.Method != "" {
+			h.handle(c, f)
+			continue
+		}
+		c.mu.Lock()
+		answer := c.calls[f.ID]
+		delete(c.calls, f.ID)
+		c.mu.Unlock()
+		if answer != nil {
+			answer <- f
+		}
+	}
+}
+
+func (c *conn) write() {
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-c.wake:
+		}
+		if err := c.flush(); err != nil {
+			c.abort()
+			return
+		}
+	}
+}
+
+// flush writes what is queued.
+func (c *conn) flush() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.mu.Lock()
+	batch := c.pending
+	c.pending, c.spare = c.spare[:0], nil
+	close(c.drained)
+	c.drained = make(chan struct{})
+	c.mu.Unlock()
+	if len(batch) == 0 {
+		return nil
+	}
+	_, err := c.net.Write(batch)
+	if cap(batch) <= maxSpare {
+		c.mu.Lock()
+		c.spare = batch
+		c.mu.Unlock()
+	}
+	return err
+}
+
+// send queues a frame. It waits while too much is queued.
+func (c *conn) send(ctx context.Context, f frame) error {
+	for {
+		c.mu.Lock()
+		if len(c.pending) < maxPending {
+			break
+		}
+		drained := c.drained
+		c.mu.Unlock()
+		select {
+		case <-drained:
+		case <-c.done:
+			return net.ErrClosed
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	defer c.mu.Unlock()
+	b, err := appendFrame(c.pending, f)
+	if err != nil {
+		return err
+	}
+	c.pending = b
+	select {
+	case <-c.done:
+		return net.ErrClosed
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// call sends a request and waits for its response.
+func (c *conn) call(ctx context.Context, method string, params, result any) error {
+	body, err := encoding.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer := make(chan frame, 1)
+	c.mu.Lock()
+	c.lastID++
+	id := c.lastID
+	c.calls[id] = answer
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.calls, id)
+		c.mu.Unlock()
+	}()
+	if err := c.send(ctx, frame{ID: id, Method: method, Body: body}); err != nil {
+		return err
+	}
+	select {
+	case f := <-answer:
+		return readResponse(f, result)
+	case <-c.done:
+		return net.ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// notify sends a message without a response.
+func (c *conn) notify(ctx context.Context, method string, params any) error {
+	body, err := encoding.Marshal(params)
+	if err != nil {
+		return err
+	}
+	return c.send(ctx, frame{Method: method, Body: body})
+}
+
+// reply answers a request. Nobody is left to tell of an error.
+func (c *conn) reply(id uint64, result any, err error) {
+	f := frame{ID: id}
+	if err == nil {
+		f.Body, err = encoding.Marshal(result)
+	}
+	if err != nil {
+		f.Body, f.Fault = nil, newFault(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), replyTimeout)
+	defer cancel()
+	if c.send(ctx, f) != nil {
+		c.close()
+	}
+}
+
+func readResponse(f frame, result any) error {
+	if f.Fault != nil {
+		return f.Fault.err()
+	}
+	if result == nil || len(f.Body) == 0 {
+		return nil
+	}
+	return decoding.Unmarshal(f.Body, result)
+}
+
+// emptyBody is CBOR's null.
+var emptyBody = cbor.RawMessage{0xf6}
--- a/control/doc.go
+++ b/control/doc.go
@@ -1,4 +1,4 @@
 // Package control speaks the protocol between entry hosts and control hosts,
-// and between control hosts: jsonrpc2 over TCP. It has the client that finds
+// and between control hosts: CBOR frames over TCP. It has the client that finds
 // the leader of a log group, and the control host that answers it.
 package control
--- /dev/null
+++ b/control/frame.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// maxFrameBytes bounds a frame, and with it what a host can make another one
+	// hold. Parts of snapshots have 256 KiB, batches of log entries 512 KiB and
+	// what the largest entry adds.
+	maxFrameBytes = 64 << 20
+	// maxHelloBytes bounds the frames of a connection that has not proved the
+	// deployment key.
+	maxHelloBytes = 4 << 10
+	// maxElements bounds the arrays and maps in a frame, such as the backend
+	// servers of a deployment. The codec allocates as it reads.
+	maxElements = 1 << 20
+)
+
+// frame is a message between hosts: a request, a notification, which has no
+// ID, or a response, which has no Method. On the wire it is a CBOR array (RFC
+// 8949) after its length in bytes as a uvarint.
+type frame struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Method string
+	Body   cbor.RawMessage // parameters or result; null for none
+	Fault  *fault          // of a response that is an error
+}
+
+// fault is an error of a handler.
+type fault struct {
+	_         struct{} `cbor:",toarray"`
+	NotLeader bool
+	Leader    string // may be unknown
+	Verdict   []byte // verdict.Error in JSON, unless NotLeader is set
+}
+
+var (
+	encoding = must(cbor.EncOptions{}.EncMode())
+	// Ids that callers choose need not be UTF-8.
+	decoding = must(cbor.DecOptions{
+		UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+	}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return v
+}
+
+// appendFrame appends a frame with its length.
+func appendFrame(b []byte, f frame) ([]byte, error) {
+	data, err := encoding.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("encode frame: %w", err)
+	}
+	if len(data) > maxFrameBytes {
+		return nil, fmt.Errorf("frame of %d bytes, at most %d are allowed", len(data), maxFrameBytes)
+	}
+	b = binary.AppendUvarint(b, uint64(len(data)))
+	return append(b, data...), nil
+}
+
+// readFrame reads a frame of at most so many bytes.
+func readFrame(r *bufio.Reader, limit uint64) (frame, error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return frame{}, err
+	}
+	if size > limit {
+		return frame{}, fmt.Errorf("frame of %d bytes, at most %d are allowed", size, limit)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return frame{}, err
+	}
+	var f frame
+	if err := decoding.Unmarshal(data, &f); err != nil {
+		return frame{}, fmt.Errorf("decode frame: %w", err)
+	}
+	return f, nil
+}
--- a/control/peer.go
+++ b/control/peer.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 const (
@@ -29,7 +29,7 @@
 	dialTCP DialFunc
 
 	mu       sync.Mutex
-	conn     *jsonrpc2.Conn
+	conn     *conn
 	dialled  time.Time
 	dialErr  error
 	isClosed bool
@@ -54,7 +54,7 @@
 	if err != nil {
 		return &unsentError{err}
 	}
-	return readError(conn.Call(ctx, method, params, result))
+	return conn.call(ctx, method, params, result)
 }
 
 // Notify sends a message without a response.
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	return conn.Notify(ctx, method, params)
+	return conn.notify(ctx, method, params)
 }
 
 // unsentError says that a request did not leave this host.
@@ -74,7 +74,7 @@
 func (e *unsentError) Error() string { return e.err.Error() }
 func (e *unsentError) Unwrap() error { return e.err }
 
-func (p *Peer) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (p *Peer) connect(ctx context.Context) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isClosed {
@@ -82,7 +82,7 @@
 	}
 	if p.conn != nil {
 		select {
-		case <-p.conn.DisconnectNotify():
+		case <-p.conn.done:
 			p.conn = nil
 		default:
 			return p.conn, nil
@@ -96,7 +96,7 @@
 	return p.conn, p.dialErr
 }
 
-func (p *Peer) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (p *Peer) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.dialTCP(ctx, "tcp", p.address)
@@ -106,13 +106,12 @@
 	if p.tls != nil {
 		nc = tls.Client(nc, p.tls)
 	}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, rejectRequests{})
-	if err := authenticate(ctx, conn, p.key, p.self); err != nil {
-		conn.Close()
-		return nil, fmt.Errorf("control host %s: %w", p.id, readError(err))
+	c := newConn(nc, rejectRequests{})
+	if err := authenticate(ctx, c, p.key, p.self); err != nil {
+		c.close()
+		return nil, fmt.Errorf("control host %s: %w", p.id, err)
 	}
-	return conn, nil
+	return c, nil
 }
 
 // Reset drops the connection, so that the next call dials again. It is used
@@ -121,7 +120,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil {
-		p.conn.Close()
+		p.conn.abort()
 		p.conn = nil
 	}
 }
@@ -132,7 +131,7 @@
 	defer p.mu.Unlock()
 	p.isClosed = true
 	if p.conn != nil {
-		p.conn.Close()
+		p.conn.close()
 		p.conn = nil
 	}
 }
@@ -146,9 +145,10 @@
 // rejectRequests is the handler of a client, which takes no requests.
 type rejectRequests struct{}
 
-func (rejectRequests) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Notif {
-		return
+func (rejectRequests) limit() uint64 { return maxFrameBytes }
+
+func (rejectRequests) handle(c *conn, f frame) {
+	if f.ID != 0 {
+		c.reply(f.ID, nil, verdict.Newf(verdict.NotRun, verdict.BadRequest, "clients take no requests, such as %q", f.Method))
 	}
-	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "clients take no requests"})
 }
--- a/control/programs.go
+++ b/control/programs.go
@@ -107,7 +107,7 @@
 		Group: group, OldHost: present.Host, OldIncarnation: present.HostIncarnation, TakeOver: c,
 	}
 	var r ledger.Result
-	if err := p.client.callLeader(ctx, methodTakeOver, group, request, &r); err != nil {
+	if err := p.client.callMachine(ctx, methodTakeOver, group, request, &r); err != nil {
 		return ledger.CallState{}, err
 	}
 	if r.Call == nil {
--- a/control/server.go
+++ b/control/server.go
@@ -5,11 +5,12 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -18,14 +19,7 @@
 // helloTimeout bounds how long a connection may stay unauthenticated.
 const helloTimeout = 5 * time.Second
 
-// codeVerdict is the jsonrpc2 error code of an error whose data is a
-// verdict.Error. codeNotLeader carries the id of the group's leader.
-const (
-	codeVerdict   = 1
-	codeNotLeader = 2
-)
-
-type handlerFunc func(ctx context.Context, peer string, params json.RawMessage) (any, error)
+type handlerFunc func(ctx context.Context, peer string, params cbor.RawMessage) (any, error)
 
 // Server accepts connections of hosts that hold the deployment key.
 type Server struct {
@@ -36,7 +30,7 @@
 	listener net.Listener
 
 	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	conns  map[*conn]struct{}
 	closed bool
 	wait   sync.WaitGroup
 }
@@ -60,7 +54,7 @@
 		key:      key,
 		logger:   zap.NewNop(),
 		handlers: make(map[string]handlerFunc),
-		conns:    make(map[*jsonrpc2.Conn]struct{}),
+		conns:    make(map[*conn]struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -70,9 +64,9 @@
 
 // Handle registers a handler for a method. It must be called before Serve.
 func Handle[Req, Res any](s *Server, method string, h func(ctx context.Context, peer string, req Req) (Res, error)) {
-	s.handlers[method] = func(ctx context.Context, peer string, params json.RawMessage) (any, error) {
+	s.handlers[method] = func(ctx context.Context, peer string, params cbor.RawMessage) (any, error) {
 		var req Req
-		if err := json.Unmarshal(params, &req); err != nil {
+		if err := decoding.Unmarshal(params, &req); err != nil {
 			return nil, verdict.New(verdict.NotRun, verdict.BadRequest, method+": bad parameters", verdict.WithCause(err))
 		}
 		return h(ctx, peer, req)
@@ -114,31 +108,31 @@
 		return
 	}
 	session := &session{server: s, nonce: newNonce()}
-	stream := jsonrpc2.NewBufferedStream(nc, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, session)
-	s.conns[conn] = struct{}{}
+	c := newConn(nc, session)
+	s.conns[c] = struct{}{}
 	s.wait.Add(1)
-	go s.watch(conn, session)
+	go s.watch(c, session)
 }
 
 // watch closes a connection that does not authenticate in time, and forgets
 // it when it ends.
-func (s *Server) watch(conn *jsonrpc2.Conn, session *session) {
+func (s *Server) watch(c *conn, session *session) {
 	defer s.wait.Done()
 	timer := time.NewTimer(helloTimeout)
 	defer timer.Stop()
 	select {
-	case <-conn.DisconnectNotify():
+	case <-c.done:
 	case <-timer.C:
 		if !session.authenticated() {
 			s.logger.Warn("connection closed: no proof of the deployment key in time")
-			conn.Close()
+			c.close()
 		}
-		<-conn.DisconnectNotify()
+		<-c.done
 	}
+	<-c.handled
 	session.wait.Wait()
 	s.mu.Lock()
-	delete(s.conns, conn)
+	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
@@ -146,7 +140,7 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
-	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
+	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
@@ -155,7 +149,7 @@
 		s.listener.Close()
 	}
 	for _, c := range conns {
-		c.Close()
+		c.close()
 	}
 	s.wait.Wait()
 }
@@ -178,33 +172,35 @@
 	return c.peer
 }
 
-// Handle runs notifications in order and requests concurrently.
-func (c *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Notif {
-		_, err := c.call(ctx, req)
-		if err != nil {
-			c.server.logger.Debug("notification failed", zap.String("method", req.Method), zap.Error(err))
+// limit implements handler.
+func (c *session) limit() uint64 {
+	if !c.authenticated() {
+		return maxHelloBytes
+	}
+	return maxFrameBytes
+}
+
+// handle runs notifications in order and requests concurrently.
+func (c *session) handle(connection *conn, f frame) {
+	ctx := context.Background()
+	if f.ID == 0 {
+		if _, err := c.call(ctx, f); err != nil {
+			c.server.logger.Debug("notification failed", zap.String("method", f.Method), zap.Error(err))
 		}
 		return
 	}
-	c.wait.Add(1)
-	go func() {
-		defer c.wait.Done()
-		result, err := c.call(ctx, req)
-		if err != nil {
-			_ = conn.ReplyWithError(ctx, req.ID, wireError(err))
-			return
-		}
-		_ = conn.Reply(ctx, req.ID, result)
-	}()
+	c.wait.Go(func() {
+		result, err := c.call(ctx, f)
+		connection.reply(f.ID, result, err)
+	})
 }
 
-func (c *session) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
+func (c *session) call(ctx context.Context, f frame) (any, error) {
+	params := f.Body
+	if len(params) == 0 {
+		params = emptyBody
 	}
-	switch req.Method {
+	switch f.Method {
 	case methodChallenge:
 		return struct {
 			Nonce string `json:"nonce"`
@@ -216,16 +212,16 @@
 	if peer == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.Unauthorised, "connection has not proved the deployment key")
 	}
-	h, ok := c.server.handlers[req.Method]
+	h, ok := c.server.handlers[f.Method]
 	if !ok {
-		return nil, verdict.Newf(verdict.NotRun, verdict.BadRequest, "unknown method %q", req.Method)
+		return nil, verdict.Newf(verdict.NotRun, verdict.BadRequest, "unknown method %q", f.Method)
 	}
 	return h(ctx, peer, params)
 }
 
-func (c *session) hello(params json.RawMessage) (any, error) {
+func (c *session) hello(params cbor.RawMessage) (any, error) {
 	var hello helloRequest
-	if err := json.Unmarshal(params, &hello); err != nil {
+	if err := decoding.Unmarshal(params, &hello); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "hello: bad parameters", verdict.WithCause(err))
 	}
 	key := c.server.key
@@ -257,37 +253,26 @@
 	return "group is led by " + e.leader
 }
 
-func wireError(err error) *jsonrpc2.Error {
+func newFault(err error) *fault {
 	var notLeader *NotLeaderError
 	if errors.As(err, &notLeader) {
-		e := &jsonrpc2.Error{Code: codeNotLeader, Message: err.Error()}
-		e.SetError(notLeader.leader)
-		return e
+		return &fault{NotLeader: true, Leader: notLeader.leader}
+	}
+	data, err := json.Marshal(verdict.From(err))
+	if err != nil {
+		panic(err) // strings and numbers always encode
 	}
-	v := verdict.From(err)
-	e := &jsonrpc2.Error{Code: codeVerdict, Message: v.Error()}
-	e.SetError(v)
-	return e
+	return &fault{Verdict: data}
 }
 
-// readError turns a jsonrpc2 error back into the error that the handler
-// returned. Errors of the connection itself are returned as they are.
-func readError(err error) error {
-	var e *jsonrpc2.Error
-	if !errors.As(err, &e) || e.Data == nil {
-		return err
+// err returns the error that the handler returned.
+func (f *fault) err() error {
+	if f.NotLeader {
+		return &NotLeaderError{leader: f.Leader}
 	}
-	switch e.Code {
-	case codeNotLeader:
-		var leader string
-		if json.Unmarshal(*e.Data, &leader) == nil {
-			return &NotLeaderError{leader: leader}
-		}
-	case codeVerdict:
-		var v verdict.Error
-		if json.Unmarshal(*e.Data, &v) == nil {
-			return &v
-		}
+	v := new(verdict.Error)
+	if err := json.Unmarshal(f.Verdict, v); err != nil {
+		return fmt.Errorf("error of a host: %w", err)
 	}
-	return err
+	return v
 }
--- a/control/status.go
+++ b/control/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/sycamoreline/sycamoreline/membership"
 	"github.com/sycamoreline/sycamoreline/replica"
@@ -45,7 +44,7 @@
 	return all
 }
 
-func (h *Host) status(_ context.Context, _ string, _ json.RawMessage) (HostStatus, error) {
+func (h *Host) status(context.Context, string, struct{}) (HostStatus, error) {
 	s := HostStatus{ID: h.config.ID}
 	for n, g := range h.groups {
 		s.Groups = append(s.Groups, GroupStatus{Group: n, Status: g.Status()})
