--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -14,20 +14,19 @@
 // have. cpu-us/turn is the processor time of all hosts and callers together.
 func BenchmarkTurns(b *testing.B) {
 	ids := []string{"k1", "k2", "k3", "k4", "k5"}
-	d := newDeployment(b, ids...)
+	d := newDeployment(b, append(ids, "c1")...)
+	d.tolerate = 2
+	d.host("c1", []string{"c1"}, []string{"c1"})
 	for _, id := range ids {
-		d.host(id, ids, ids)
+		d.keeper(id, []string{"c1"}, true)
 	}
-	l := d.link("e1", nil, &observer{}, nil)
-	l.mu.Lock()
-	l.takeLedger(LedgerView{Hosts: ids, Founders: ids})
-	l.mu.Unlock()
+	l := d.link("e1", []string{"c1"}, &observer{})
 	turn := func(ctx context.Context, n int) error {
 		id := fmt.Sprint("turn-", n)
-		if _, err := l.Reserve(ctx, ledger.ReserveTurn{Program: id, Turn: id, Budget: 1000, Most: 100}, false); err != nil {
+		if _, err := l.Reserve(ctx, turnRequest(id, id, 6, "")); err != nil {
 			return err
 		}
-		return l.Settle(ctx, ledger.SettleTurn{Program: id, Turn: id, Tokens: 50, Server: "i-0123456789"})
+		return l.Settle(ctx, ledger.SettleTurn{Program: id, Turn: id, Tokens: 5, Server: "i-0123456789"})
 	}
 	d.await("leader", func(ctx context.Context) bool { return turn(ctx, -1) == nil })
 	before := processorTime(b)
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/pause"
@@ -27,9 +28,10 @@
 
 // deployment runs hosts in this process on loopback ports.
 type deployment struct {
-	t   testing.TB
-	key control.Key
-	dir string
+	t        testing.TB
+	key      control.Key
+	dir      string
+	tolerate int
 
 	mu        sync.Mutex
 	listeners map[string]net.Listener // by id
@@ -40,7 +42,7 @@
 	t.Helper()
 	key, err := control.NewKey("a key for the tests")
 	assert.NilError(t, err)
-	d := &deployment{t: t, key: key, dir: t.TempDir(), listeners: map[string]net.Listener{}}
+	d := &deployment{t: t, key: key, dir: t.TempDir(), tolerate: 1, listeners: map[string]net.Listener{}}
 	for _, id := range ids {
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -72,7 +74,7 @@
 func (d *deployment) host(id string, founders, seeds []string) *Host {
 	d.t.Helper()
 	h, err := StartHost(HostConfig{
-		ID: id, DataCentre: "dc", DataFolder: filepath.Join(d.dir, id), Founders: founders, Seeds: seeds, Tolerate: 1,
+		ID: id, DataCentre: "dc", DataFolder: filepath.Join(d.dir, id), Founders: founders, Seeds: seeds, Tolerate: d.tolerate,
 		Key: d.key, Address: d.address,
 	}, d.listeners[id], zap.NewNop())
 	assert.NilError(d.t, err)
@@ -80,8 +82,30 @@
 	return h
 }
 
-func (d *deployment) link(id string, seeds []string, o Observer, ledger func() *LedgerReport) *Link {
-	l := NewLink(LinkConfig{ID: id, DataCentre: "dc", Seeds: seeds, Key: d.key, Address: d.address, Ledger: ledger}, zap.NewNop())
+// keeper starts a host of the ledger, called "store-" and its id.
+func (d *deployment) keeper(id string, seeds []string, first bool) *Keeper {
+	d.t.Helper()
+	k, err := StartKeeper(KeeperConfig{
+		HostConfig: HostConfig{
+			ID: id, DataCentre: "dc", DataFolder: filepath.Join(d.dir, id), Seeds: seeds, Tolerate: d.tolerate, Key: d.key, Address: d.address,
+		},
+		Name: "store-" + id, FirstStart: first,
+	}, d.listeners[id], zap.NewNop())
+	assert.NilError(d.t, err)
+	d.onCleanup(func() { assert.Check(d.t, k.Close()) })
+	return k
+}
+
+// turnRequest asks for a turn of a program with a budget of 10 tokens.
+func turnRequest(program, turn string, most int64, previous string) TurnRequest {
+	return TurnRequest{
+		ReserveTurn: ledger.ReserveTurn{Program: program, Turn: turn, Budget: 10, Most: most, Previous: previous},
+		WantChain:   previous != "", Retention: time.Minute,
+	}
+}
+
+func (d *deployment) link(id string, seeds []string, o Observer) *Link {
+	l := NewLink(LinkConfig{ID: id, DataCentre: "dc", Seeds: seeds, Key: d.key, Address: d.address}, zap.NewNop())
 	l.Start(o)
 	d.onCleanup(l.Close)
 	return l
@@ -168,8 +192,8 @@
 	hosts = append(hosts, d.host("c4", nil, seeds[:1])) // knows one seed only
 
 	first, second := &observer{own: map[string]int{"i-1": 3}}, &observer{}
-	entry := d.link("e1", seeds, first, nil)
-	d.link("e2", seeds, second, nil)
+	entry := d.link("e1", seeds, first)
+	d.link("e2", seeds, second)
 	d.await("table in force", func(ctx context.Context) bool {
 		v, err := putTable(ctx, hosts, testSource(7))
 		return err == nil && v == 7
@@ -189,36 +213,17 @@
 	d.await("server gone", func(context.Context) bool { return second.get(func() bool { return len(second.servers) == 0 }) })
 
 	for _, id := range keepers {
-		var h *Host
-		var mu sync.Mutex
-		l := d.link(id, seeds, nil, func() *LedgerReport {
-			mu.Lock()
-			defer mu.Unlock()
-			if h == nil {
-				return &LedgerReport{Name: "store-" + id}
-			}
-			return h.Report("store-" + id)
-		})
-		go func() {
-			for l.Ledger() == nil || len(l.Ledger().Founders) == 0 {
-				if !pause.For(t.Context(), 10*time.Millisecond) {
-					return
-				}
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			h = d.host(id, l.Ledger().Founders, l.Ledger().Hosts)
-		}()
+		d.keeper(id, seeds, true)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}, false)
+	_, err = entry.Reserve(ctx, turnRequest("p", "a", 6, ""))
 	assert.NilError(t, err)
 	assert.NilError(t, entry.Settle(ctx, ledger.SettleTurn{Program: "p", Turn: "a", Tokens: 4, Keep: &ledger.KeptTurn{Input: []byte("in;"), Output: []byte("out;"), Retention: 60_000}}))
-	reservation, err := entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "b", Budget: 10, Most: 6, Previous: "a"}, true)
+	reservation, err := entry.Reserve(ctx, turnRequest("p", "b", 6, "a"))
 	assert.NilError(t, err)
 	assert.Equal(t, string(reservation.Chain), "in;out;")
-	_, err = entry.Reserve(ctx, ledger.ReserveTurn{Program: "p", Turn: "c", Budget: 10, Most: 1}, false)
+	_, err = entry.Reserve(ctx, turnRequest("p", "c", 1, ""))
 	assert.Equal(t, verdict.From(err).Reason(), verdict.BudgetExceeded)
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 
@@ -233,15 +238,12 @@
 	})
 }
 
-// Guards against a host that loses the table or the ledger when it starts
-// again, and against a snapshot that lacks a part.
+// Guards against a host that loses the table when it starts again.
 func TestStateSnapshot(t *testing.T) {
 	s := newState()
-	s.Apply(1, 1, strictjson.Encode(command{Change: &tree.Change{ChangeID: "1", Writes: []tree.Write{
+	s.Apply(1, 1, strictjson.Encode(tree.Change{ChangeID: "1", Writes: []tree.Write{
 		{Path: tablePath, Value: strictjson.Encode(route.Table{Version: 3})}, {Path: sourcePath, Value: json.RawMessage(`{"version":3}`)},
-	}}}))
-	s.Apply(2, 1, strictjson.Encode(command{Program: &ledger.Command{ReserveTurn: &ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}}}))
-	s.Apply(3, 1, strictjson.Encode(command{Program: &ledger.Command{SettleTurn: &ledger.SettleTurn{Program: "p", Turn: "a", Keep: &ledger.KeptTurn{Input: []byte("in"), Retention: 1000}}}}))
+	}}))
 	var b bytes.Buffer
 	assert.NilError(t, s.Snapshot(&b))
 	n := newState()
@@ -249,24 +251,44 @@
 	table, source, _ := n.current()
 	assert.Equal(t, table.Version, int64(3))
 	assert.Equal(t, string(source), `{"version":3}`)
-	chain, ok := n.chain("a")
-	assert.Assert(t, ok)
-	assert.Equal(t, string(chain), "in")
 	assert.Equal(t, n.tableVersion(), int64(3))
 }
 
-// Guards against founders that are named before all hosts have been heard, and
-// against a host that may be emptied although too few would be left.
+// Guards against a host that loses the turns when it starts again.
+func TestPartitionSnapshot(t *testing.T) {
+	s := &partitionState{ledger: ledger.New()}
+	s.Apply(1, 1, cborwire.Encode(ledger.Command{ReserveTurn: &ledger.ReserveTurn{Program: "p", Turn: "a", Budget: 10, Most: 6}}))
+	s.Apply(2, 1, cborwire.Encode(ledger.Command{SettleTurn: &ledger.SettleTurn{Program: "p", Turn: "a", Keep: &ledger.KeptTurn{Input: []byte("in"), Retention: 1000}}}))
+	var b bytes.Buffer
+	assert.NilError(t, s.Snapshot(&b))
+	n := &partitionState{ledger: ledger.New()}
+	assert.NilError(t, n.Restore(bytes.NewReader(b.Bytes())))
+	chain, err := n.chain("a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(chain), "in")
+	var r ledger.Result
+	assert.NilError(t, cborwire.Unmarshal(n.Apply(3, 1, []byte("not CBOR")), &r))
+	assert.Equal(t, r.Refusal.Reason, verdict.BadRequest)
+}
+
+// Guards against a plan that is made before all hosts have been heard, against a
+// host that may be emptied although too few would be left, and against an old
+// leader that is believed.
 func TestLedgerHosts(t *testing.T) {
 	l := newLedgerHosts()
-	assert.Assert(t, l.founders(time.Hour) == nil)
+	assert.Assert(t, !l.calm(time.Hour))
 	for i := range 3 {
-		l.report(time.Duration(i)*time.Second, fmt.Sprint("k", i), LedgerReport{Name: fmt.Sprint("store-", i), Voter: true, Leader: "k1", Term: uint64(i)})
+		l.report(time.Duration(i)*time.Second, fmt.Sprint("k", i), KeeperReport{Name: fmt.Sprint("store-", i), Partitions: []PartitionReport{
+			{Partition: 1, Leader: fmt.Sprint("k", i), Term: uint64(i + 1), Members: []string{"k", fmt.Sprint(i)}},
+		}})
 	}
-	assert.Assert(t, l.founders(3*time.Second) == nil)
-	assert.DeepEqual(t, l.founders(2*time.Second+foundingCalm), []string{"k0", "k1", "k2"})
+	assert.Assert(t, !l.calm(3*time.Second))
+	assert.Assert(t, l.calm(2*time.Second+foundingCalm))
 	assert.Equal(t, l.remaining(2*time.Second, []string{"k0"}), 2)
-	assert.Equal(t, l.view().Term, uint64(2))
+	assert.Equal(t, l.remaining(4*time.Second, nil), 1)
+	assert.DeepEqual(t, l.view().Leaders, []PartitionReport{{Partition: 1, Leader: "k2", Term: 3}})
+	assert.DeepEqual(t, l.members(1), []string{"k", "2"})
+	assert.Assert(t, l.members(2) == nil)
 	id, ok := l.byName("store-2")
 	assert.Assert(t, ok)
 	assert.Equal(t, id, "k2")
--- a/cluster/host.go
+++ b/cluster/host.go
@@ -18,7 +18,6 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/control"
-	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/metrics"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
@@ -51,9 +50,9 @@
 	maxTableRounds = 8
 )
 
-// HostConfig is what a control host needs.
+// HostConfig is what a control host needs, and a host of the ledger.
 type HostConfig struct {
-	ID         string // unique among the control hosts, such as an IP address
+	ID         string // unique among the hosts, such as an IP address
 	DataCentre string
 	DataFolder string
 	// Founders are the ids that form the group on the first start of the
@@ -69,6 +68,28 @@
 	Metrics  tally.Scope            // nil for none
 }
 
+func (c HostConfig) withDefaults() HostConfig {
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	return c
+}
+
+// peer returns the port of another host for hosts.
+func (c HostConfig) peer(id string) *control.Peer {
+	return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
+}
+
+// copies returns how many hosts keep each entry of a log, so that enough are
+// left when those that may be lost at the same time are.
+func (c HostConfig) copies() int { return 2*c.Tolerate + 1 }
+
+// groupOptions are the options of the logs.
+func groupOptions(logger *zap.Logger) []replica.Option {
+	timing := replica.Timing{Heartbeat: heartbeat, Election: election, SlowWrite: slowWrite, Remove: removeAfter}
+	return []replica.Option{replica.WithTiming(timing), replica.WithLogger(logger), replica.WithRejoin()}
+}
+
 // Host is a control host.
 type Host struct {
 	config  HostConfig
@@ -95,34 +116,26 @@
 // StartHost starts a control host that accepts other hosts on the listener.
 func StartHost(c HostConfig, listener net.Listener, logger *zap.Logger, opts ...replica.Option) (*Host, error) {
 	h := &Host{
-		config: c, logger: logger, state: newState(), started: time.Now(), life: rand.Uint64(),
+		config: c.withDefaults(), logger: logger, state: newState(), started: time.Now(), life: rand.Uint64(),
 		registry: registry.New(), loads: newLoads(), ledger: newLedgerHosts(), renewed: map[string]registry.Entry{},
 		known: map[string]time.Duration{}, seeds: c.Seeds,
 	}
-	if h.config.Metrics == nil {
-		h.config.Metrics = tally.NoopScope
-	}
-	h.mesh = newMesh(func(id string) *control.Peer {
-		return control.NewPeer(id, c.Address(id), c.ID, c.Key, nil, c.Dial)
-	})
-	timing := replica.Timing{Heartbeat: heartbeat, Election: election, SlowWrite: slowWrite, Remove: removeAfter}
+	h.mesh = newMesh(c.peer)
 	var err error
 	h.group, err = replica.Open(
 		replica.Config{ID: c.ID, Peers: c.Founders, Open: true, Dir: filepath.Join(c.DataFolder, "log")},
-		h.state, h, append([]replica.Option{replica.WithTiming(timing), replica.WithLogger(logger), replica.WithRejoin()}, opts...)...)
+		h.state, transport{h.mesh, 0}, append(groupOptions(logger), opts...)...)
 	if err != nil {
 		h.mesh.close()
 		return nil, err
 	}
 	h.group.SetContacts(c.Seeds)
 	h.server = control.NewServer(c.Key, control.WithServerLogger(logger))
-	control.Handle(h.server, methodPing, h.ping)
+	control.Handle(h.server, methodPing, ping)
 	control.Handle(h.server, methodReplica, h.replicaMessage)
 	control.Handle(h.server, methodGossip, h.takeGossip)
 	control.Handle(h.server, methodSync, h.sync)
 	control.Handle(h.server, methodTable, h.sendTable)
-	control.Handle(h.server, methodReserve, h.reserve)
-	control.Handle(h.server, methodSettle, h.settle)
 	h.server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -133,14 +146,13 @@
 
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
-// Send implements replica.Transport.
-func (h *Host) Send(m replica.Message) { h.mesh.send(m.To.ID, methodReplica, replicaMessage{m}) }
-
-func (h *Host) ping(context.Context, string, struct{}) (struct{}, error) { return struct{}{}, nil }
+func ping(context.Context, string, struct{}) (struct{}, error) { return struct{}{}, nil }
 
 func (h *Host) replicaMessage(_ context.Context, _ string, m replicaMessage) (any, error) {
 	h.hear(m.Message.From.ID)
-	h.group.Deliver(m.Message)
+	if m.Partition == 0 {
+		h.group.Deliver(m.Message)
+	}
 	return nil, nil
 }
 
@@ -163,7 +175,7 @@
 			helloAt = now + helloInterval
 		}
 		h.tick(now, hello)
-		h.foundLedger(ctx)
+		h.planLedger(ctx)
 		if !pause.For(ctx, gossipInterval) {
 			return
 		}
@@ -243,27 +255,6 @@
 	h.seeds = ids
 }
 
-// SetRetiring sets the hosts that are to leave the group for good.
-func (h *Host) SetRetiring(ids []string) { h.group.SetRetiring(ids) }
-
-// Report describes this host to control hosts, if it keeps the ledger.
-func (h *Host) Report(name string) *LedgerReport {
-	s := h.group.Status()
-	r := &LedgerReport{Name: name, Term: s.Term}
-	if leader, ok := h.group.Leader(); ok {
-		r.Leader = leader
-	}
-	for _, m := range s.Members {
-		if s.MembersCommitted {
-			r.Members = append(r.Members, m.ID)
-		}
-		if m.ID == h.config.ID && m.Incarnation == s.Incarnation && !m.Learner {
-			r.Voter = true
-		}
-	}
-	return r
-}
-
 // Announce takes in the announcement of a backend server.
 func (h *Host) Announce(e registry.Entry) {
 	h.mu.Lock()
@@ -301,8 +292,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	if r.Ledger != nil {
-		h.ledger.report(now, r.Host, *r.Ledger)
+	if r.Keeper != nil {
+		h.ledger.report(now, r.Host, *r.Keeper)
 	} else {
 		h.loads.report(now, &r)
 	}
@@ -313,8 +304,10 @@
 		Life: h.life, Revision: h.registry.Revision(), Full: r.Life != h.life, EntryHosts: len(h.loads.hosts),
 		Suspects: h.loads.suspectList(),
 	}
-	out.Ledger.Founders, out.Ledger.Retiring = h.state.ledgerPlan()
-	if r.Ledger != nil {
+	if plan, _, _ := h.state.plan(); plan != nil && plan.Version != r.PlanVersion {
+		out.Ledger.Plan = plan
+	}
+	if r.Keeper != nil {
 		return out, nil
 	}
 	since := r.Revision
@@ -334,60 +327,36 @@
 }
 
 // leading fails unless this host leads the log group.
-func (h *Host) leading() error {
-	if _, ok := h.group.Leading(); ok {
-		return nil
+func (h *Host) leading() error { return leading(h.group) }
+
+// change proposes a change of the configuration.
+func (h *Host) change(ctx context.Context, c tree.Change) (tree.Outcome, error) {
+	var o tree.Outcome
+	if err := h.leading(); err != nil {
+		return o, err
 	}
-	leader, _ := h.group.Leader()
-	if leader == h.config.ID {
-		leader = ""
+	data, err := timedPropose(ctx, h.config.Metrics, h.group, strictjson.Encode(c))
+	if err != nil {
+		return o, err
 	}
-	return control.NewNotLeaderError(leader)
+	return o, json.Unmarshal(data, &o)
 }
 
-func (h *Host) propose(ctx context.Context, c command, result any) error {
-	if err := h.leading(); err != nil {
-		return err
-	}
+// timedPropose proposes a command and counts how long that took.
+func timedPropose(ctx context.Context, m tally.Scope, g *replica.Group, c []byte) ([]byte, error) {
 	started := time.Now()
-	data, err := h.group.Propose(ctx, strictjson.Encode(c))
+	data, err := g.Propose(ctx, c)
 	if err != nil {
-		h.config.Metrics.Counter("proposals-failed").Inc(1)
-		return err
+		m.Counter("proposals-failed").Inc(1)
+		return nil, err
 	}
-	h.config.Metrics.Histogram("proposal-latency", metrics.LatencyBuckets).RecordDuration(time.Since(started))
-	return json.Unmarshal(data, result)
+	m.Histogram("proposal-latency", metrics.LatencyBuckets).RecordDuration(time.Since(started))
+	return data, nil
 }
 
 // rpcTimeout bounds a proposal of an entry host, which asks again elsewhere.
 const rpcTimeout = 3 * time.Second
 
-func (h *Host) reserve(ctx context.Context, _ string, r reserveRequest) (reserveResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
-	defer cancel()
-	var out reserveResponse
-	if err := h.propose(ctx, command{Program: &ledger.Command{ReserveTurn: &r.ReserveTurn}}, &out.Result); err != nil {
-		return out, err
-	}
-	if !r.WantChain || r.Previous == "" || out.Result.Refusal != nil {
-		return out, nil
-	}
-	chain, ok := h.state.chain(r.Previous)
-	if !ok {
-		return out, verdict.Newf(verdict.NotRun, verdict.Internal, "turn %q has lost a part of its chain", r.Previous)
-	}
-	out.Chain = chain
-	return out, nil
-}
-
-func (h *Host) settle(ctx context.Context, _ string, c ledger.SettleTurn) (settleResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
-	defer cancel()
-	var out settleResponse
-	err := h.propose(ctx, command{Program: &ledger.Command{SettleTurn: &c}}, &out.Result)
-	return out, err
-}
-
 // PutTable puts a routing table in force, unless one with the same or a higher
 // version is already: that one stays, and the call succeeds. It returns the
 // version in force. On a host that does not lead, the error is a
@@ -411,8 +380,8 @@
 				{Path: sourcePath, Value: s.Text, IfVersion: tree.AnyVersion},
 			},
 		}
-		var o tree.Outcome
-		if err := h.propose(ctx, command{Change: &change}, &o); err != nil {
+		o, err := h.change(ctx, change)
+		if err != nil {
 			return 0, err
 		}
 		if o.Applied {
--- a/cluster/ledgerhosts.go
+++ b/cluster/ledgerhosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -17,7 +16,7 @@
 )
 
 const (
-	foundersPath = "/ledger/founders"
+	planPath     = "/ledger/plan"
 	retiringPath = "/ledger/retiring/" // and the id of a host
 	// foundingCalm is the time without a new host of the ledger after which
 	// those that are known form its group. All hosts of a deployment start
@@ -47,13 +46,13 @@
 }
 
 type ledgerRecord struct {
-	LedgerReport
+	KeeperReport
 	at time.Duration
 }
 
 func newLedgerHosts() *ledgerHosts { return &ledgerHosts{reports: map[string]ledgerRecord{}} }
 
-func (l *ledgerHosts) report(now time.Duration, id string, r LedgerReport) {
+func (l *ledgerHosts) report(now time.Duration, id string, r KeeperReport) {
 	if _, ok := l.reports[id]; !ok {
 		l.newAt = now
 	}
@@ -66,21 +65,33 @@
 
 func (l *ledgerHosts) view() LedgerView {
 	v := LedgerView{Hosts: slices.Sorted(maps.Keys(l.reports))}
+	newest := map[int]PartitionReport{}
 	for _, r := range l.reports {
-		if r.Leader != "" && r.Term > v.Term {
-			v.Leader, v.Term = r.Leader, r.Term
+		for _, p := range r.Partitions {
+			if p.Leader != "" && p.Term > newest[p.Partition].Term {
+				newest[p.Partition] = PartitionReport{Partition: p.Partition, Leader: p.Leader, Term: p.Term}
+			}
 		}
 	}
+	for _, n := range slices.Sorted(maps.Keys(newest)) {
+		v.Leaders = append(v.Leaders, newest[n])
+	}
 	return v
 }
 
-// founders returns the hosts that are to form the group, or nothing as long as
-// more may come.
-func (l *ledgerHosts) founders(now time.Duration) []string {
-	if len(l.reports) == 0 || now-l.newAt < foundingCalm {
-		return nil
+// states returns the hosts for the plan, in order.
+func (l *ledgerHosts) states(now time.Duration, retiring []string) []keeperState {
+	var out []keeperState
+	for _, id := range slices.Sorted(maps.Keys(l.reports)) {
+		r := l.reports[id]
+		out = append(out, keeperState{id: id, dataCentre: r.DataCentre, silent: now - r.at, retiring: slices.Contains(retiring, id)})
 	}
-	return slices.Sorted(maps.Keys(l.reports))
+	return out
+}
+
+// calm returns whether hosts are known and no new one has come for a while.
+func (l *ledgerHosts) calm(now time.Duration) bool {
+	return len(l.reports) > 0 && now-l.newAt >= foundingCalm
 }
 
 // byName returns the id of a host.
@@ -93,73 +104,73 @@
 	return "", false
 }
 
-// members returns the members of the group as its leader sees them.
-func (l *ledgerHosts) members() []string {
-	v := l.view()
-	return l.reports[v.Leader].Members
+// members returns the members of a partition as its leader sees them; nothing
+// while that is not known.
+func (l *ledgerHosts) members(partition int) []string {
+	for _, leader := range l.view().Leaders {
+		if leader.Partition != partition {
+			continue
+		}
+		for _, p := range l.reports[leader.Leader].Partitions {
+			if p.Partition == partition && p.Term == leader.Term {
+				return p.Members
+			}
+		}
+	}
+	return nil
 }
 
-// remaining counts the hosts that answer, have a vote and are not retiring.
+// remaining counts the hosts that answer and are not retiring.
 func (l *ledgerHosts) remaining(now time.Duration, retiring []string) int {
 	n := 0
-	for id, r := range l.reports {
-		if r.Voter && now-r.at < reportFresh && !slices.Contains(retiring, id) {
+	for _, k := range l.states(now, retiring) {
+		if k.usable() {
 			n++
 		}
 	}
 	return n
 }
 
-// retiring returns the ids of hosts that are to be emptied, and founders those
-// that form the ledger's group.
-func (s *state) ledgerPlan() (founders, retiring []string) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if e, ok := s.entry(foundersPath); ok {
-		if err := json.Unmarshal(e.Value, &founders); err != nil {
-			founders = nil
-		}
-	}
-	r := s.tree.Answer(tree.Query{List: &tree.ListQuery{Prefix: retiringPath[:len(retiringPath)-1]}})
-	for _, e := range r.Entries {
-		if len(e.Path) > len(retiringPath) {
-			retiring = append(retiring, e.Path[len(retiringPath):])
-		}
-	}
-	return founders, retiring
-}
-
-// foundLedger writes down who forms the group of the ledger, once.
-func (h *Host) foundLedger(ctx context.Context) {
+// planLedger writes the first plan of the ledger once all hosts are known, and
+// later ones when hosts come and go.
+func (h *Host) planLedger(ctx context.Context) {
 	if h.leading() != nil {
 		return
 	}
-	if founders, _ := h.state.ledgerPlan(); founders != nil {
-		return
-	}
+	plan, version, retiring := h.state.plan()
+	now := h.now()
 	h.mu.Lock()
-	ids := h.ledger.founders(h.now())
+	hosts, calm := h.ledger.states(now, retiring), h.ledger.calm(now)
 	h.mu.Unlock()
-	if ids == nil {
-		return
+	var next Plan
+	switch {
+	case plan == nil && calm:
+		next = newPlan(hosts, h.config.copies())
+	case plan == nil || now < swapAfter+reportFresh:
+		return // too early to tell who is silent
+	default:
+		var changed bool
+		if next, changed = plan.next(hosts, h.config.copies()); !changed {
+			return
+		}
 	}
-	if err := h.write(ctx, foundersPath, ids); err != nil {
-		h.logger.Warn("founders of the ledger not recorded", zap.Error(err))
+	if err := h.write(ctx, planPath, next, version); err != nil {
+		h.logger.Warn("plan of the ledger not recorded", zap.Error(err))
 		return
 	}
-	h.logger.Info("ledger founded", zap.Strings("hosts", ids))
+	h.logger.Info("plan of the ledger changed", zap.Int64("version", next.Version), zap.Any("partitions", next.Partitions), zap.Strings("retiring", retiring))
 }
 
-// write sets a path that does not exist yet.
-func (h *Host) write(ctx context.Context, path string, value any) error {
+// write sets a path, unless its version is another one.
+func (h *Host) write(ctx context.Context, path string, value any, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	change := tree.Change{
 		ChangeID: "set-" + strconv.FormatUint(rand.Uint64(), 36),
-		Writes:   []tree.Write{{Path: path, Value: strictjson.Encode(value)}},
+		Writes:   []tree.Write{{Path: path, Value: strictjson.Encode(value), IfVersion: version}},
 	}
-	var o tree.Outcome
-	if err := h.propose(ctx, command{Change: &change}, &o); err != nil {
+	o, err := h.change(ctx, change)
+	if err != nil {
 		return err
 	}
 	if !o.Applied && o.Reason != verdict.Conflict {
@@ -174,7 +185,7 @@
 	if err := h.leading(); err != nil {
 		return err
 	}
-	_, retiring := h.state.ledgerPlan()
+	_, _, retiring := h.state.plan()
 	h.mu.Lock()
 	id, known := h.ledger.byName(name)
 	remaining := h.ledger.remaining(h.now(), append(retiring, id))
@@ -185,10 +196,10 @@
 	if slices.Contains(retiring, id) {
 		return nil
 	}
-	if need := 2*h.config.Tolerate + 1; remaining < need {
+	if need := h.config.copies(); remaining < need {
 		return verdict.Newf(verdict.NotRun, TooFewHosts, "%d hosts would be left, and %d are needed to bear the loss of %d", remaining, need, h.config.Tolerate)
 	}
-	if err := h.write(ctx, retiringPath+id, name); err != nil {
+	if err := h.write(ctx, retiringPath+id, name, 0); err != nil {
 		return err
 	}
 	h.logger.Info("host is to be emptied", zap.String("name", name), zap.String("id", id), zap.Int("remaining", remaining))
@@ -203,13 +214,20 @@
 	if err := h.group.Read(ctx); err != nil {
 		return false, err
 	}
-	_, retiring := h.state.ledgerPlan()
+	plan, _, retiring := h.state.plan()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	id, known := h.ledger.byName(name)
 	if !known {
 		return false, verdict.Newf(verdict.NotRun, UnknownHost, "host %q is not known", name)
 	}
-	members := h.ledger.members()
-	return slices.Contains(retiring, id) && len(members) > 0 && !slices.Contains(members, id), nil
+	if plan == nil || !slices.Contains(retiring, id) {
+		return false, nil
+	}
+	for i := range plan.Partitions {
+		if members := h.ledger.members(i + 1); len(members) == 0 || slices.Contains(members, id) {
+			return false, nil
+		}
+	}
+	return true, nil
 }
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,11 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/control"
-	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/route"
-	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 const (
@@ -34,11 +29,6 @@
 	// answer grows with it: the opening packet to a host without power is lost.
 	firstRetry   = 100 * time.Millisecond
 	firstTimeout = 200 * time.Millisecond
-	// leaderAttempt bounds one request to the leader, so that a host that was
-	// cut off silently does not use up the caller's time.
-	leaderAttempt = 1200 * time.Millisecond
-	// leaderRetry separates two requests to the leader.
-	leaderRetry = 30 * time.Millisecond
 	// quiet is the silence after which a control host that no other one names
 	// is forgotten.
 	quiet = 30 * time.Second
@@ -69,9 +59,9 @@
 	Key        control.Key
 	Address    func(id string) string
 	Dial       control.DialFunc // nil for TCP
-	// Ledger returns what a host of the ledger says of itself; nil for entry
+	// Keeper returns what a host of the ledger says of itself; nil for entry
 	// hosts.
-	Ledger func() *LedgerReport
+	Keeper func() *KeeperReport
 }
 
 // Link is an entry host's connection to all control hosts.
@@ -84,14 +74,13 @@
 
 	index  atomic.Pointer[route.Index]
 	ledger atomic.Pointer[LedgerView]
-	leader atomic.Pointer[string] // of the ledger
 
 	mu       sync.Mutex
 	observer Observer
 	hosts    map[string]*linkHost
 	seeds    []string
 	view     *registry.View
-	term     uint64                   // of the ledger's leader
+	leaders  map[int]partitionLeader
 	keepers  map[string]*control.Peer // hosts of the ledger
 	heard    string                   // the control host in the same data centre that sums up load
 }
@@ -115,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Link{
 		config: c, logger: logger, ctx: ctx, cancel: cancel,
-		hosts: map[string]*linkHost{}, keepers: map[string]*control.Peer{}, seeds: c.Seeds, view: registry.NewView(),
+		hosts: map[string]*linkHost{}, keepers: map[string]*control.Peer{}, leaders: map[int]partitionLeader{}, seeds: c.Seeds, view: registry.NewView(),
 	}
 }
 
@@ -231,8 +220,11 @@
 	summing := l.heard == h.id
 	r := syncRequest{Host: l.config.ID, Life: h.life, Revision: h.revision, WantRuns: summing}
 	l.mu.Unlock()
-	if l.config.Ledger != nil {
-		r.Ledger = l.config.Ledger()
+	if v := l.ledger.Load(); v != nil && v.Plan != nil {
+		r.PlanVersion = v.Plan.Version
+	}
+	if l.config.Keeper != nil {
+		r.Keeper = l.config.Keeper()
 	} else {
 		r.Runs, r.Suspects = l.observer.Report()
 	}
@@ -244,7 +236,7 @@
 		l.lose(h, err)
 		return false
 	}
-	if l.config.Ledger == nil && out.TableVersion > l.version() {
+	if l.config.Keeper == nil && out.TableVersion > l.version() {
 		l.fetchTable(ctx, h)
 	}
 	l.take(h, out, summing)
@@ -308,7 +300,7 @@
 		l.heard = h.id
 	}
 	l.takeLedger(r.Ledger)
-	if l.config.Ledger != nil {
+	if l.config.Keeper != nil {
 		return
 	}
 	if full || len(r.Changes) > 0 {
@@ -322,140 +314,3 @@
 		l.observer.Suspects(r.Suspects)
 	}
 }
-
-// takeLedger takes in what a control host knows of the ledger. Plans are kept
-// when a control host that lags does not know them yet.
-func (l *Link) takeLedger(v LedgerView) {
-	if old := l.ledger.Load(); old != nil {
-		if len(v.Founders) == 0 {
-			v.Founders = old.Founders
-		}
-		if len(v.Retiring) < len(old.Retiring) {
-			v.Retiring = old.Retiring
-		}
-		if len(v.Hosts) == 0 {
-			v.Hosts = old.Hosts
-		}
-	}
-	l.ledger.Store(&v)
-	if v.Leader != "" && v.Term > l.term {
-		l.term = v.Term
-		l.leader.Store(&v.Leader)
-	}
-	if l.config.Ledger != nil {
-		return
-	}
-	for _, id := range v.Hosts {
-		if l.keepers[id] == nil {
-			l.keepers[id] = control.NewPeer(id, l.config.Address(id), l.config.ID, l.config.Key, nil, l.config.Dial)
-		}
-	}
-}
-
-// Reservation is what is known of a turn that may run.
-type Reservation struct {
-	Chain      []byte // the conversation before it, if that was wanted
-	LastServer string // ran the last turn of the line; empty if none is known
-}
-
-// Reserve sets aside the tokens of a turn, and returns the conversation that it
-// continues if that is wanted. Errors carry a verdict about the reservation: it is NotRun when
-// nothing was reserved.
-func (l *Link) Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (Reservation, error) {
-	var out reserveResponse
-	r := reserveRequest{ReserveTurn: t, WantChain: wantChain}
-	if err := l.callLeader(ctx, methodReserve, r, &out); err != nil {
-		return Reservation{}, err
-	}
-	v := Reservation{Chain: out.Chain}
-	if out.Result.Turn != nil {
-		v.LastServer = out.Result.Turn.LastServer
-	}
-	return v, refusal(out.Result.Refusal)
-}
-
-// Settle replaces the reservation of a turn by what was used, and keeps the
-// turn if others may continue it.
-func (l *Link) Settle(ctx context.Context, t ledger.SettleTurn) error {
-	var out settleResponse
-	if err := l.callLeader(ctx, methodSettle, t, &out); err != nil {
-		return err
-	}
-	return refusal(out.Result.Refusal)
-}
-
-func refusal(r *ledger.Refusal) error {
-	if r == nil {
-		return nil
-	}
-	return verdict.New(r.Verdict, r.Reason, r.Message)
-}
-
-// callLeader tries the hosts of the ledger until the leader answers or the
-// context ends. The commands may be applied twice.
-func (l *Link) callLeader(ctx context.Context, method string, params, result any) error {
-	sent := false
-	hint := ""
-	if p := l.leader.Load(); p != nil {
-		hint = *p
-	}
-	tried := map[string]bool{}
-	var last error
-	for {
-		id, peer := l.candidate(hint, tried)
-		if peer == nil {
-			clear(tried)
-		} else {
-			tried[id] = true
-			err := l.callHost(ctx, peer, method, params, result)
-			if err == nil {
-				l.leader.Store(&id)
-				return nil
-			}
-			last = err
-			var notLeader *control.NotLeaderError
-			if errors.As(err, &notLeader) {
-				hint = notLeader.Leader()
-				if hint != "" && !tried[hint] {
-					continue
-				}
-			} else {
-				sent = sent || !control.Unsent(err) && verdict.Of(err) != verdict.NotRun
-				hint = ""
-			}
-		}
-		if !pause.For(ctx, leaderRetry) {
-			v := verdict.NotRun
-			if sent {
-				v = verdict.MayHaveRun
-			}
-			return verdict.New(v, verdict.ControlUnavailable, "no host answered as leader of the ledger in time", verdict.WithCause(last))
-		}
-	}
-}
-
-func (l *Link) callHost(ctx context.Context, p *control.Peer, method string, params, result any) error {
-	attempt, cancel := context.WithTimeout(ctx, leaderAttempt)
-	defer cancel()
-	err := p.Call(attempt, method, params, result)
-	if err != nil && attempt.Err() != nil && ctx.Err() == nil {
-		p.Reset()
-	}
-	return err
-}
-
-// candidate returns the host of the ledger to ask next: the hinted one, or one
-// that was not tried yet.
-func (l *Link) candidate(hint string, tried map[string]bool) (string, *control.Peer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p := l.keepers[hint]; p != nil && !tried[hint] {
-		return hint, p
-	}
-	for _, id := range slices.Sorted(maps.Keys(l.keepers)) {
-		if !tried[id] {
-			return id, l.keepers[id]
-		}
-	}
-	return "", nil
-}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -15,8 +15,9 @@
 	methodGossip  = "gossip"          // between control hosts, one way
 	methodSync    = "sync"            // entry host to control host
 	methodTable   = "table"           // entry host to control host
-	methodReserve = "reserve-turn"    // entry host to the leader
-	methodSettle  = "settle-turn"     // entry host to the leader
+	methodReserve = "reserve-turn"    // entry host to the leader of a partition
+	methodSettle  = "settle-turn"     // entry host to the leader of a partition
+	methodExtend  = "extend-turn"     // entry host to the leader of a partition
 )
 
 // gossip is what a control host tells the others: who it is, and the
@@ -30,8 +31,10 @@
 // syncRequest asks a control host for what has changed.
 type syncRequest struct {
 	Host string `json:"host"`
-	// Ledger is set by a host that keeps the ledger of programs.
-	Ledger *LedgerReport `json:"ledger,omitempty"`
+	// Keeper is set by a host of the ledger.
+	Keeper *KeeperReport `json:"keeper,omitempty"`
+	// PlanVersion is that of the plan of the ledger which the host knows.
+	PlanVersion int64 `json:"plan-version,omitempty"`
 	// Life and Revision are the control host's incarnation and the revision of
 	// its registry that the entry host holds.
 	Life     uint64 `json:"life,omitempty"`
@@ -68,24 +71,29 @@
 	Suspects []Suspect      `json:"suspects,omitempty"`
 }
 
-// LedgerReport is what a host of the ledger says of itself.
-type LedgerReport struct {
-	Name   string `json:"name"` // as operators call the host
-	Leader string `json:"leader,omitempty"`
-	Term   uint64 `json:"term,omitempty"`
+// KeeperReport is what a host of the ledger says of itself.
+type KeeperReport struct {
+	Name       string            `json:"name"` // as operators call the host
+	DataCentre string            `json:"data-centre"`
+	Partitions []PartitionReport `json:"partitions,omitempty"`
+}
+
+// PartitionReport is what a host says of its copy of a partition.
+type PartitionReport struct {
+	Partition int    `json:"partition"`
+	Leader    string `json:"leader,omitempty"`
+	Term      uint64 `json:"term,omitempty"`
 	// Members are those of the log group, and empty while a change of them is
 	// not committed: a host that is only about to leave may not be taken away.
 	Members []string `json:"members,omitempty"`
-	Voter   bool     `json:"voter,omitempty"`
 }
 
 // LedgerView is what control hosts know of the hosts of the ledger.
 type LedgerView struct {
-	Hosts    []string `json:"hosts,omitempty"`
-	Leader   string   `json:"leader,omitempty"`
-	Term     uint64   `json:"term,omitempty"`
-	Founders []string `json:"founders,omitempty"` // form the group on the first start
-	Retiring []string `json:"retiring,omitempty"` // are to hold nothing any more
+	Hosts []string `json:"hosts,omitempty"`
+	// Plan is left out if the host that asks knows it.
+	Plan    *Plan             `json:"plan,omitempty"`
+	Leaders []PartitionReport `json:"leaders,omitempty"` // without members
 }
 
 type tableResponse struct {
@@ -93,23 +101,32 @@
 }
 
 type reserveRequest struct {
+	Partition int `json:"partition"`
 	ledger.ReserveTurn
 	// WantChain asks for the conversation up to the previous turn.
 	WantChain bool `json:"want-chain,omitempty"`
 }
 
-type reserveResponse struct {
-	Result ledger.Result `json:"result"`
-	Chain  []byte        `json:"chain,omitempty"`
+type settleRequest struct {
+	Partition int `json:"partition"`
+	ledger.SettleTurn
 }
 
-type settleResponse struct {
+type extendRequest struct {
+	Partition int `json:"partition"`
+	ledger.ExtendTurn
+}
+
+type turnResponse struct {
 	Result ledger.Result `json:"result"`
+	Chain  []byte        `json:"chain,omitempty"`
 }
 
-// replicaMessage is a message of the log group.
+// replicaMessage is a message of a log group: that of the control hosts, whose
+// partition is 0, or that of a partition of the ledger.
 type replicaMessage struct {
-	Message replica.Message `json:"message"`
+	Partition int             `json:"partition,omitempty"`
+	Message   replica.Message `json:"message"`
 }
 
 // Source is a routing table with the text in which the operator gave it.
--- /dev/null
+++ b/cluster/partition.go
@@ -0,0 +1,146 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/sycamoreline/sycamoreline/cborwire"
+	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/replica"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// partitionFolder precedes the number of a partition in the name of its folder.
+const partitionFolder = "partition-"
+
+// partitionsOnDisk returns the partitions that have a folder.
+func partitionsOnDisk(folder string) ([]int, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, fmt.Errorf("data folder: %w", err)
+	}
+	var numbers []int
+	for _, e := range entries {
+		text, ok := strings.CutPrefix(e.Name(), partitionFolder)
+		if n, err := strconv.Atoi(text); ok && err == nil && n > 0 {
+			numbers = append(numbers, n)
+		}
+	}
+	return numbers, nil
+}
+
+// partition is a host's copy of a partition of the ledger.
+type partition struct {
+	number int
+	group  *replica.Group
+	state  *partitionState
+}
+
+// openPartition starts a copy. Founders are set on the first start of the
+// deployment; without them, the copy goes on from its folder or joins.
+func openPartition(number int, c HostConfig, founders []string, t replica.Transport, opts ...replica.Option) (*partition, error) {
+	p := &partition{number: number, state: &partitionState{ledger: ledger.New()}}
+	var err error
+	p.group, err = replica.Open(replica.Config{
+		ID: c.ID, Peers: founders, Open: true, Dir: filepath.Join(c.DataFolder, partitionFolder+strconv.Itoa(number)),
+	}, p.state, t, opts...)
+	if err != nil {
+		return nil, fmt.Errorf("partition %d: %w", number, err)
+	}
+	return p, nil
+}
+
+// propose carries out a command in the log.
+func (p *partition) propose(ctx context.Context, m tally.Scope, c ledger.Command) (ledger.Result, error) {
+	if err := leading(p.group); err != nil {
+		return ledger.Result{}, err
+	}
+	data, err := timedPropose(ctx, m, p.group, cborwire.Encode(c))
+	if err != nil {
+		return ledger.Result{}, err
+	}
+	var r ledger.Result
+	if err := cborwire.Unmarshal(data, &r); err != nil {
+		return ledger.Result{}, verdict.New(verdict.MayHaveRun, verdict.Internal, "result of the ledger cannot be decoded", verdict.WithCause(err))
+	}
+	return r, nil
+}
+
+// report describes the copy.
+func (p *partition) report() PartitionReport {
+	s := p.group.Status()
+	r := PartitionReport{Partition: p.number, Term: s.Term}
+	r.Leader, _ = p.group.Leader()
+	for _, m := range s.Members {
+		if s.MembersCommitted {
+			r.Members = append(r.Members, m.ID)
+		}
+	}
+	return r
+}
+
+// leading fails unless a replica leads its group.
+func leading(g *replica.Group) error {
+	if _, ok := g.Leading(); ok {
+		return nil
+	}
+	leader, _ := g.Leader()
+	if leader == g.Status().ID {
+		leader = ""
+	}
+	return control.NewNotLeaderError(leader)
+}
+
+// partitionState is the machine of a partition's log.
+type partitionState struct {
+	mu     sync.RWMutex
+	ledger *ledger.Machine
+}
+
+// Apply implements replica.Machine.
+func (s *partitionState) Apply(_ uint64, unixMillis int64, data []byte) []byte {
+	var c ledger.Command
+	if err := cborwire.Unmarshal(data, &c); err != nil {
+		return cborwire.Encode(ledger.Result{Refusal: &ledger.Refusal{Verdict: verdict.NotRun, Reason: verdict.BadRequest, Message: err.Error()}})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cborwire.Encode(s.ledger.ApplyCommand(unixMillis, c))
+}
+
+// chain returns the conversation up to a turn.
+func (s *partitionState) chain(turn string) ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	chain, ok := s.ledger.Chain(turn)
+	if !ok {
+		return nil, verdict.Newf(verdict.NotRun, verdict.Internal, "turn %q has lost a part of its chain", turn)
+	}
+	return chain, nil
+}
+
+// Snapshot implements replica.Machine.
+func (s *partitionState) Snapshot(w io.Writer) error { return s.Capture()(w) }
+
+// Capture implements replica.Capturer.
+func (s *partitionState) Capture() func(io.Writer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Capture()
+}
+
+// Restore implements replica.Machine.
+func (s *partitionState) Restore(r io.Reader) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Restore(r)
+}
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"go.uber.org/fx"
-	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/cluster"
@@ -86,23 +85,6 @@
 	})
 }
 
-// stopOnFailure ends the process when its log has stopped: a replica that cannot
-// write must not go on.
-func stopOnFailure(ctx context.Context, host *cluster.Host, shutdown fx.Shutdowner, logger *zap.Logger) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-host.Done():
-	}
-	if ctx.Err() != nil {
-		return
-	}
-	logger.Error("log stopped", zap.Error(host.Err()))
-	if err := shutdown.Shutdown(fx.ExitCode(1)); err != nil {
-		logger.Error("shutdown failed", zap.Error(err))
-	}
-}
-
 // entryModule is an entry host.
 func entryModule(p parts) fx.Option {
 	s, path, logger := p.settings, p.path, p.logger
--- a/control/conn.go
+++ b/control/conn.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/sycamoreline/sycamoreline/cborwire"
 )
 
 const (
@@ -174,7 +174,7 @@
 
 // call sends a request and waits for its response.
 func (c *conn) call(ctx context.Context, method string, params, result any) error {
-	body, err := encoding.Marshal(params)
+	body, err := cborwire.Marshal(params)
 	if err != nil {
 		return err
 	}
@@ -204,7 +204,7 @@
 
 // notify sends a message without a response.
 func (c *conn) notify(ctx context.Context, method string, params any) error {
-	body, err := encoding.Marshal(params)
+	body, err := cborwire.Marshal(params)
 	if err != nil {
 		return err
 	}
@@ -215,7 +215,7 @@
 func (c *conn) reply(id uint64, result any, err error) {
 	f := frame{ID: id}
 	if err == nil {
-		f.Body, err = encoding.Marshal(result)
+		f.Body, err = cborwire.Marshal(result)
 	}
 	if err != nil {
 		f.Body, f.Fault = nil, newFault(err)
@@ -234,8 +234,8 @@
 	if result == nil || len(f.Body) == 0 {
 		return nil
 	}
-	return decoding.Unmarshal(f.Body, result)
+	return cborwire.Unmarshal(f.Body, result)
 }
 
 // emptyBody is CBOR's null.
-var emptyBody = cbor.RawMessage{0xf6}
+var emptyBody = cborwire.Raw{0xf6}
--- a/control/frame.go
+++ b/control/frame.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/sycamoreline/sycamoreline/cborwire"
 )
 
 const (
@@ -17,9 +17,6 @@
 	// maxHelloBytes bounds the frames of a connection that has not proved the
 	// deployment key.
 	maxHelloBytes = 4 << 10
-	// maxElements bounds the arrays and maps in a frame, such as the backend
-	// servers of a deployment. The codec allocates as it reads.
-	maxElements = 1 << 20
 )
 
 // frame is a message between hosts: a request, a notification, which has no
@@ -29,8 +26,8 @@
 	_      struct{} `cbor:",toarray"`
 	ID     uint64
 	Method string
-	Body   cbor.RawMessage // parameters or result; null for none
-	Fault  *fault          // of a response that is an error
+	Body   cborwire.Raw // parameters or result; null for none
+	Fault  *fault       // of a response that is an error
 }
 
 // fault is an error of a handler.
@@ -41,24 +38,9 @@
 	Verdict   []byte // verdict.Error in JSON, unless NotLeader is set
 }
 
-var (
-	encoding = must(cbor.EncOptions{}.EncMode())
-	// Ids that callers choose need not be UTF-8.
-	decoding = must(cbor.DecOptions{
-		UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
-	}.DecMode())
-)
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return v
-}
-
 // appendFrame appends a frame with its length.
 func appendFrame(b []byte, f frame) ([]byte, error) {
-	data, err := encoding.Marshal(f)
+	data, err := cborwire.Marshal(f)
 	if err != nil {
 		return nil, fmt.Errorf("encode frame: %w", err)
 	}
@@ -83,7 +65,7 @@
 		return frame{}, err
 	}
 	var f frame
-	if err := decoding.Unmarshal(data, &f); err != nil {
+	if err := cborwire.Unmarshal(data, &f); err != nil {
 		return frame{}, fmt.Errorf("decode frame: %w", err)
 	}
 	return f, nil
--- a/control/server.go
+++ b/control/server.go
@@ -10,16 +10,16 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 // helloTimeout bounds how long a connection may stay unauthenticated.
 const helloTimeout = 5 * time.Second
 
-type handlerFunc func(ctx context.Context, peer string, params cbor.RawMessage) (any, error)
+type handlerFunc func(ctx context.Context, peer string, params cborwire.Raw) (any, error)
 
 // Server accepts connections of hosts that hold the deployment key.
 type Server struct {
@@ -64,9 +64,9 @@
 
 // Handle registers a handler for a method. It must be called before Serve.
 func Handle[Req, Res any](s *Server, method string, h func(ctx context.Context, peer string, req Req) (Res, error)) {
-	s.handlers[method] = func(ctx context.Context, peer string, params cbor.RawMessage) (any, error) {
+	s.handlers[method] = func(ctx context.Context, peer string, params cborwire.Raw) (any, error) {
 		var req Req
-		if err := decoding.Unmarshal(params, &req); err != nil {
+		if err := cborwire.Unmarshal(params, &req); err != nil {
 			return nil, verdict.New(verdict.NotRun, verdict.BadRequest, method+": bad parameters", verdict.WithCause(err))
 		}
 		return h(ctx, peer, req)
@@ -219,9 +219,9 @@
 	return h(ctx, peer, params)
 }
 
-func (c *session) hello(params cbor.RawMessage) (any, error) {
+func (c *session) hello(params cborwire.Raw) (any, error) {
 	var hello helloRequest
-	if err := decoding.Unmarshal(params, &hello); err != nil {
+	if err := cborwire.Unmarshal(params, &hello); err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "hello: bad parameters", verdict.WithCause(err))
 	}
 	key := c.server.key
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -55,7 +55,7 @@
 type Turns interface {
 	// Reserve sets aside the tokens of a turn. With wantChain it returns the
 	// conversation up to the previous turn.
-	Reserve(ctx context.Context, t ledger.ReserveTurn, wantChain bool) (cluster.Reservation, error)
+	Reserve(ctx context.Context, t cluster.TurnRequest) (cluster.Reservation, error)
 	Settle(ctx context.Context, t ledger.SettleTurn) error
 }
 
@@ -236,6 +236,7 @@
 	lastEvent string
 	timing    timing
 	reserved  bool
+	elsewhere bool // the conversation is in another partition of the ledger
 	kept      bool // the turn was recorded for others to continue
 }
 
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -56,24 +56,33 @@
 	down   bool
 	// fetched counts the conversations that were asked for.
 	fetched int
+	// elsewhere are conversations that another partition keeps, by turn.
+	elsewhere map[string]string
 }
 
-func (l *testTurns) Reserve(_ context.Context, t ledger.ReserveTurn, wantChain bool) (cluster.Reservation, error) {
+func (l *testTurns) Reserve(_ context.Context, t cluster.TurnRequest) (cluster.Reservation, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return cluster.Reservation{}, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
 	}
-	r := l.ledger.ApplyCommand(1, ledger.Command{ReserveTurn: &t})
+	chain, elsewhere := l.elsewhere[t.Previous]
+	if elsewhere {
+		t.Previous = ""
+	}
+	r := l.ledger.ApplyCommand(1, ledger.Command{ReserveTurn: &t.ReserveTurn})
 	if r.Refusal != nil {
 		return cluster.Reservation{}, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
 	}
-	if !wantChain {
+	if elsewhere {
+		return cluster.Reservation{Chain: []byte(chain), Elsewhere: true}, nil
+	}
+	if !t.WantChain {
 		return cluster.Reservation{LastServer: r.Turn.LastServer}, nil
 	}
 	l.fetched++
-	chain, _ := l.ledger.Chain(t.Previous)
-	return cluster.Reservation{Chain: chain, LastServer: r.Turn.LastServer}, nil
+	kept, _ := l.ledger.Chain(t.Previous)
+	return cluster.Reservation{Chain: kept, LastServer: r.Turn.LastServer}, nil
 }
 
 func (l *testTurns) Settle(_ context.Context, t ledger.SettleTurn) error {
@@ -347,6 +356,30 @@
 	assert.Equal(t, s.requests(), 3)
 }
 
+// Guards against a conversation whose beginning, which another partition of the
+// ledger keeps, is missing from the turns that go on with it.
+func TestServeTurnsContinuedElsewhere(t *testing.T) {
+	s := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
+		streamEvents(w, r.Header.Get("Id"), 1, 2, true)
+		return true
+	})
+	w := newWorld(t, s)
+	w.turns.elsewhere = map[string]string{"x": "in-x;out-x\n"}
+	turn := func(id, previous string) {
+		t.Helper()
+		c := w.call(id, turnRoute())
+		c.Program, c.Turn = "p", &Turn{Budget: 700, Most: 30, Previous: previous}
+		_, broken, err := w.serve(c)
+		assert.NilError(t, err)
+		assert.Assert(t, !broken)
+	}
+	turn("a", "x")
+	w.f.chains = newChains(1000) // as on a host that has not seen the turn
+	turn("b", "a")
+	assert.Equal(t, s.got[0], "in-x;out-x\nin-a;")
+	assert.Equal(t, s.got[1], "in-x;out-x\nin-a;e1\ne2\nin-b;")
+}
+
 // Guards against a turn whose caller believes it whole although no other host
 // could continue it, and against one that runs without a reservation.
 func TestServeTurnsWithoutLedger(t *testing.T) {
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -22,10 +23,12 @@
 	if t.Previous != "" {
 		r.before, known = r.chains.get(t.Previous)
 	}
-	reservation, err := r.turns.Reserve(ctx, ledger.ReserveTurn{
-		Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous,
-		Line: r.call.Session,
-	}, t.Previous != "" && !known)
+	reservation, err := r.turns.Reserve(ctx, cluster.TurnRequest{
+		ReserveTurn: ledger.ReserveTurn{
+			Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, Most: t.Most, Previous: t.Previous, Line: r.call.Session,
+		},
+		WantChain: t.Previous != "" && !known, Retention: r.call.Route.Retention,
+	})
 	if err != nil {
 		v := verdict.From(err)
 		r.reserved = v.Verdict() != verdict.NotRun
@@ -41,6 +44,7 @@
 	}
 	r.reserved = true
 	r.timing.reserved = time.Since(r.call.Arrived)
+	r.elsewhere = reservation.Elsewhere
 	if t.Previous != "" && !known {
 		r.before = r.chains.put(t.Previous, nil, reservation.Chain)
 	}
@@ -73,12 +77,15 @@
 func (r *run) keep() error {
 	ctx, cancel := context.WithTimeout(r.ctx, settleTimeout)
 	defer cancel()
+	k := ledger.KeptTurn{
+		Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output, Retention: r.call.Route.Retention.Milliseconds(),
+	}
+	if r.elsewhere {
+		// The partition of this program has none of the turns before.
+		k.Previous, k.Input = "", r.body
+	}
 	err := r.turns.Settle(ctx, ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn,
-		Keep: &ledger.KeptTurn{
-			Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output,
-			Retention: r.call.Route.Retention.Milliseconds(),
-		},
+		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.perEvent, Line: r.call.Session, Server: r.ranOn, Keep: &k,
 	})
 	if err == nil {
 		r.kept = true
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -33,6 +33,7 @@
 	note(c.Tick != nil, func() error { return nil })
 	note(c.ReserveTurn != nil, func() error { return c.ReserveTurn.check() })
 	note(c.SettleTurn != nil, func() error { return c.SettleTurn.check() })
+	note(c.ExtendTurn != nil, func() error { return c.ExtendTurn.check() })
 	if set != 1 {
 		return fmt.Errorf("command has %d parts: want exactly one", set)
 	}
@@ -84,6 +85,10 @@
 	return err
 }
 
+func (c *ExtendTurn) check() error {
+	return errors.Join(checkID("turn", c.Turn), checkAmount("retention", c.Retention))
+}
+
 func (c *MarkSent) check() error {
 	return errors.Join(
 		checkID("program", c.Program), checkCount("call", c.Call), checkCount("attempt", c.Attempt),
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -82,6 +82,7 @@
 	Tick             *Tick             `json:"tick,omitempty"`
 	ReserveTurn      *ReserveTurn      `json:"reserve-turn,omitempty"`
 	SettleTurn       *SettleTurn       `json:"settle-turn,omitempty"`
+	ExtendTurn       *ExtendTurn       `json:"extend-turn,omitempty"`
 }
 
 // OpenProgram opens a program or a sub-program, whose budget is reserved from
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -83,6 +83,8 @@
 		return m.reserveTurn(c.ReserveTurn)
 	case c.SettleTurn != nil:
 		return m.settleTurn(c.SettleTurn)
+	case c.ExtendTurn != nil:
+		return m.extendTurn(c.ExtendTurn)
 	}
 	return Result{}
 }
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -53,6 +53,13 @@
 	Keep *KeptTurn `json:"keep,omitempty"`
 }
 
+// ExtendTurn keeps a turn and its chain for longer, since it is continued in
+// another partition.
+type ExtendTurn struct {
+	Turn      string `json:"turn"`
+	Retention int64  `json:"retention"` // milliseconds from now
+}
+
 // KeptTurn is what a later turn of the chain is built from.
 type KeptTurn struct {
 	Previous  string `json:"previous,omitempty"`
@@ -169,6 +176,15 @@
 	return Result{Turn: a.state(c.Turn)}
 }
 
+func (m *Machine) extendTurn(c *ExtendTurn) Result {
+	m.sweepTurns()
+	if m.turn(c.Turn) == nil {
+		return refuse(verdict.NotRun, UnknownTurn, "turn %q does not exist or has expired", c.Turn)
+	}
+	m.extendChain(c.Turn, m.clock+c.Retention)
+	return Result{Turn: &TurnState{Turn: c.Turn}}
+}
+
 // extendChain keeps a chain as long as its newest turn.
 func (m *Machine) extendChain(turn string, expires int64) {
 	for range maxChain {
--- a/replica/group.go
+++ b/replica/group.go
@@ -102,6 +102,7 @@
 	failure  error // set before stop is closed
 	contacts atomic.Pointer[[]string]
 	retiring atomic.Pointer[[]string]
+	wanted   atomic.Pointer[[]string]
 	busy     int // writes under way; owned by the loop
 	reading  map[uint64][]*request
 	readID   uint64
@@ -201,6 +202,10 @@
 // SetRetiring sets the ids of members that are to leave an open group for good.
 func (g *Group) SetRetiring(ids []string) { g.retiring.Store(&ids) }
 
+// SetWanted sets the ids that are to be the members of an open group; others
+// leave or may not join. nil lets any replica join.
+func (g *Group) SetWanted(ids []string) { g.wanted.Store(&ids) }
+
 // Leader returns the id of the group's leader, and false if none is known.
 func (g *Group) Leader() (id string, ok bool) {
 	r := g.leader.Load()
--- a/replica/handover.go
+++ b/replica/handover.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"slices"
 	"time"
 )
 
@@ -26,7 +25,7 @@
 	var match uint64
 	for _, r := range n.others() {
 		p := n.lead.progress[r]
-		if n.members.isVoter(r) && !slices.Contains(n.retiring, r.ID) && now.Elapsed-p.heardAt < 2*n.Timing.Heartbeat+100*time.Millisecond && p.match >= match {
+		if n.members.isVoter(r) && !n.leaving(r.ID) && now.Elapsed-p.heardAt < 2*n.Timing.Heartbeat+100*time.Millisecond && p.match >= match {
 			best, match = r, p.match
 		}
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -48,6 +48,9 @@
 			if ids := g.retiring.Load(); ids != nil {
 				g.node.SetRetiring(*ids)
 			}
+			if ids := g.wanted.Load(); ids != nil {
+				g.node.SetWanted(*ids)
+			}
 			g.handle(g.node.Tick(g.now()))
 			g.status.Store(g.node.status())
 		}
--- a/replica/node.go
+++ b/replica/node.go
@@ -160,6 +160,7 @@
 	form     formation
 	contacts []string     // ids that a joining replica asks, besides Initial
 	retiring []string     // ids of members that are to leave
+	wanted   []string     // ids that are to be members; nil for any
 	seen     map[Ref]Seen // promises of each replica, this one too
 	chunk    incomingChunks
 }
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -14,7 +14,7 @@
 }
 
 func (n *Node) onJoiner(now Now, r Ref) {
-	if slices.Contains(n.retiring, r.ID) {
+	if n.leaving(r.ID) {
 		return
 	}
 	if _, ok := n.members.find(r); !ok && r.ID != n.Self.ID {
@@ -35,7 +35,7 @@
 }
 
 func (n *Node) nextMembers(now Now) Members {
-	if next := n.withoutRetiring(now); next != nil {
+	if next := n.withoutLeaving(now); next != nil {
 		return next
 	}
 	for _, id := range n.candidates() {
@@ -64,21 +64,32 @@
 }
 
 // lostVoter returns whether a voter of an open group is silent, and the one that
-// a new member replaces, once it has been silent for two election timeouts
-// while all others answer. A new member gets no vote before that: of three
-// voters and one more, the loss of another one would leave two of four.
+// a new member replaces: the one that has been silent longest, for two election
+// timeouts or more, if those that answer are a quorum without it. A new member
+// gets no vote before that: of three voters and one more, the loss of another
+// one would leave two of four.
 func (n *Node) lostVoter(now Now) (lost Ref, silent bool) {
 	if !n.Open {
 		return Ref{}, false
 	}
+	voters, answering := 0, 0
+	longest := 2 * n.Timing.Election
 	for _, x := range n.members {
-		if x.Learner || n.active(now, x.Ref) && n.heardInTerm(x.Ref) {
+		if x.Learner {
 			continue
 		}
-		if silent || n.silentFor(now, x.Ref) < 2*n.Timing.Election {
-			return Ref{}, true
+		voters++
+		if n.active(now, x.Ref) && n.heardInTerm(x.Ref) {
+			answering++
+			continue
+		}
+		silent = true
+		if d := n.silentFor(now, x.Ref); d >= longest {
+			lost, longest = x.Ref, d
 		}
-		lost, silent = x.Ref, true
+	}
+	if answering < (voters-1)/2+1 {
+		return Ref{}, silent
 	}
 	return lost, silent
 }
@@ -86,19 +97,40 @@
 // SetRetiring sets the ids of members that are to leave an open group for good.
 func (n *Node) SetRetiring(ids []string) { n.retiring = ids }
 
-// withoutRetiring removes one member that is to leave, if all others answer. A
+// SetWanted sets the ids that are to be the members of an open group. Others
+// may not join, and those that are members leave once all that are wanted have
+// a vote. nil lets any replica join.
+func (n *Node) SetWanted(ids []string) { n.wanted = ids }
+
+// leaving returns whether a replica is to be a member no longer.
+func (n *Node) leaving(id string) bool {
+	return slices.Contains(n.retiring, id) || n.wanted != nil && !slices.Contains(n.wanted, id)
+}
+
+// wantedVote returns whether all replicas that are to be members have a vote
+// and answer.
+func (n *Node) wantedVote(now Now) bool {
+	for _, id := range n.wanted {
+		if !slices.ContainsFunc(n.members, func(x Member) bool { return x.ID == id && !x.Learner && n.active(now, x.Ref) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutLeaving removes one member that is to leave, if all others answer. A
 // leader that is to leave hands over first.
-func (n *Node) withoutRetiring(now Now) Members {
-	if len(n.retiring) == 0 {
+func (n *Node) withoutLeaving(now Now) Members {
+	if len(n.retiring) == 0 && n.wanted == nil || !n.wantedVote(now) {
 		return nil
 	}
 	for _, x := range n.members {
-		if !x.Learner && !n.active(now, x.Ref) && !slices.Contains(n.retiring, x.ID) {
+		if !x.Learner && !n.active(now, x.Ref) && !n.leaving(x.ID) {
 			return nil
 		}
 	}
 	for _, x := range n.members {
-		if !slices.Contains(n.retiring, x.ID) {
+		if !n.leaving(x.ID) {
 			continue
 		}
 		if x.Ref != n.Self {
