--- a/cmd/sycamoreline-platform/ledger.go
+++ b/cmd/sycamoreline-platform/ledger.go
@@ -23,7 +23,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		life.Append(fx.Hook{
 			OnStart: func(context.Context) error {
-				l, err := listen(s.PeerAddress(s.IP))
+				l, err := listen(s.ListenPeers())
 				if err != nil {
 					return err
 				}
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -55,7 +55,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		life.Append(fx.Hook{
 			OnStart: func(context.Context) error {
-				l, err := listen(s.PeerAddress(s.IP))
+				l, err := listen(s.ListenPeers())
 				if err != nil {
 					return err
 				}
@@ -141,7 +141,7 @@
 func gated(g *balancer.Gate, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if err := g.Enter(true); err != nil {
-			platform.Refuse(w, err)
+			platform.Refuse(w, r, err)
 			return
 		}
 		defer g.Leave()
