schedule: lines leave a crowded server only for a much less full one

Ruled out: reservations (12 ms), refusals, the hosts' processor time (1% of a core), the cut of a host of the ledger.

Change: a line stays up to a quarter beyond the slots, and leaves then only for a server with less than a third of the occupancy.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -354,9 +354,6 @@
 	return data, nil
 }
 
-// rpcTimeout bounds a proposal of an entry host, which asks again elsewhere.
-const rpcTimeout = 3 * time.Second
-
 // PutTable puts a routing table in force, unless one with the same or a higher
 // version is already: that one stays, and the call succeeds. It returns the
 // version in force. On a host that does not lead, the error is a
--- a/cluster/keeper.go
+++ b/cluster/keeper.go
@@ -16,11 +16,14 @@
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/replica"
-	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-// planInterval separates two looks at what control hosts plan for the ledger.
-const planInterval = 250 * time.Millisecond
+const (
+	// planInterval separates two looks at what control hosts plan for the ledger.
+	planInterval = 250 * time.Millisecond
+	// rpcTimeout bounds a proposal of an entry host, which asks again elsewhere.
+	rpcTimeout = 3 * time.Second
+)
 
 // KeeperConfig is what a host of the ledger needs. Seeds are ids of control
 // hosts; Founders are not set.
@@ -271,19 +274,3 @@
 	k.server.Close()
 	return err
 }
-
-// transport sends the messages of one log over the mesh.
-type transport struct {
-	mesh      *mesh
-	partition int // 0 for the log of the control hosts
-}
-
-// Send implements replica.Transport.
-func (t transport) Send(m replica.Message) {
-	t.mesh.send(m.To.ID, methodReplica, replicaMessage{t.partition, m})
-}
-
-// unknownTurn returns whether a partition is certain not to keep a turn.
-func unknownTurn(err error) bool {
-	return err != nil && verdict.From(err).Reason() == ledger.UnknownTurn
-}
--- a/cluster/mesh.go
+++ b/cluster/mesh.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/replica"
 )
 
 const (
@@ -148,3 +149,14 @@
 	m.mu.Unlock()
 	m.wait.Wait()
 }
+
+// transport sends the messages of one log over the mesh.
+type transport struct {
+	mesh      *mesh
+	partition int // 0 for the log of the control hosts
+}
+
+// Send implements replica.Transport.
+func (t transport) Send(m replica.Message) {
+	t.mesh.send(m.To.ID, methodReplica, replicaMessage{t.partition, m})
+}
--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -125,6 +125,11 @@
 	return nil, unknown
 }
 
+// unknownTurn returns whether a partition is certain not to keep a turn.
+func unknownTurn(err error) bool {
+	return err != nil && verdict.From(err).Reason() == ledger.UnknownTurn
+}
+
 // Settle replaces the reservation of a turn by what was used, and keeps the
 // turn if others may continue it.
 func (l *Link) Settle(ctx context.Context, t ledger.SettleTurn) error {
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -22,8 +22,14 @@
 	// crowded is the occupancy from which work goes to the next server in the
 	// order of the prefix: the prompts that others read delay each token.
 	crowded float64
-	// stay is the occupancy up to which a line stays on its last server.
+	// stay is the occupancy up to which a line stays on its last server in any
+	// case.
 	stay float64
+	// gain is the occupancy of another server, as a part of that of the last one,
+	// from which a line leaves a crowded server for it. A conversation that is
+	// read anew takes as long as several turns and delays all other runs of its
+	// new server: lines that leave for little keep all servers crowded.
+	gain float64
 	// local is the data centre whose servers come first; empty for none.
 	local string
 	// fallback chooses for requests without a prefix.
@@ -34,7 +40,7 @@
 // servers of the data centre first if it is given.
 func WithPrefixAffinity(dataCentre string) Option {
 	return func(s *Scheduler) {
-		s.router = prefixAffinity{homes: 3, crowded: 0.35, stay: 0.75, local: dataCentre, fallback: s.router}
+		s.router = prefixAffinity{homes: 3, crowded: 0.35, stay: 1.25, gain: 0.3, local: dataCentre, fallback: s.router}
 	}
 }
 
@@ -46,15 +52,24 @@
 	if moved == "" {
 		return choice{server: c.last, reason: "cached-prefix"}
 	}
-	if v := p.home(s, c); v != nil {
-		return choice{server: v, reason: "prefix-home" + moved}
+	reason := "prefix-home" + moved
+	v := p.home(s, c)
+	if v == nil {
+		reason = "less-full" + moved
+		v = p.lessFull(s, c)
 	}
-	if v := p.lessFull(s, c); v != nil {
-		return choice{server: v, reason: "less-full" + moved}
+	if moved == lastCrowded && (v == nil || v.full() > p.gain*c.last.full()) {
+		return choice{server: c.last, reason: "cached-prefix"}
+	}
+	if v == nil {
+		return p.fallback.choose(s, c)
 	}
-	return p.fallback.choose(s, c)
+	return choice{server: v, reason: reason}
 }
 
+// lastCrowded is the end of the reason of a line that leaves a crowded server.
+const lastCrowded = "-last-crowded"
+
 // mustMove returns why a line cannot stay on its last server, as the end of the
 // decision's reason, or nothing if it can.
 func (p prefixAffinity) mustMove(s *Scheduler, c *call) string {
@@ -69,7 +84,7 @@
 	case !c.pool.isOpen(v):
 		return "-last-closed"
 	case v.full() > p.stay:
-		return "-last-crowded"
+		return lastCrowded
 	default:
 		return ""
 	}
