replica: open groups under random faults

The emulated disk now lets writes that wait share a sync, as the writer does: without that, a backlog on a slow disk outlasted the test.

Seen to fail without catch-up before a vote, without the vote of all wanted members before another leaves, and with answers before entries are on disk.

--- a/replica/open_test.go
+++ b/replica/open_test.go
@@ -28,7 +28,18 @@
 	applied []string
 	down    bool
 	writing []openWrite
-	slow    time.Duration // of each write
+	slow    time.Duration  // of each write
+	stored  disk.Recovered // on its disk
+}
+
+// store applies a write to the disk.
+func (n *openNode) store(p Persist) {
+	if p.HardState != nil {
+		n.stored.HardState = *p.HardState
+	}
+	if len(p.Entries) > 0 {
+		n.stored.Entries = slices.Concat(n.stored.Entries[:p.Entries[0].Index-1], p.Entries)
+	}
 }
 
 type openWrite struct {
@@ -83,11 +94,15 @@
 		w.inbox = append(w.inbox, out.After...)
 		return
 	}
-	start := w.now
+	at := w.now + n.slow
 	if k := len(n.writing); k > 0 {
-		start = n.writing[k-1].at
+		// Writes that wait for the disk share one sync.
+		at = n.writing[k-1].at
+		if at-n.slow <= w.now {
+			at += n.slow
+		}
 	}
-	n.writing = append(n.writing, openWrite{start + n.slow, out.Persist, out.After})
+	n.writing = append(n.writing, openWrite{at, out.Persist, out.After})
 	if n.slow == 0 {
 		w.finishWrites(id)
 	}
@@ -97,6 +112,7 @@
 	for n := w.nodes[id]; len(n.writing) > 0 && n.writing[0].at <= w.now; {
 		done := n.writing[0]
 		n.writing = n.writing[1:]
+		n.store(done.persist)
 		w.inbox = append(w.inbox, done.after...)
 		if !done.persist.empty() {
 			w.handle(id, n.Persisted(Now{Elapsed: w.now}, done.persist))
