cluster: a host is emptied only once the plan names it no more

Found by reading the diff: a host that is to be emptied and had just lost its disk is no member for a moment, and was reported as emptied while the plan still let it join. Test: TestEmptied, which fails without the check.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -296,6 +296,28 @@
 	assert.Equal(t, len(l.reports), 0)
 }
 
+// Guards against a host that is taken away although it still keeps a partition,
+// or may join one again since the plan names it.
+func TestEmptied(t *testing.T) {
+	plan := func(members ...string) Plan { return Plan{Partitions: []PartitionPlan{{Members: members}}} }
+	tests := []struct {
+		name    string
+		members []string // nil while a change is not committed
+		plan    Plan
+		want    bool
+	}{
+		{"member", []string{"a", "b", "c"}, plan("a", "b", "d"), false},
+		{"still planned", []string{"a", "b"}, plan("a", "b", "c"), false},
+		{"change under way", nil, plan("a", "b", "d"), false},
+		{"gone", []string{"a", "b", "d"}, plan("a", "b", "d"), true},
+	}
+	for _, tt := range tests {
+		l := newLedgerHosts()
+		l.report(0, "a", KeeperReport{Partitions: []PartitionReport{{Partition: 1, Leader: "a", Term: 2, Members: tt.members}}})
+		assert.Equal(t, l.emptied(tt.plan, "c"), tt.want, tt.name)
+	}
+}
+
 // Guards against load of hosts that are gone, and own load counted twice.
 func TestLoads(t *testing.T) {
 	l := newLoads()
--- a/cluster/ledgerhosts.go
+++ b/cluster/ledgerhosts.go
@@ -221,13 +221,17 @@
 	if !known {
 		return false, verdict.Newf(verdict.NotRun, UnknownHost, "host %q is not known", name)
 	}
-	if plan == nil || !slices.Contains(retiring, id) {
-		return false, nil
-	}
-	for i := range plan.Partitions {
-		if members := h.ledger.members(i + 1); len(members) == 0 || slices.Contains(members, id) {
-			return false, nil
+	return plan != nil && slices.Contains(retiring, id) && h.ledger.emptied(*plan, id), nil
+}
+
+// emptied returns whether a host is neither to keep any partition nor a member
+// of one. A host that is not a member may join as long as the plan names it.
+func (l *ledgerHosts) emptied(p Plan, id string) bool {
+	for i, x := range p.Partitions {
+		members := l.members(i + 1)
+		if len(members) == 0 || slices.Contains(members, id) || slices.Contains(x.Members, id) {
+			return false
 		}
 	}
-	return true, nil
+	return true
 }
