control: the first frame after the proof of the key may be large

Cause: the reader took the bound of the next frame before the request with the proof, which runs beside it, was handled. A first frame of over 4 KiB, such as a turn with its input, then closed the connection.

--- a/control/conn.go
+++ b/control/conn.go
@@ -47,7 +47,7 @@
 // handler takes the frames that are not responses, one at a time.
 type handler interface {
 	handle(c *conn, f frame)
-	// limit returns the most bytes of the next frame.
+	// limit returns the most bytes of a frame that begins.
 	limit() uint64
 }
 
@@ -86,7 +86,7 @@
 	defer c.abort()
 	r := bufio.NewReaderSize(c.net, readBuffer)
 	for {
-		f, err := readFrame(r, h.limit())
+		f, err := readFrame(r, h.limit)
 		if err != nil {
 			return
 		}
--- a/control/conn_test.go
+++ b/control/conn_test.go
@@ -103,7 +103,7 @@
 	c := newConn(here, rejectRequests{})
 	read := make(chan frame)
 	go func() {
-		f, err := readFrame(bufio.NewReader(there), maxFrameBytes)
+		f, err := readFrame(bufio.NewReader(there), func() uint64 { return maxFrameBytes })
 		if err != nil {
 			f.Method = err.Error()
 		}
@@ -123,13 +123,26 @@
 	f.Add(good)
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r, err := readFrame(bufio.NewReader(bytes.NewReader(data)), maxHelloBytes)
+		r, err := readFrame(bufio.NewReader(bytes.NewReader(data)), func() uint64 { return maxHelloBytes })
 		if err != nil {
 			return
 		}
 		again, err := appendFrame(nil, r)
 		assert.NilError(t, err)
-		_, err = readFrame(bufio.NewReader(bytes.NewReader(again)), 2*maxHelloBytes)
+		_, err = readFrame(bufio.NewReader(bytes.NewReader(again)), func() uint64 { return 2 * maxHelloBytes })
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against a connection that is closed because its first frame after the
+// proof of the key is large: the bound from before the proof was still in force.
+func TestFirstFrameAfterTheProofIsLarge(t *testing.T) {
+	_, p := testServer(t, "a key for the tests")
+	text := strings.Repeat("x", 10*maxHelloBytes)
+	for range 50 {
+		var got string
+		assert.NilError(t, p.Call(t.Context(), "echo", text, &got))
+		assert.Equal(t, got, text)
+		p.Reset()
+	}
+}
--- a/control/frame.go
+++ b/control/frame.go
@@ -51,14 +51,15 @@
 	return append(b, data...), nil
 }
 
-// readFrame reads a frame of at most so many bytes.
-func readFrame(r *bufio.Reader, limit uint64) (frame, error) {
+// readFrame reads a frame. The limit of its bytes is asked for once the frame
+// begins: the proof of the key may have been checked since the one before.
+func readFrame(r *bufio.Reader, limit func() uint64) (frame, error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return frame{}, err
 	}
-	if size > limit {
-		return frame{}, fmt.Errorf("frame of %d bytes, at most %d are allowed", size, limit)
+	if most := limit(); size > most {
+		return frame{}, fmt.Errorf("frame of %d bytes, at most %d are allowed", size, most)
 	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
