cluster: transfer changes of the routing table in parts

What callers saw: requests were served by an old routing table seconds after a newer one was acknowledged, and new routes got 404.

Cause: every entry host fetched the whole table, in one response with a timeout of 600 ms, from all five control hosts at once. With 3,700 routes that is 3 MB for each change. On a link of 21 Mbit/s all fetches timed out, were discarded and started again. The class of fault is a transfer that grows, with a fixed timeout and without progress that survives a failure.

Change: an entry host fetches one update at a time, as the difference from its version (route.Diff), in parts of 32 KiB. Parts are kept over failures, other control hosts can continue, timeouts grow, and an update that has begun is completed. The decisions are in tableFetch and tableUpdates, without sockets and clocks.

Before: TestLargeTableOnSlowOrBreakingConnections times out in both cases; TestSmallChangeOfLargeTable reads 602,830 bytes for a change of one route and 302,325 for the table. Both pass now.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -146,7 +146,7 @@
 	control.Handle(h.server, methodReplica, h.replicaMessage)
 	control.Handle(h.server, methodGossip, h.receiveGossip)
 	control.Handle(h.server, methodSync, h.sync)
-	control.Handle(h.server, methodTable, h.sendTable)
+	control.Handle(h.server, methodTable, h.sendTablePart)
 	h.server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -335,9 +335,8 @@
 	return out, nil
 }
 
-func (h *Host) sendTable(context.Context, string, struct{}) (tableResponse, error) {
-	t, _, _ := h.state.routingTable()
-	return tableResponse{Table: t}, nil
+func (h *Host) sendTablePart(_ context.Context, _ string, r tablePartRequest) (tablePartResponse, error) {
+	return h.state.updates.part(r)
 }
 
 // requireLeader returns an error unless this host leads the log group.
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -22,9 +22,12 @@
 	// loadInterval is the delay between two polls of the control host that
 	// supplies the aggregated load of all entry hosts.
 	loadInterval = 250 * time.Millisecond
-	// syncTimeout bounds one poll, and one fetch of the routing table. After a
-	// failed poll, the connection is dropped.
+	// syncTimeout bounds one poll. After a failed poll, the connection is
+	// dropped.
 	syncTimeout = 600 * time.Millisecond
+	// tableRetryDelay is the delay after a failed request for a part of the
+	// routing table.
+	tableRetryDelay = 50 * time.Millisecond
 	// initialRetryDelay is the initial delay between polls of a control host
 	// that does not answer. The delay doubles up to syncInterval. The timeout of
 	// such a poll is initialTimeout plus the delay, at most syncTimeout. It is
@@ -78,8 +81,9 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 
-	index  atomic.Pointer[route.Index] // routing table in force
-	ledger atomic.Pointer[LedgerView]
+	index        atomic.Pointer[route.Index] // routing table in force
+	ledger       atomic.Pointer[LedgerView]
+	tableOffered chan struct{} // signals that a control host has a newer table
 
 	mu          sync.Mutex
 	observer    Observer
@@ -89,6 +93,7 @@
 	leaders     map[int]partitionLeader
 	ledgerHosts map[string]*control.Peer // by id
 	loadSource  string                   // id of the control host that supplies the aggregated load
+	tableFetch  *tableFetch
 }
 
 // controlHost is the state of one control host.
@@ -111,6 +116,7 @@
 	return &Link{
 		config: c, logger: logger, ctx: ctx, cancel: cancel,
 		hosts: map[string]*controlHost{}, ledgerHosts: map[string]*control.Peer{}, leaders: map[int]partitionLeader{}, seeds: c.Seeds, view: registry.NewView(),
+		tableFetch: newTableFetch(c.ID), tableOffered: make(chan struct{}, 1),
 	}
 }
 
@@ -121,8 +127,10 @@
 	defer l.mu.Unlock()
 	l.observer = o
 	l.addHosts(l.seeds)
-	l.wait.Add(1)
-	go l.expireHosts()
+	l.wait.Go(l.expireHosts)
+	if l.config.LedgerHostReport == nil {
+		l.wait.Go(l.fetchTables)
+	}
 }
 
 // Close closes the connections and waits for all goroutines.
@@ -174,7 +182,6 @@
 // expireHosts periodically removes the control hosts that have neither answered
 // nor been listed for linkHostTTL. Seeds count as listed.
 func (l *Link) expireHosts() {
-	defer l.wait.Done()
 	for pause.For(l.ctx, linkHostTTL/10) {
 		l.mu.Lock()
 		l.addHosts(l.seeds)
@@ -183,6 +190,7 @@
 				h.cancel()
 				delete(l.hosts, id)
 				l.view.RemoveSource(id)
+				l.tableFetch.withdraw(id)
 			}
 		}
 		l.mu.Unlock()
@@ -246,24 +254,15 @@
 		l.markUnreachable(h, err)
 		return false
 	}
-	if l.config.LedgerHostReport == nil && out.TableVersion > l.tableVersion() {
-		l.fetchTable(ctx, h)
-	}
 	l.applyResponse(h, out, wantLoad)
 	return true
 }
 
-func (l *Link) tableVersion() int64 {
-	if x := l.index.Load(); x != nil {
-		return x.Version()
-	}
-	return 0
-}
-
 func (l *Link) markUnreachable(h *controlHost, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h.responsive = false
+	l.tableFetch.withdraw(h.id)
 	if !h.warned && l.ctx.Err() == nil {
 		l.logger.Warn("control host unreachable", zap.String("control-host", h.id), zap.Error(err))
 		h.warned = true
@@ -273,24 +272,65 @@
 	}
 }
 
-func (l *Link) fetchTable(ctx context.Context, h *controlHost) {
-	attempt, cancel := context.WithTimeout(ctx, syncTimeout)
+// fetchTables fetches the updates of the routing table, one at a time: parallel
+// transfers of the same update would share the bandwidth of this host.
+func (l *Link) fetchTables() {
+	for {
+		if l.fetchTablePart() {
+			continue
+		}
+		select {
+		case <-l.tableOffered:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// fetchTablePart requests the next part of an update, and returns false if
+// there is nothing to fetch.
+func (l *Link) fetchTablePart() bool {
+	l.mu.Lock()
+	id, r, ok := l.tableFetch.next()
+	h, timeout := l.hosts[id], l.tableFetch.timeout()
+	l.mu.Unlock()
+	if !ok || h == nil || l.ctx.Err() != nil {
+		return false
+	}
+	attempt, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
-	var out tableResponse
-	if err := h.Call(attempt, methodTable, struct{}{}, &out); err != nil || out.Table == nil {
-		l.logger.Warn("routing table fetch failed", zap.String("control-host", h.id), zap.Error(err))
-		return
+	var out tablePartResponse
+	err := h.Call(attempt, methodTable, r, &out)
+	if err == nil {
+		err = l.receiveTablePart(h, out)
+	} else {
+		l.mu.Lock()
+		l.tableFetch.failed(id)
+		l.mu.Unlock()
+	}
+	if err != nil && l.ctx.Err() == nil {
+		l.logger.Warn("routing table fetch failed", zap.String("control-host", id), zap.Int64("base", r.Base), zap.Int("offset", r.Offset),
+			zap.Duration("timeout", timeout), zap.Error(err))
+		pause.For(l.ctx, tableRetryDelay)
 	}
-	x := route.NewIndex(out.Table)
+	return true
+}
+
+// receiveTablePart records a part and puts the table in force once it is
+// complete.
+func (l *Link) receiveTablePart(h *controlHost, p tablePartResponse) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if x.Version() <= l.tableVersion() {
-		return
+	t, err := l.tableFetch.receive(h.id, p)
+	if t == nil {
+		return err
 	}
+	x := route.NewIndex(t)
 	l.index.Store(x)
 	l.logger.Info("routing table in force", zap.Int64("version", x.Version()), zap.String("control-host", h.id),
-		zap.Int("routes", len(out.Table.Routes)))
+		zap.Int("routes", len(t.Routes)), zap.Int("bytes", p.Size))
 	l.observer.Routes(x)
+	return nil
 }
 
 // applyResponse records the response of a control host and notifies the
@@ -314,6 +354,12 @@
 	if l.config.LedgerHostReport != nil {
 		return
 	}
+	if l.tableFetch.offer(h.id, r.TableVersion, h.dataCentre == l.config.DataCentre) {
+		select {
+		case l.tableOffered <- struct{}{}:
+		default:
+		}
+	}
 	if full || len(r.Changes) > 0 {
 		l.view.Update(h.id, full, r.Changes)
 		l.observer.Servers(l.view.Servers())
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -14,7 +14,7 @@
 	methodReplica = "replica-message" // between replicas of a log, one way
 	methodGossip  = "gossip"          // between control hosts, one way
 	methodSync    = "sync"            // entry or ledger host to control host
-	methodTable   = "table"           // entry host to control host
+	methodTable   = "table-part"      // entry host to control host
 	methodReserve = "reserve-turn"    // entry host to the leader of a partition
 	methodSettle  = "settle-turn"     // entry host to the leader of a partition
 	methodExtend  = "extend-turn"     // entry host to the leader of a partition
@@ -101,8 +101,24 @@
 	Leaders []PartitionReport `json:"leaders,omitempty"` // without members
 }
 
-type tableResponse struct {
-	Table *route.Table `json:"table"`
+// tablePartRequest requests a part of an update of the routing table.
+type tablePartRequest struct {
+	Base int64 `json:"base,omitempty"` // version that the sender has, or 0
+	// Update and Version are the id and the version of the update to continue at
+	// Offset, or 0 to start an update to the newest version.
+	Update  uint64 `json:"update,omitempty"`
+	Version int64  `json:"version,omitempty"`
+	Offset  int    `json:"offset,omitempty"` // in bytes
+}
+
+// tablePartResponse carries a part of an encoded route.Delta. Its Offset is 0
+// if the requested update cannot be continued. Update is 0 without a table.
+type tablePartResponse struct {
+	Update  uint64 `json:"update"` // checksum of the whole update
+	Version int64  `json:"version"`
+	Size    int    `json:"size"` // of the whole update, in bytes
+	Offset  int    `json:"offset,omitempty"`
+	Data    []byte `json:"data,omitempty"`
 }
 
 type reserveRequest struct {
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -32,12 +32,16 @@
 // controlState is the state machine of the control hosts' log: the
 // configuration tree.
 type controlState struct {
+	updates *tableUpdates
+
 	mu    sync.RWMutex
 	tree  *tree.StateMachine
 	table *route.Table // parsed from the tree; nil without one
 }
 
-func newControlState() *controlState { return &controlState{tree: tree.New()} }
+func newControlState() *controlState {
+	return &controlState{tree: tree.New(), updates: &tableUpdates{}}
+}
 
 // Apply implements replica.StateMachine.
 func (s *controlState) Apply(_ uint64, unixMillis int64, data []byte) []byte {
@@ -65,6 +69,7 @@
 		panic(fmt.Sprintf("decode routing table from the log: %v", err))
 	}
 	s.table = t
+	s.updates.set(t)
 }
 
 func (s *controlState) lookup(path string) (tree.Entry, bool) {
