cluster: accept every table that the operator's API accepts

What callers saw: routes of a valid configuration got 404, since the control hosts refused it with 400.

Cause: the operator's API takes 4 MiB, the tree refused values above 1 MiB. The limit is meant for single settings; a routing table is one value.

Change: tree.WithMaxValueBytes; control hosts allow 16 MiB. Before, TestLargestTableIsAccepted fails with "bad-request: writes[0]: path "/routing/table": value of 6074775 bytes, want at most 1048576".

--- a/cluster/slowlink_test.go
+++ b/cluster/slowlink_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/strictjson"
 )
 
 // largeTable returns a table whose encoding has several hundred kilobytes.
@@ -124,3 +126,37 @@
 	put(second)
 	assert.Assert(t, read.Load() < whole/10, "%d bytes for the whole table, %d for the change of one route", whole, read.Load())
 }
+
+// Guards against a configuration within the size limit of the operator's API
+// that the control hosts refuse, and against one that they cannot replicate.
+func TestLargestTableIsAccepted(t *testing.T) {
+	ids := []string{"c1", "c2", "c3"}
+	d := newDeployment(t, ids...)
+	var hosts []*Host
+	for _, id := range ids {
+		hosts = append(hosts, d.startHost(id, ids, ids))
+	}
+	o := &observer{}
+	d.startLink("e1", ids, o)
+	var leader *Host
+	d.await("leader", func(ctx context.Context) bool {
+		for _, h := range hosts {
+			if _, err := h.PutTable(ctx, testSource(1)); err == nil {
+				leader = h
+			}
+		}
+		return leader != nil
+	})
+	table := largeTable(2)
+	for i := range 14 {
+		for _, r := range largeTable(2).Routes {
+			r.Prefix = fmt.Sprint("/copy-", i, r.Prefix)
+			table.Routes = append(table.Routes, r)
+		}
+	}
+	const configBytes = 4 << 20
+	assert.Assert(t, len(strictjson.Encode(table)) > configBytes)
+	_, err := leader.PutTable(t.Context(), Source{Table: table, Text: strictjson.Encode(strings.Repeat("a", configBytes-2))})
+	assert.NilError(t, err)
+	d.await("table received", func(context.Context) bool { return o.check(func() bool { return o.version == 2 }) })
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -29,6 +29,10 @@
 	sourcePath = "/routing/source"
 )
 
+// maxValueBytes bounds the routing table and its source. A configuration of
+// 4 MiB, the largest that operators can send, is smaller in both forms.
+const maxValueBytes = 16 << 20
+
 // controlState is the state machine of the control hosts' log: the
 // configuration tree.
 type controlState struct {
@@ -40,7 +44,7 @@
 }
 
 func newControlState() *controlState {
-	return &controlState{tree: tree.New(), updates: &tableUpdates{}}
+	return &controlState{tree: tree.New(tree.WithMaxValueBytes(maxValueBytes)), updates: &tableUpdates{}}
 }
 
 // Apply implements replica.StateMachine.
--- a/tree/check.go
+++ b/tree/check.go
@@ -10,14 +10,13 @@
 )
 
 const (
-	maxPathBytes  = 512
-	maxIDBytes    = 512
-	maxWrites     = 4_096
-	maxValueBytes = 1 << 20
+	maxPathBytes = 512
+	maxIDBytes   = 512
+	maxWrites    = 4_096
 )
 
 // check validates a change independently of the tree's state.
-func (c *Change) check() error {
+func (c *Change) check(maxValueBytes int) error {
 	if c.ChangeID == "" || len(c.ChangeID) > maxIDBytes {
 		return fmt.Errorf("change-id: %d bytes, want 1 to %d", len(c.ChangeID), maxIDBytes)
 	}
@@ -29,7 +28,7 @@
 	}
 	seen := make(map[string]bool, len(c.Writes))
 	for i, w := range c.Writes {
-		if err := w.check(); err != nil {
+		if err := w.check(maxValueBytes); err != nil {
 			return fmt.Errorf("writes[%d]: %w", i, err)
 		}
 		if seen[w.Path] {
@@ -40,7 +39,7 @@
 	return nil
 }
 
-func (w *Write) check() error {
+func (w *Write) check(maxValueBytes int) error {
 	if err := checkPath(w.Path); err != nil {
 		return err
 	}
--- a/tree/machine.go
+++ b/tree/machine.go
@@ -36,6 +36,7 @@
 type options struct {
 	maxTombstones int
 	maxOutcomes   int
+	maxValueBytes int
 }
 
 // Option configures a StateMachine. All replicas must use the same options.
@@ -53,9 +54,14 @@
 	return func(o *options) { o.maxOutcomes = count }
 }
 
+// WithMaxValueBytes sets the maximum size of a value; the default is 1 MiB.
+func WithMaxValueBytes(bytes int) Option {
+	return func(o *options) { o.maxValueBytes = bytes }
+}
+
 // New returns an empty tree.
 func New(opts ...Option) *StateMachine {
-	o := options{maxTombstones: 8_192, maxOutcomes: 32_768}
+	o := options{maxTombstones: 8_192, maxOutcomes: 32_768, maxValueBytes: 1 << 20}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -99,7 +105,7 @@
 
 // ApplyChange is Apply without the JSON encoding.
 func (m *StateMachine) ApplyChange(unixMillis int64, c Change) Outcome {
-	if err := c.check(); err != nil {
+	if err := c.check(m.options.maxValueBytes); err != nil {
 		return m.refuse(verdict.BadRequest, err.Error())
 	}
 	if path, ok := c.outsideScope(); ok {
