--- a/replica/log.go
+++ b/replica/log.go
@@ -43,6 +43,21 @@
 	return rest[:len(rest):len(rest)]
 }
 
+// countBefore returns the number of entries up to an index, counted backwards,
+// that have at most maxBytes of data together.
+func (l *entryLog) countBefore(index uint64, maxBytes int) uint64 {
+	count := uint64(0)
+	for index > l.base.Index && index <= l.last() {
+		maxBytes -= len(l.entries[index-l.base.Index-1].Data)
+		if maxBytes < 0 {
+			break
+		}
+		count++
+		index--
+	}
+	return count
+}
+
 // between returns the entries with low < index <= high.
 func (l *entryLog) between(low, high uint64) []disk.Entry {
 	a, b := low-l.base.Index, high-l.base.Index
--- a/replica/node.go
+++ b/replica/node.go
@@ -63,6 +63,10 @@
 	chunkBytes         = 256 << 10
 )
 
+// maxKeptBytes bounds the entries before a snapshot that are kept for slow
+// followers. Those that need earlier ones get the snapshot.
+const maxKeptBytes = 8 << 20
+
 // Persist is state that must be on disk before Output.AfterPersist of the same
 // and of later outputs is sent. The fields are written in order.
 type Persist struct {
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -157,11 +157,13 @@
 }
 
 // Compact removes entries covered by a durable local snapshot. It keeps the
-// last keep entries before the snapshot for followers that are slightly behind.
+// last keep entries before the snapshot, up to maxKeptBytes, for followers that
+// are slightly behind.
 func (n *Node) Compact(now Now, info disk.SnapshotInfo, keep uint64) Output {
 	if info.Index > n.snapshot.Index {
 		n.snapshot = info
 	}
+	keep = min(keep, n.log.countBefore(info.Index, maxKeptBytes))
 	if info.Index < keep || info.Index-keep <= n.log.base.Index || info.Index > n.log.stable {
 		return n.takeOutput(now)
 	}
