forward: keep to the limits that backend servers name

What backend servers saw: they named the requests per second that they take from all hosts, and got several times as many.

Cause: nothing read Server-Limit; it was passed on to callers. A limit for each host alone would not have helped: with 100 hosts and 3 requests a second, it is either exceeded or leaves each host a request in 33 s.

Change: entry hosts report the limits that they see with their polls, and learn those that others see. A call that is placed on a limited server asks the leader of the control hosts for a permit; without one, it is placed elsewhere and the host pauses the server for the wait that the leader returned. The leader keeps a token bucket for each server (permits), which starts empty after a change of the leader. The latest response decides whether a limit holds (Limits).

Before: without the check in submit, TestServeKeepsToServerLimit fails with 31 requests instead of 1 and 4.

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -132,6 +132,7 @@
 	servers     map[string]registry.Entry
 	inFlight    map[string]int
 	ownInFlight map[string]int
+	limits      []ServerLimit
 }
 
 func (o *observer) Routes(x *route.Index) {
@@ -154,7 +155,17 @@
 
 func (o *observer) Suspects([]Suspect) {}
 
-func (o *observer) Report() (map[string]int, []Suspect) { return o.ownInFlight, nil }
+func (o *observer) Limits(list []ServerLimit) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits = list
+}
+
+func (o *observer) Report() HostReport {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return HostReport{InFlight: o.ownInFlight, Limits: o.limits}
+}
 
 func (o *observer) check(f func() bool) bool {
 	o.mu.Lock()
--- a/cluster/host.go
+++ b/cluster/host.go
@@ -115,6 +115,8 @@
 	registry      *registry.Table
 	loads         *loads
 	ledgerHosts   *ledgerHosts
+	limits        *Limits
+	permits       *permits
 	pendingGossip map[string]registry.Entry // sent with the next gossip message
 	lastSeen      map[string]time.Duration  // time of the last message, by id of another control host
 	seeds         []string
@@ -128,7 +130,8 @@
 func StartHost(c HostConfig, listener net.Listener, logger *zap.Logger, opts ...replica.Option) (*Host, error) {
 	h := &Host{
 		config: c.withDefaults(), logger: logger, state: newControlState(), started: time.Now(), incarnation: rand.Uint64(),
-		registry: registry.New(), loads: newLoads(), ledgerHosts: newLedgerHosts(), pendingGossip: map[string]registry.Entry{},
+		registry: registry.New(), loads: newLoads(), ledgerHosts: newLedgerHosts(), limits: NewLimits(),
+		permits: newPermits(rand.NewPCG(rand.Uint64(), rand.Uint64())), pendingGossip: map[string]registry.Entry{},
 		lastSeen: map[string]time.Duration{}, seeds: c.Seeds,
 	}
 	h.mesh = newMesh(c.peer)
@@ -147,6 +150,7 @@
 	control.Handle(h.server, methodGossip, h.receiveGossip)
 	control.Handle(h.server, methodSync, h.sync)
 	control.Handle(h.server, methodTable, h.sendTablePart)
+	control.Handle(h.server, methodPermit, h.permit)
 	h.server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -199,6 +203,8 @@
 	h.registry.Expire(now)
 	h.loads.expire(now)
 	h.ledgerHosts.expire(now)
+	h.limits.Expire(now)
+	h.permits.expire(now)
 	maps.DeleteFunc(h.lastSeen, func(_ string, at time.Duration) bool { return now-at > controlHostTTL })
 	entries := slices.Collect(maps.Values(h.pendingGossip))
 	clear(h.pendingGossip)
@@ -310,6 +316,7 @@
 		h.ledgerHosts.report(now, r.Host, *r.LedgerHost)
 	} else {
 		h.loads.report(now, &r)
+		h.observeLimits(now, r.Limits)
 	}
 	out := syncResponse{
 		Ledger: h.ledgerHosts.view(),
@@ -329,12 +336,41 @@
 		since = 0
 	}
 	out.Changes = h.registry.Since(since)
+	out.Limits = h.limits.Recent(now, MaxLimitReportAge)
 	if r.WantInFlight {
 		out.InFlight = h.loads.remoteInFlight(now, r.Host)
 	}
 	return out, nil
 }
 
+// observeLimits records the limits that a host has observed. The caller holds
+// h.mu.
+func (h *Host) observeLimits(now time.Duration, list []ServerLimit) {
+	for _, o := range list {
+		before := h.limits.Get(now, o.Server, o.StartedAt).PerSecond
+		h.limits.Observe(now, o)
+		if after := h.limits.Get(now, o.Server, o.StartedAt).PerSecond; (after > 0) != (before > 0) {
+			h.logger.Info("backend server limit changed", zap.String("server", o.Server), zap.Int64("born", o.StartedAt), zap.Float64("per-second", after))
+		}
+	}
+}
+
+// permit handles the request of an entry host to send to a limited server.
+func (h *Host) permit(_ context.Context, _ string, r permitRequest) (permitResponse, error) {
+	if err := h.requireLeader(); err != nil {
+		return permitResponse{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.observeLimits(now, []ServerLimit{r.ServerLimit})
+	perSecond := h.limits.Get(now, r.Server, r.StartedAt).PerSecond
+	if perSecond == 0 {
+		return permitResponse{}, nil
+	}
+	return permitResponse{Wait: h.permits.request(now, r.Host, r.Server, r.StartedAt, perSecond)}, nil
+}
+
 func (h *Host) sendTablePart(_ context.Context, _ string, r tablePartRequest) (tablePartResponse, error) {
 	return h.state.updates.part(r)
 }
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -54,9 +54,21 @@
 	// Suspects is called with the requests that were in flight on servers when
 	// they crashed.
 	Suspects(s []Suspect)
-	// Report returns the in-flight requests of this host by server, and the
-	// requests that were in flight on servers whose crash it detected.
-	Report() (inFlight map[string]int, s []Suspect)
+	// Limits is called with the limits of backend servers that any host has
+	// observed recently.
+	Limits(limits []ServerLimit)
+	// Report returns the state of this host.
+	Report() HostReport
+}
+
+// HostReport is the state that an entry host reports to the control hosts.
+type HostReport struct {
+	InFlight map[string]int // in-flight requests by server
+	// Suspects are requests that were in flight on servers whose crash this host
+	// detected.
+	Suspects []Suspect
+	// Limits are the limits of backend servers that this host has observed.
+	Limits []ServerLimit
 }
 
 // LinkConfig configures a Link.
@@ -85,15 +97,16 @@
 	ledger       atomic.Pointer[LedgerView]
 	tableOffered chan struct{} // signals that a control host has a newer table
 
-	mu          sync.Mutex
-	observer    Observer
-	hosts       map[string]*controlHost
-	seeds       []string
-	view        *registry.View
-	leaders     map[int]partitionLeader
-	ledgerHosts map[string]*control.Peer // by id
-	loadSource  string                   // id of the control host that supplies the aggregated load
-	tableFetch  *tableFetch
+	mu            sync.Mutex
+	observer      Observer
+	hosts         map[string]*controlHost
+	seeds         []string
+	view          *registry.View
+	leaders       map[int]partitionLeader
+	ledgerHosts   map[string]*control.Peer // by id
+	loadSource    string                   // id of the control host that supplies the aggregated load
+	tableFetch    *tableFetch
+	controlLeader partitionLeader // of the control hosts' log
 }
 
 // controlHost is the state of one control host.
@@ -244,7 +257,8 @@
 	if l.config.LedgerHostReport != nil {
 		r.LedgerHost = l.config.LedgerHostReport()
 	} else {
-		r.InFlight, r.Suspects = l.observer.Report()
+		report := l.observer.Report()
+		r.InFlight, r.Suspects, r.Limits = report.InFlight, report.Suspects, report.Limits
 	}
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
@@ -350,6 +364,9 @@
 		h.dataCentre == l.config.DataCentre && l.hosts[l.loadSource].dataCentre != l.config.DataCentre {
 		l.loadSource = h.id
 	}
+	if r.Leader != "" && r.Term >= l.controlLeader.term {
+		l.controlLeader = partitionLeader{r.Leader, r.Term}
+	}
 	l.applyLedgerView(r.Ledger)
 	if l.config.LedgerHostReport != nil {
 		return
@@ -370,4 +387,36 @@
 	if len(r.Suspects) > 0 {
 		l.observer.Suspects(r.Suspects)
 	}
+	if len(r.Limits) > 0 {
+		l.observer.Limits(r.Limits)
+	}
+}
+
+const (
+	// permitTimeout bounds the request for a permit; the call waits for it.
+	permitTimeout = 250 * time.Millisecond
+	// permitRetryDelay is the wait after a request for a permit has failed.
+	permitRetryDelay = 200 * time.Millisecond
+)
+
+// Permit asks the leader of the control hosts for a permit to send one request
+// to a limited server. It returns 0 if the request may be sent now, or else the
+// time after which to ask again.
+func (l *Link) Permit(ctx context.Context, o ServerLimit) time.Duration {
+	l.mu.Lock()
+	h := l.hosts[l.controlLeader.id]
+	l.mu.Unlock()
+	if h == nil {
+		return permitRetryDelay
+	}
+	attempt, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var out permitResponse
+	if err := h.Call(attempt, methodPermit, permitRequest{Host: l.config.ID, ServerLimit: o}, &out); err != nil {
+		if ctx.Err() == nil {
+			l.logger.Warn("permit request failed", zap.String("server", o.Server), zap.String("control-host", h.id), zap.Error(err))
+		}
+		return permitRetryDelay
+	}
+	return out.Wait
 }
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/registry"
@@ -18,6 +19,7 @@
 	methodReserve = "reserve-turn"    // entry host to the leader of a partition
 	methodSettle  = "settle-turn"     // entry host to the leader of a partition
 	methodExtend  = "extend-turn"     // entry host to the leader of a partition
+	methodPermit  = "permit"          // entry host to the leader of the control hosts
 )
 
 // gossip is a message by which a control host forwards announcements and
@@ -45,6 +47,9 @@
 	InFlight map[string]int `json:"runs,omitempty"`
 	// Suspects are requests that were in flight on a server when it crashed.
 	Suspects []Suspect `json:"suspects,omitempty"`
+	// Limits are the limits of backend servers that this host has observed
+	// recently.
+	Limits []ServerLimit `json:"limits,omitempty"`
 	// WantInFlight requests the in-flight counts of all other entry hosts.
 	WantInFlight bool `json:"want-runs,omitempty"`
 }
@@ -72,6 +77,21 @@
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
 	Suspects []Suspect      `json:"suspects,omitempty"`
+	// Limits are the limits of backend servers that any host has observed
+	// recently.
+	Limits []ServerLimit `json:"limits,omitempty"`
+}
+
+// permitRequest requests a permit to send one request to a limited server.
+type permitRequest struct {
+	Host string `json:"host"`
+	ServerLimit
+}
+
+type permitResponse struct {
+	// Wait is 0 if the request may be sent now, or else the time after which to
+	// ask again.
+	Wait time.Duration `json:"wait,omitempty"`
 }
 
 // LedgerHostReport is the state that a ledger host reports to control hosts.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,7 +49,7 @@
 		request.Affinity, request.LastServer = 0, ""
 	}
 	r.attempts++
-	a, err := r.queue.Submit(ctx, request)
+	a, err := r.submit(ctx, &request)
 	if err != nil {
 		return target{}, a, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
 			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
@@ -62,6 +62,33 @@
 	return target{id: request.ID, server: a.Server, address: address}, a, nil
 }
 
+// submit waits for the assignment of a server, and for a permit if the server is
+// limited.
+func (r *execution) submit(ctx context.Context, request *schedule.Request) (schedule.Assignment, error) {
+	for {
+		a, err := r.queue.Submit(ctx, *request)
+		if err != nil || r.permits == nil {
+			return a, err
+		}
+		limit := r.view.limit(a.Server)
+		if limit.PerSecond == 0 {
+			return a, nil
+		}
+		wait := r.permits.Permit(ctx, limit)
+		if wait == 0 {
+			return a, nil
+		}
+		r.metrics.permitRefused()
+		r.logger.Info("server limited", zap.String("request", r.call.ID), zap.String("server", a.Server),
+			zap.Float64("per-second", limit.PerSecond), zap.Duration("limit-age", limit.Age), zap.Duration("wait", wait))
+		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+			s.PauseServer(now, a.Server, now+wait)
+			s.Finished(now, a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
+		})
+		request.ID.Call = int(r.requestSerial.Add(1))
+	}
+}
+
 // program returns the id of the program to which the scheduler attributes the
 // call: that of the call itself if it belongs to no program.
 func (r *execution) program() string {
@@ -105,6 +132,9 @@
 	}
 	reply := r.protocol.Reply(r.call, resp)
 	backend.SetKeepAlive(resp, reply.KeepAlive)
+	if reply.Limit > 0 || reply.Signed {
+		r.view.observeLimit(t.server, reply.Limit)
+	}
 	switch {
 	case reply.WrongServer:
 		discard(resp)
--- a/forward/call.go
+++ b/forward/call.go
@@ -69,6 +69,9 @@
 	WrongServer bool
 	// Signed is true if the response has the server's signature.
 	Signed bool
+	// Limit is the number of requests per second that the server takes from all
+	// hosts together, or 0 if the response names none.
+	Limit float64
 	// KeepAlive is the idle timeout that the server announces for the connection,
 	// or 0 if it announces none.
 	KeepAlive time.Duration
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -64,10 +64,19 @@
 	Settle(ctx context.Context, t ledger.SettleTurn) error
 }
 
+// Permits hands out permits to send requests to backend servers that take a
+// limited number of requests per second.
+type Permits interface {
+	// Permit returns 0 if one request may be sent to the server now, or else the
+	// time after which to ask again.
+	Permit(ctx context.Context, limit cluster.ServerLimit) time.Duration
+}
+
 // Forwarder forwards calls to backend servers. It is safe for concurrent use.
 type Forwarder struct {
 	protocol      Protocol
 	turns         Turns
+	permits       Permits // nil to ignore limits
 	logger        *zap.Logger
 	clock         dispatch.Clock
 	queue         *dispatch.Queue
@@ -92,6 +101,7 @@
 	dial       backend.Dial
 	metrics    tally.Scope
 	logger     *zap.Logger
+	permits    Permits
 	scheduler  []schedule.Option
 }
 
@@ -102,6 +112,10 @@
 // WithLogger sets the logger. By default, nothing is logged.
 func WithLogger(l *zap.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithPermits sets the source of permits for limited servers. By default, limits
+// are ignored.
+func WithPermits(p Permits) Option { return func(o *options) { o.permits = p } }
+
 // WithMetrics sets the metrics scope. By default, no metrics are reported.
 func WithMetrics(s tally.Scope) Option { return func(o *options) { o.metrics = s } }
 
@@ -129,7 +143,7 @@
 	scheduler := schedule.New(rand.NewPCG(rand.Uint64(), rand.Uint64()), o.scheduler...)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{
-		protocol: p, turns: t, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
+		protocol: p, turns: t, permits: o.permits, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
 		chains: newChainCache(o.chainBytes), metrics: newCallMetrics(o.metrics), bodies: semaphore.NewWeighted(o.bodyBytes),
 	}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -42,6 +42,7 @@
 	return Reply{
 		Matches: id == "" || id == c.ID, NotRun: r.Header.Get("Not-Run") != "",
 		WrongServer: r.StatusCode == http.StatusMisdirectedRequest, Signed: r.Header.Get("Signed") != "",
+		Limit: float64(len(r.Header.Values("Limit"))),
 	}
 }
 
@@ -183,16 +184,39 @@
 	t         *testing.T
 	forwarder *Forwarder
 	turns     *testTurns
+	permits   testPermits
+}
+
+// testPermits hands out a number of permits for all servers together.
+type testPermits struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (p *testPermits) Permit(context.Context, cluster.ServerLimit) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left == 0 {
+		return 10 * time.Millisecond
+	}
+	p.left--
+	return 0
 }
 
 func newFixture(t *testing.T, servers ...*server) *fixture {
 	t.Helper()
 	f := &fixture{t: t, turns: &testTurns{ledger: ledger.New()}}
-	f.forwarder = New(testProtocol{}, f.turns)
+	f.forwarder = New(testProtocol{}, f.turns, WithPermits(&f.permits))
 	t.Cleanup(f.forwarder.Close)
 	f.forwarder.View().Routes(route.NewIndex(&route.Table{Version: 1, Services: []route.Service{
 		{Name: "engine", Engine: &route.Engine{Slots: 4, CacheTokens: 1000, TokensPerEvent: 10}}, {Name: "plain"},
 	}}))
+	f.setServers(servers...)
+	return f
+}
+
+// setServers replaces the backend servers. Each one belongs to both services.
+func (f *fixture) setServers(servers ...*server) {
 	entries := map[string]registry.Entry{}
 	for i, s := range servers {
 		for _, service := range []string{"engine", "plain"} {
@@ -201,7 +225,6 @@
 		}
 	}
 	f.forwarder.View().Servers(entries)
-	return f
 }
 
 func (f *fixture) call(id string, r *route.Route) *Call {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -50,6 +50,9 @@
 	m.scope.Tagged(map[string]string{"verdict": e.Verdict().String(), "reason": string(e.Reason())}).Counter("attempts-failed").Inc(1)
 }
 
+// permitRefused counts an assignment to a limited server that is not used.
+func (m *callMetrics) permitRefused() { m.scope.Counter("permits-refused").Inc(1) }
+
 // deploymentGauges updates the gauges of this host's view of the deployment.
 func (m *callMetrics) deploymentGauges(version int64, servers, hosts int) {
 	m.scope.Gauge("table-version").Update(float64(version))
--- a/forward/view.go
+++ b/forward/view.go
@@ -48,6 +48,7 @@
 	excluded map[string]exclusion // servers that are not used at present, by id
 	crashed  map[uint64]*crash    // crashes that this host has detected, by fingerprint of the request
 	suspects map[uint64][]string  // crashed servers, as reported by any host, by fingerprint of the request
+	limits   *cluster.Limits
 }
 
 // exclusion excludes an incarnation of a server until a time.
@@ -66,7 +67,7 @@
 func newView(f *Forwarder) *View {
 	return &View{
 		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusion{}, crashed: map[uint64]*crash{},
-		suspects: map[uint64][]string{},
+		suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
 	}
 }
 
@@ -198,7 +199,7 @@
 }
 
 // Report implements cluster.Observer.
-func (view *View) Report() (map[string]int, []cluster.Suspect) {
+func (view *View) Report() cluster.HostReport {
 	var inFlight map[string]int
 	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight = s.InFlight() })
 	view.mu.Lock()
@@ -211,7 +212,35 @@
 		}
 		list = append(list, cluster.Suspect{Fingerprint: f, Servers: c.servers})
 	}
-	return inFlight, list
+	now := view.forwarder.clock()
+	view.limits.Expire(now)
+	return cluster.HostReport{InFlight: inFlight, Suspects: list, Limits: view.limits.Recent(now, cluster.MaxLimitReportAge)}
+}
+
+// Limits implements cluster.Observer.
+func (view *View) Limits(list []cluster.ServerLimit) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	for _, o := range list {
+		view.limits.Observe(view.forwarder.clock(), o)
+	}
+}
+
+// observeLimit records the limit that a server has named in a response, or 0 if
+// it named none.
+func (view *View) observeLimit(server string, perSecond float64) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	if e, ok := view.servers[server]; ok {
+		view.limits.Observe(view.forwarder.clock(), cluster.ServerLimit{Server: server, StartedAt: e.StartedAt, PerSecond: perSecond})
+	}
+}
+
+// limit returns the limit of a server, which is 0 if it has none.
+func (view *View) limit(server string) cluster.ServerLimit {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.limits.Get(view.forwarder.clock(), server, view.servers[server].StartedAt)
 }
 
 // crashes returns the number of servers that have crashed while the request was
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -60,7 +60,7 @@
 // no free slot, since the wait may be shorter than the prefill elsewhere.
 func (l *selection) considerLast(s *Scheduler) {
 	c, v := l.call, l.call.lastServer
-	if v == nil || !v.available() || v.speed.slow || s.now < v.speed.backoffUntil || v.membershipOf(c.pool) == nil {
+	if v == nil || !v.available() || v.speed.slow || s.now < v.speed.backoffUntil || s.now < v.pausedUntil || v.membershipOf(c.pool) == nil {
 		return
 	}
 	excess := float64(v.inFlight - s.limit(v) + 1)
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -17,6 +17,7 @@
 	runs           []*call // calls with a run on this server
 	inFlight       int     // runs of this host
 	removed        bool
+	pausedUntil    time.Duration
 	monitoredIndex int // index in Scheduler.monitored, or -1
 
 	// remoteInFlight is the estimated number of runs of the other entry hosts.
@@ -117,7 +118,7 @@
 // updateEligibility updates the eligibility of a server in its pools after a
 // change of its state.
 func (s *Scheduler) updateEligibility(v *server) {
-	eligible := v.available() && v.inFlight < s.limit(v) && v.speed.mayStartRun(s.now, v.inFlight)
+	eligible := v.available() && s.now >= v.pausedUntil && v.inFlight < s.limit(v) && v.speed.mayStartRun(s.now, v.inFlight)
 	for i := range v.pools {
 		v.setEligible(i, eligible)
 	}
@@ -135,7 +136,7 @@
 	} else if v.equal(&n) {
 		return
 	} else if v.Incarnation != n.Incarnation {
-		v.speed, v.cache, v.remoteInFlight = newSpeed(s.thresholds), cacheEstimate{}, 0
+		v.speed, v.cache, v.remoteInFlight, v.pausedUntil = newSpeed(s.thresholds), cacheEstimate{}, 0, 0
 	}
 	s.slots += n.modelSlots() - v.modelSlots()
 	v.Server = n
@@ -165,6 +166,16 @@
 	return v.Slots
 }
 
+// PauseServer keeps new runs from a server until a given time.
+func (s *Scheduler) PauseServer(now time.Duration, id string, until time.Duration) {
+	s.advance(now)
+	if v := s.servers[id]; v != nil {
+		v.pausedUntil = until
+		s.updateEligibility(v)
+		s.updateMonitored(v)
+	}
+}
+
 // RemoveServer removes a server. The driver still reports the end of its runs
 // with Finished.
 func (s *Scheduler) RemoveServer(now time.Duration, id string) {
@@ -212,9 +223,9 @@
 }
 
 // updateMonitored updates the list of servers that the periodic check visits:
-// those with runs, and those that are slow, recovering or failing.
+// those with runs, and those that are slow, recovering, failing or paused.
 func (s *Scheduler) updateMonitored(v *server) {
-	busy := len(v.runs) > 0 || v.speed.limited()
+	busy := len(v.runs) > 0 || v.speed.limited() || s.now < v.pausedUntil
 	switch {
 	case busy && v.monitoredIndex < 0:
 		v.monitoredIndex = len(s.monitored)
