backend: bound the head of a response

What callers would see: an entry host that ends because a server sends bytes that are no response, in a head, without end.

Cause: http.ReadResponse reads a head of any size; only the request's deadline ended it. At the speed of a host's link that is more memory than it has.

Change: Pool counts the bytes of a head, up to 256 KiB (headLimiter).

Endless informational and other responses were bounded before.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -32,6 +32,8 @@
 	maxUnmatchedResponses = 4
 	// maxUnmatchedBytes bounds the body of a response to another request.
 	maxUnmatchedBytes = 1 << 20
+	// maxHeadBytes bounds the bytes read for the head of a response.
+	maxHeadBytes = 256 << 10
 	// maxInlineBody is the largest body that Do writes before it waits for the
 	// response. Such a body fits into the buffers of the connection; a larger
 	// one is written by another goroutine, since the server may respond first.
@@ -124,12 +126,36 @@
 	delete(p.idle, address)
 }
 
+// errHeadTooLarge is the cause of an error if the head of a response exceeds
+// maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("response head exceeds %d bytes", maxHeadBytes)
+
+// headLimiter limits the bytes read from a connection, since http.ReadResponse
+// does not limit the size of a head.
+type headLimiter struct {
+	reader io.Reader
+	left   int // negative for no limit
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if l.left < 0 {
+		return l.reader.Read(b)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.reader.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // conn is one connection. Its reader goroutine runs as long as it is open, so
 // that a close by the server and unrequested data are detected at once.
 type conn struct {
 	pool        *Pool
 	address     string
 	nc          net.Conn
+	limiter     *headLimiter
 	br          *bufio.Reader
 	idleTimeout time.Duration
 	timer       *time.Timer
@@ -258,7 +284,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{pool: p, address: address, nc: nc, br: bufio.NewReader(nc), idleTimeout: maxIdleTimeout}
+	limiter := &headLimiter{reader: nc, left: maxHeadBytes}
+	c := &conn{pool: p, address: address, nc: nc, limiter: limiter, br: bufio.NewReader(limiter), idleTimeout: maxIdleTimeout}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -358,10 +385,12 @@
 // requests and 1xx responses.
 func (c *conn) readResponse(x *pooledExchange) (*http.Response, error) {
 	for range maxUnmatchedResponses {
+		c.limiter.left = maxHeadBytes
 		r, err := http.ReadResponse(c.br, x.request)
 		if err != nil {
 			return nil, err
 		}
+		c.limiter.left = -1
 		if r.StatusCode < http.StatusOK {
 			continue
 		}
