forward: bound the memory of answers

What callers would see: an entry host that ends because servers send answers without end.

Cause: an answer could have 16 MiB, whatever the memory of the host and the number of such answers; the data of a stream that is kept as a turn had no limit.

Change: the bytes of answers and kept streams that a host holds are counted and limited to a fifth of its memory, like request bodies, and each to a quarter of that. A call whose answer exceeds it fails as may-have-run.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -84,16 +85,47 @@
 }
 
 func (r *execution) readAnswer(ctx context.Context, t target, resp *http.Response) (bufferedAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.New("answer exceeds " + strconv.Itoa(maxAnswerBytes) + " bytes")
-	}
+	r.releaseAnswer()
+	body, err := io.ReadAll(&answerReader{r, resp.Body})
 	if err != nil {
 		return bufferedAnswer{}, verdict.New(verdict.MayHaveRun, interruptionReason(ctx), "answer of server "+t.server+" could not be read completely", verdict.WithCause(err))
 	}
 	return bufferedAnswer{status: resp.StatusCode, header: r.protocol.ForwardedHeader(resp), body: body}, nil
 }
 
+// answerReader reads an answer and accounts for its memory.
+type answerReader struct {
+	execution *execution
+	body      io.Reader
+}
+
+func (a *answerReader) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if err := a.execution.holdAnswer(n); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
+// holdAnswer accounts for n more bytes of an answer that are kept in memory. It
+// returns an error if they exceed a limit.
+func (r *execution) holdAnswer(n int) error {
+	if r.answerBytes+int64(n) > r.maxAnswerBytes {
+		return fmt.Errorf("answer exceeds %d bytes", r.maxAnswerBytes)
+	}
+	if !r.answers.TryAcquire(int64(n)) {
+		return errors.New("the answers of calls in progress exceed their memory limit")
+	}
+	r.answerBytes += int64(n)
+	return nil
+}
+
+// releaseAnswer releases the memory of the last answer.
+func (r *execution) releaseAnswer() {
+	r.answers.Release(r.answerBytes)
+	r.answerBytes = 0
+}
+
 // interruptionReason returns the reason for an interrupted answer.
 func interruptionReason(ctx context.Context) verdict.Reason {
 	switch {
@@ -203,6 +235,9 @@
 			r.lastEvent = f.ID
 		}
 		if r.call.Route.KeepsHistory && r.call.Turn != nil {
+			if err := r.holdAnswer(len(f.Data) + 1); err != nil {
+				return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "stream of server "+t.server+" is too large", verdict.WithCause(err))
+			}
 			r.output = append(append(r.output, f.Data...), '\n')
 		}
 		if r.events == 1 {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -36,7 +36,9 @@
 	// for a non-idempotent request or a stream.
 	nonIdempotentMaxIdle = 2 * time.Second
 	// maxAnswerBytes is the maximum size of an answer that is not streamed.
+	// maxAnswerShare limits it further, to a part of the memory for bodies.
 	maxAnswerBytes = 16 << 20
+	maxAnswerShare = 4
 	// defaultChainBytes is the default size of the conversation cache.
 	defaultChainBytes = 16 << 20
 	// defaultBodyBytes is the default limit of the bodies of all calls in
@@ -74,18 +76,21 @@
 
 // Forwarder forwards calls to backend servers. It is safe for concurrent use.
 type Forwarder struct {
-	protocol      Protocol
-	turns         Turns
-	permits       Permits // nil to ignore limits
-	logger        *zap.Logger
-	clock         dispatch.Clock
-	queue         *dispatch.Queue
-	pool          *backend.Pool
-	view          *View
-	chains        *chainCache
-	metrics       *callMetrics
-	bodies        *semaphore.Weighted // bytes of the bodies of calls in progress
-	requestSerial atomic.Int64        // serial number of the last scheduler request
+	protocol Protocol
+	turns    Turns
+	permits  Permits // nil to ignore limits
+	logger   *zap.Logger
+	clock    dispatch.Clock
+	queue    *dispatch.Queue
+	pool     *backend.Pool
+	view     *View
+	chains   *chainCache
+	metrics  *callMetrics
+	bodies   *semaphore.Weighted // bytes of the bodies of calls in progress
+	answers  *semaphore.Weighted // bytes of their answers that are kept in memory
+	// maxAnswerBytes is the maximum size of an answer that is not streamed.
+	maxAnswerBytes int64
+	requestSerial  atomic.Int64 // serial number of the last scheduler request
 
 	background sync.WaitGroup
 	ctx        context.Context
@@ -127,9 +132,9 @@
 // WithChainBytes sets the size of the conversation cache in bytes.
 func WithChainBytes(n int) Option { return func(o *options) { o.chainBytes = n } }
 
-// WithBodyBytes limits the total size of the bodies of calls in progress, in
-// bytes. Calls that exceed it are rejected, so that the process doesn't run out
-// of memory.
+// WithBodyBytes limits the total size of the bodies of calls in progress, and that
+// of their answers, in bytes. Calls whose bodies exceed it are rejected, and those
+// whose answers do fail, so that the process doesn't run out of memory.
 func WithBodyBytes(n int64) Option { return func(o *options) { o.bodyBytes = n } }
 
 // New returns a Forwarder without servers.
@@ -145,7 +150,8 @@
 	f := &Forwarder{
 		protocol: p, turns: t, permits: o.permits, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
-		chains: newChainCache(o.chainBytes), metrics: newCallMetrics(o.metrics), bodies: semaphore.NewWeighted(o.bodyBytes),
+		chains: newChainCache(o.chainBytes), metrics: newCallMetrics(o.metrics), bodies: semaphore.NewWeighted(o.bodyBytes), answers: semaphore.NewWeighted(o.bodyBytes),
+		maxAnswerBytes: min(maxAnswerBytes, o.bodyBytes/maxAnswerShare),
 	}
 	f.view = newView(f)
 	return f
@@ -191,6 +197,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	r := &execution{Forwarder: f, call: c, body: c.Body, fingerprint: fingerprint(c)}
+	defer r.releaseAnswer()
 	r.crashes = f.view.crashes(r.fingerprint)
 	if r.crashes >= maxCrashes {
 		return f.failed(c, verdict.New(verdict.NotRun, verdict.CrashedServers, "the request was in flight on several servers when they crashed", verdict.WithRetryAfter(suspectRetryAfter)))
@@ -259,6 +266,7 @@
 	tokensPerEvent int64
 	output         []byte // data of the events, if the turn is to be recorded
 	lastEvent      string // id of the last event received
+	answerBytes    int64  // memory that the answer holds
 	timing         timing
 	reserved       bool // the tokens of the turn are reserved, or may be
 	otherPartition bool // the conversation is in another partition of the ledger
