cluster: find the permits of a new leader sooner

- After a change of the leader, an entry host asked the old one until its next poll.
It now follows the hint of that host, and does not ask one that has not answered its last poll.
- A caller that left while its call waited for a permit paused the server for the other calls of the host.
- A limit that no response had renewed for 5 s was unknown to hosts that started since.
Limits are reported as long as they are in force.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -336,7 +336,7 @@
 		since = 0
 	}
 	out.Changes = h.registry.Since(since)
-	out.Limits = h.limits.Recent(now, MaxLimitReportAge)
+	out.Limits = h.limits.Report(now)
 	if r.WantInFlight {
 		out.InFlight = h.loads.remoteInFlight(now, r.Host)
 	}
--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// MaxLimitReportAge is the age up to which hosts report an observed limit.
-	MaxLimitReportAge = 5 * time.Second
+	// maxEndedAge is how long hosts report that a response named no limit any
+	// more.
+	maxEndedAge = 5 * time.Second
 	// limitTTL is how long a limit applies after the last response that named
 	// it. Hosts send to a limited server at least every few seconds, so a limit
 	// that is not renewed belongs to a server without traffic.
@@ -76,11 +77,11 @@
 	return out
 }
 
-// Recent returns what responses not older than maxAge have said.
-func (l *Limits) Recent(now, maxAge time.Duration) []ServerLimit {
+// Report returns the limits, and those that have ended recently.
+func (l *Limits) Report(now time.Duration) []ServerLimit {
 	var out []ServerLimit
 	for id, o := range l.byServer {
-		if now-o.observedAt <= maxAge {
+		if o.perSecond > 0 || now-o.observedAt <= maxEndedAge {
 			out = append(out, ServerLimit{Server: id, StartedAt: o.startedAt, PerSecond: o.perSecond, Age: now - o.observedAt})
 		}
 	}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,7 +56,7 @@
 	// they crashed.
 	Suspects(s []Suspect)
 	// Limits is called with the limits of backend servers that any host has
-	// observed recently.
+	// observed.
 	Limits(limits []ServerLimit)
 	// Report returns the state of this host.
 	Report() HostReport
@@ -405,14 +406,21 @@
 func (l *Link) Permit(ctx context.Context, o ServerLimit) time.Duration {
 	l.mu.Lock()
 	h := l.hosts[l.controlLeader.id]
-	l.mu.Unlock()
-	if h == nil {
+	if h == nil || !h.responsive {
+		l.mu.Unlock()
 		return permitRetryDelay
 	}
+	l.mu.Unlock()
 	attempt, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	var out permitResponse
 	if err := h.Call(attempt, methodPermit, permitRequest{Host: l.config.ID, ServerLimit: o}, &out); err != nil {
+		var notLeader *control.NotLeaderError
+		if errors.As(err, &notLeader) && notLeader.Leader() != "" {
+			l.mu.Lock()
+			l.controlLeader.id = notLeader.Leader()
+			l.mu.Unlock()
+		}
 		if ctx.Err() == nil {
 			l.logger.Warn("permit request failed", zap.String("server", o.Server), zap.String("control-host", h.id), zap.Error(err))
 		}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -47,8 +47,7 @@
 	InFlight map[string]int `json:"runs,omitempty"`
 	// Suspects are requests that were in flight on a server when it crashed.
 	Suspects []Suspect `json:"suspects,omitempty"`
-	// Limits are the limits of backend servers that this host has observed
-	// recently.
+	// Limits are the limits of backend servers that this host knows.
 	Limits []ServerLimit `json:"limits,omitempty"`
 	// WantInFlight requests the in-flight counts of all other entry hosts.
 	WantInFlight bool `json:"want-runs,omitempty"`
@@ -77,8 +76,7 @@
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
 	Suspects []Suspect      `json:"suspects,omitempty"`
-	// Limits are the limits of backend servers that any host has observed
-	// recently.
+	// Limits are the limits of backend servers that any host has observed.
 	Limits []ServerLimit `json:"limits,omitempty"`
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,6 +75,10 @@
 			return a, nil
 		}
 		wait := r.permits.Permit(ctx, limit)
+		if ctx.Err() != nil {
+			r.queue.Finished(a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
+			return a, ctx.Err()
+		}
 		if wait == 0 {
 			return a, nil
 		}
--- a/forward/view.go
+++ b/forward/view.go
@@ -214,7 +214,7 @@
 	}
 	now := view.forwarder.clock()
 	view.limits.Expire(now)
-	return cluster.HostReport{InFlight: inFlight, Suspects: list, Limits: view.limits.Recent(now, cluster.MaxLimitReportAge)}
+	return cluster.HostReport{InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now)}
 }
 
 // Limits implements cluster.Observer.
