cluster: send changes of the largest tables as deltas too

A control host keeps earlier tables of up to 20,000 routes together, which is none if the table alone has more; the operator's API takes some 30,000. Each change was then transferred whole. At least two earlier tables are kept now. Before, TestChangesOfLargestTables fails with the whole size for the first change.

--- a/cluster/tablefetch_test.go
+++ b/cluster/tablefetch_test.go
@@ -167,3 +167,24 @@
 		assert.Equal(rt, len(route.Diff(m.fetch.base, m.table).Routes), 0)
 	})
 }
+
+// Guards against tables so large that no earlier one is kept, so that every
+// change transfers the whole table.
+func TestChangesOfLargestTables(t *testing.T) {
+	var u tableUpdates
+	table := &route.Table{Version: 1}
+	for i := range maxEarlierRoutes + 1 {
+		table.Routes = append(table.Routes, route.Route{Host: "h", Prefix: fmt.Sprint("/", i, "/")})
+	}
+	u.set(table)
+	whole, err := u.part(tablePartRequest{})
+	assert.NilError(t, err)
+	for v := range minEarlierTables {
+		next := *table
+		next.Version = int64(v + 2)
+		u.set(&next)
+		change, err := u.part(tablePartRequest{Base: 1})
+		assert.NilError(t, err)
+		assert.Assert(t, change.Size < whole.Size/100, "%d of %d bytes for version %d", change.Size, whole.Size, next.Version)
+	}
+}
--- a/cluster/tableupdate.go
+++ b/cluster/tableupdate.go
@@ -17,8 +17,9 @@
 	// maxTableUpdateBytes bounds the encoded updates that a control host keeps.
 	maxTableUpdateBytes = 8 << 20
 	// maxEarlierRoutes bounds the routes of the earlier tables that a control
-	// host keeps to compute deltas.
+	// host keeps to compute deltas, but it keeps at least minEarlierTables.
 	maxEarlierRoutes = 20_000
+	minEarlierTables = 2
 )
 
 // tableUpdate is an encoded route.Delta.
@@ -53,7 +54,7 @@
 	for _, e := range u.earlier {
 		routes += len(e.Routes)
 	}
-	for len(u.earlier) > 0 && routes > maxEarlierRoutes {
+	for len(u.earlier) > minEarlierTables && routes > maxEarlierRoutes {
 		routes -= len(u.earlier[0].Routes)
 		u.earlier = slices.Delete(u.earlier, 0, 1)
 	}
