cluster: share the encoding of a whole table between hosts with unknown versions

Reading the diff: hosts whose version a control host no longer knows each got an encoding of their own of the same whole table.

--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -11,8 +11,7 @@
 	// more.
 	maxEndedAge = 5 * time.Second
 	// limitTTL is how long a limit applies after the last response that named
-	// it. Hosts send to a limited server at least every few seconds, so a limit
-	// that is not renewed belongs to a server without traffic.
+	// it, and how long a bucket is kept after the last request for a permit.
 	limitTTL = 2 * time.Minute
 	// permitInterval is the time over which the hosts that wait for a permit are
 	// counted. It is also the longest wait.
--- a/cluster/tableupdate.go
+++ b/cluster/tableupdate.go
@@ -25,7 +25,7 @@
 // tableUpdate is an encoded route.Delta.
 type tableUpdate struct {
 	id      uint64 // checksum of data, equal on all control hosts
-	base    int64
+	base    int64  // 0 for a whole table
 	version int64
 	data    []byte
 }
@@ -83,24 +83,28 @@
 // find returns the requested update if it is still known or its version is, or
 // else the update from the requested base to the newest table.
 func (u *tableUpdates) find(r tablePartRequest) (tableUpdate, error) {
-	to := u.lookup(r.Version)
+	from, to := u.lookup(r.Base), u.lookup(r.Version)
 	if to == nil {
 		to = u.newest
 	}
+	base := int64(0)
+	if from != nil {
+		base = from.Version
+	}
 	i := slices.IndexFunc(u.encoded, func(e tableUpdate) bool { return r.Update != 0 && e.id == r.Update })
 	if i < 0 {
-		i = slices.IndexFunc(u.encoded, func(e tableUpdate) bool { return e.base == r.Base && e.version == to.Version })
+		i = slices.IndexFunc(u.encoded, func(e tableUpdate) bool { return e.base == base && e.version == to.Version })
 	}
 	if i >= 0 {
 		e := u.encoded[i]
 		u.encoded = append(slices.Delete(u.encoded, i, i+1), e)
 		return e, nil
 	}
-	data, err := cborwire.Marshal(route.Diff(u.lookup(r.Base), to))
+	data, err := cborwire.Marshal(route.Diff(from, to))
 	if err != nil {
 		return tableUpdate{}, err
 	}
-	e := tableUpdate{id: xxhash.Sum64(data), base: r.Base, version: to.Version, data: data}
+	e := tableUpdate{id: xxhash.Sum64(data), base: base, version: to.Version, data: data}
 	u.encoded = append(u.encoded, e)
 	u.evict()
 	return e, nil
