--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -73,7 +73,7 @@
 func (c *roleCommand) Synopsis() string       { return c.synopsis }
 func (*roleCommand) SetFlags(_ *flag.FlagSet) {}
 func (c *roleCommand) Usage() string {
-	return fmt.Sprintf("sycamoreline-platform %s\n\nRuns until SIGTERM. The environment variable SYCAMORELINE_SETTINGS is the path of\nthe settings file.\n", c.name)
+	return fmt.Sprintf("sycamoreline-platform %s\n\nRuns until SIGTERM. The environment variable %s is the path of\nthe settings file.\n", c.name, platform.SettingsVariable)
 }
 
 func (c *roleCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
