--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -1,14 +1,17 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -74,3 +77,29 @@
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	assert.Equal(t, s.requests(), 1)
 }
+
+// cancellingPermits ends the context of the call that asks for a permit.
+type cancellingPermits struct{ cancel context.CancelFunc }
+
+func (p *cancellingPermits) Permit(context.Context, cluster.ServerLimit) time.Duration {
+	p.cancel()
+	return time.Hour
+}
+
+// Guards against a caller that leaves while its call waits for a permit, and
+// thereby keeps the server from the other calls.
+func TestCallerLeavesBeforePermit(t *testing.T) {
+	s := startServer(t, limitedAnswer(10))
+	f := newFixture(t, s)
+	_, _, err := f.serve(f.call("1", &route.Route{Kind: route.NonIdempotent}))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	f.forwarder.permits = &cancellingPermits{cancel}
+	err = f.forwarder.Serve(ctx, httptest.NewRecorder(), f.call("2", &route.Route{Kind: route.NonIdempotent}))
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	f.forwarder.permits = &f.permits
+	f.permits.left = 1
+	_, _, err = f.serve(f.call("3", &route.Route{Kind: route.NonIdempotent}))
+	assert.NilError(t, err)
+	assert.Equal(t, s.requests(), 2)
+}
