forward: end an attempt for silence only if another server can take over

What callers saw (LOST): a request that had been read and passed on to a server ended with 502 or an aborted stream after 1.5 to 1.6 s, with most of its time left, because the server was silent.

Cause: the idle timeout of streams that can be resumed cancelled the attempt whether or not the route allowed another one. Class of fault: a timeout that gives up what it cannot replace.

Evidence: TestServeStreamOutlastsSilentServer failed in all five cases before.

Change: an attempt is cancelled for silence only while its route allows another attempt and the scheduler knows another healthy server with a free slot. Otherwise it waits and asks again.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -169,7 +169,7 @@
 
 // attemptStream makes one attempt of serveStream.
 func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) error {
-	ctx, idle := newIdleTimer(ctx, r.call.Route)
+	ctx, idle := newIdleTimer(ctx, r.call.Route, r.mayMove(t))
 	defer idle.stop()
 	resp, err := r.send(ctx, t, a)
 	if err != nil {
@@ -200,6 +200,25 @@
 	return nil
 }
 
+// mayMove returns a function that reports whether another server can take over
+// the stream from the attempt's server now, or nil if the route does not allow
+// another attempt.
+func (r *execution) mayMove(t target) func() bool {
+	after := r.progress
+	after.mayHaveRun++
+	if !after.mayRepeat(r.call.Route) {
+		return nil
+	}
+	deadline := r.call.Deadline
+	return func() (ok bool) {
+		if time.Until(deadline) < minRetryTime {
+			return false
+		}
+		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) { ok = s.HasAlternative(now, t.id) })
+		return ok
+	}
+}
+
 // forwardFailure forwards a server's error response, unless the caller's
 // response has already started.
 func (r *execution) forwardFailure(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response) error {
--- a/forward/call.go
+++ b/forward/call.go
@@ -140,13 +140,19 @@
 	if !serverDown {
 		p.mayHaveRun++
 	}
-	repeatable := r.Kind == route.Idempotent || r.Kind == route.Stream && r.Resumable
-	if !repeatable || p.mayHaveRun >= max(1, r.MaxAttempts) {
+	if !p.mayRepeat(r) {
 		return Fail
 	}
 	return Retry
 }
 
+// mayRepeat reports whether the route allows another attempt of a call that may
+// have run.
+func (p *progress) mayRepeat(r *route.Route) bool {
+	repeatable := r.Kind == route.Idempotent || r.Kind == route.Stream && r.Resumable
+	return repeatable && p.mayHaveRun < max(1, r.MaxAttempts)
+}
+
 // backoff returns the wait before the next attempt of a call that was rejected.
 // It grows exponentially; jitter, in [0, 1), varies it by up to half, so that
 // calls which were rejected together are retried at different times.
