forward: count attempts that a silent server may still run

Found while looking for the cause of the silent servers elsewhere.

Change: after the idle timeout, only a refused connection shows that the server has ended. After a broken connection, one that cannot be opened still does.

TestServeStreamCountsSilentServers, with three servers that accept nothing and max_attempts 2, saw three attempts before and sees two now.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -166,7 +167,13 @@
 	r.progress.remaining = time.Until(r.call.Deadline)
 	serverDown := false
 	if !notRun && ctx.Err() == nil {
-		serverDown = r.view.excludeIfDown(ctx, r.fingerprint, t)
+		switch r.view.excludeIfDown(ctx, r.fingerprint, t) {
+		case refused:
+			serverDown = true
+		case unreachable:
+			// A server that was only silent may still run the request.
+			serverDown = !errors.Is(err, errIdle)
+		}
 	}
 	step := r.progress.next(r.call.Route, notRun, serverDown)
 	r.metrics.failedAttempt(v)
--- a/forward/idletimer.go
+++ b/forward/idletimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 	timer    *time.Timer
 }
 
-var errIdle = errors.New("idle timeout: the server sent nothing")
+var errIdle = errors.New("idle timeout")
 
 // newIdleTimer returns a context that is cancelled when the idle timeout has
 // expired and mayMove returns true. A nil mayMove stands for a stream that no
@@ -96,7 +97,7 @@
 // other errors unchanged.
 func (t *idleTimer) mapError(err error) error {
 	if errors.Is(context.Cause(t.ctx), errIdle) {
-		return verdict.New(verdict.From(err).Verdict(), verdict.ServerFailed, errIdle.Error(), verdict.WithCause(err))
+		return verdict.New(verdict.From(err).Verdict(), verdict.ServerFailed, "no data from the server", verdict.WithCause(fmt.Errorf("%w: %w", errIdle, err)))
 	}
 	return err
 }
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -3,14 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 // silence is longer than the idle timeout of the tests' routes and leaves enough
@@ -117,3 +121,41 @@
 		})
 	}
 }
+
+// startSilentServer starts a server that accepts no connection. The kernel
+// completes the first one and drops later attempts to connect.
+func startSilentServer(t *testing.T) *server {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, syscall.Listen(fd, 0))
+	file := os.NewFile(uintptr(fd), "silent server")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return &server{listener: l}
+}
+
+// Guards against a stream that reaches more servers than its route allows,
+// because a server that is silent towards new connections too counts as ended.
+func TestServeStreamCountsSilentServers(t *testing.T) {
+	t.Parallel()
+	servers := []*server{startSilentServer(t), startSilentServer(t), startSilentServer(t)}
+	f := newFixture(t, servers...)
+	c := f.call("s", &route.Route{Name: "s", Kind: route.Stream, MaxAttempts: 2, Resumable: true})
+	c.Route.Timeout = 2*minIdleTimeout + 4*probeTimeout
+	_, _, err := f.serve(c)
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	connections := 0
+	for _, s := range servers {
+		l := s.listener.(*net.TCPListener)
+		assert.NilError(t, l.SetDeadline(time.Now().Add(100*time.Millisecond)))
+		if c, err := l.Accept(); err == nil {
+			connections++
+			c.Close()
+		}
+	}
+	assert.Equal(t, connections, 2)
+}
--- a/forward/view.go
+++ b/forward/view.go
@@ -255,21 +255,29 @@
 	return n
 }
 
+// reachability is the result of a connection attempt to a server.
+type reachability uint8
+
+const (
+	reachable   reachability = iota
+	unreachable              // no response in time: cut off, overloaded or silent
+	refused                  // no process listens at the address
+)
+
 // excludeIfDown checks, after an interrupted attempt, whether the server still
-// accepts connections. If not, it excludes the server and returns true. If the
-// server refuses connections, it also records the crash, with the request as a
-// suspect.
-func (view *View) excludeIfDown(ctx context.Context, fingerprint uint64, t target) bool {
+// accepts connections, and excludes it if not. If the server refuses connections,
+// it also records the crash, with the request as a suspect.
+func (view *View) excludeIfDown(ctx context.Context, fingerprint uint64, t target) reachability {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.address)
 	if err == nil {
 		nc.Close()
-		return false
+		return reachable
 	}
 	view.exclude(t.server)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return true // unreachable, which isn't a crash
+		return unreachable
 	}
 	view.mu.Lock()
 	c := view.crashed[fingerprint]
@@ -283,7 +291,7 @@
 	}
 	view.mu.Unlock()
 	view.forwarder.logger.Warn("backend server crashed during a request", zap.String("server", t.server), zap.Uint64("fingerprint", fingerprint))
-	return true
+	return refused
 }
 
 // exclude stops using a server until it restarts, but no longer than
