registry: record the software version of servers

Entries did not hold the version that servers announce, so no host could keep a stream at the version that began it. Entry.Version holds it, and a change of the version alone is distributed like any other change.

TestSoftwareVersionIsDistributed fails if the field is not encoded (the view then holds version "" instead of "v1") and if Announce ignores a change of the version ("expression is false: newer && changed: version "v1.1"").

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -29,6 +29,9 @@
 	DataCentre string `json:"data-centre"`
 	Slots      int    `json:"slots"` // requests that the server runs at the same time
 	State      State  `json:"state"`
+	// Version is the version of the server's software, or empty if the server
+	// announces none.
+	Version string `json:"software-version,omitempty"`
 	// StartedAt is the start time of the server in Unix milliseconds. It
 	// identifies the incarnation: a server that restarts with the same ID has a
 	// later one.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/faults"
 )
 
@@ -103,6 +104,25 @@
 	assert.Equal(t, len(view.Servers()), 0)
 }
 
+// Guards against readers that keep an earlier software version of a server, and
+// against encodings of changes that omit it.
+func TestSoftwareVersionIsDistributed(t *testing.T) {
+	table, view := New(), NewView()
+	var revision int64
+	for i, version := range []string{"v1", "v1.1", ""} {
+		e := Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, StartedAt: 1, Sequence: int64(i), Version: version}
+		newer, changed := table.Announce(0, e)
+		assert.Assert(t, newer && changed, "version %q", version)
+		data, err := cborwire.Marshal(table.Since(revision))
+		assert.NilError(t, err)
+		revision = table.Revision()
+		var changes []Change
+		assert.NilError(t, cborwire.Unmarshal(data, &changes))
+		view.Update("control", false, changes)
+		assert.DeepEqual(t, view.Servers(), map[string]Entry{"i": e})
+	}
+}
+
 // Guards against a delayed message of an earlier incarnation that marks the new
 // one as gone.
 func TestLeave(t *testing.T) {
