--- a/forward/call.go
+++ b/forward/call.go
@@ -41,6 +41,9 @@
 	// LastEvent is the id of the last event that the caller has received of a
 	// stream to resume, or empty.
 	LastEvent string
+	// Resumes is the id of the request whose answer began the stream that this
+	// call takes up, or empty.
+	Resumes string
 }
 
 // Turn describes a request that is a turn of a program.
