schedule: use a server again when its backoff ends after a success

The end of a backoff is noticed by the periodic check of the monitored servers. If a run on the server succeeded during the backoff, the server counted as sound, and without runs it was no longer monitored. Waiting calls were then not assigned until another event concerned the server. Servers in backoff are now monitored.

Found by a property test of the scheduler (lost calls, after 312 cases). Without the change TestBackoffEndsAfterASuccess prints "ok is false": the call is not assigned after the backoff.

--- a/schedule/server.go
+++ b/schedule/server.go
@@ -223,9 +223,10 @@
 }
 
 // updateMonitored updates the list of servers that the periodic check visits:
-// those with runs, and those that are slow, recovering, failing or paused.
+// those with runs, and those that are slow, recovering, failing, in backoff or
+// paused.
 func (s *Scheduler) updateMonitored(v *server) {
-	busy := len(v.runs) > 0 || v.speed.limited() || s.now < v.pausedUntil
+	busy := len(v.runs) > 0 || v.speed.limited() || s.now < max(v.pausedUntil, v.speed.backoffUntil)
 	switch {
 	case busy && v.monitoredIndex < 0:
 		v.monitoredIndex = len(s.monitored)
--- a/schedule/slowness_test.go
+++ b/schedule/slowness_test.go
@@ -50,6 +50,25 @@
 	}
 }
 
+// Guards against a server that stays out of use after its backoff because
+// another run on it succeeded in the meantime.
+func TestBackoffEndsAfterASuccess(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	s.SetServer(0, Server{ID: "s", Slots: 4, Service: "orders"})
+	for n := range 2 {
+		s.Enqueue(0, Request{ID: CallID{Program: "p", Call: n, Attempt: 1}, Service: "orders"})
+		_, ok := s.Next(0)
+		assert.Assert(t, ok)
+	}
+	s.Finished(0, CallID{Program: "p", Call: 0, Attempt: 1}, "s", Usage{}, Crashed)
+	s.Finished(0, CallID{Program: "p", Call: 1, Attempt: 1}, "s", Usage{}, Succeeded)
+	s.Enqueue(0, Request{ID: CallID{Program: "p", Call: 2, Attempt: 1}, Service: "orders"})
+	_, ok := s.Next(0)
+	assert.Assert(t, !ok)
+	_, ok = s.Next(initialBackoff + checkInterval)
+	assert.Assert(t, ok)
+}
+
 // TestFailingServerIsHeldBack guards against a server that refuses connections
 // immediately, so that it looks idle and attracts all calls.
 func TestFailingServerIsHeldBack(t *testing.T) {
