schedule: restrict calls to servers of one software version

Calls could only be restricted to a version of a model's weights, not to a version of the servers' software, so a stream that continued went to any server. A call with Request.SoftwareVersion now belongs to a pool of the servers with that Server.SoftwareVersion, for models and for services. It waits while these are full, and leaves the queue at its deadline. A last server of another version counts as none. Calls without a version use all servers.

--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -81,7 +81,7 @@
 func (p prefixAffinity) moveReason(s *Scheduler, c *call) string {
 	v := c.lastServer
 	switch {
-	case v == nil:
+	case v == nil || !c.pool.key.servedBy(&v.Server):
 		return "-new-here"
 	case c.avoids(v):
 		return "-last-failed"
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -7,14 +7,17 @@
 
 // poolKey identifies a pool by what its servers must provide.
 type poolKey struct {
-	model, version, adapter, service string
+	model, version, adapter, service, softwareVersion string
 }
 
 func keyOf(r *Request) poolKey {
-	return poolKey{model: r.Model, version: r.Version, adapter: r.Adapter, service: r.Service}
+	return poolKey{model: r.Model, version: r.Version, adapter: r.Adapter, service: r.Service, softwareVersion: r.SoftwareVersion}
 }
 
 func (k poolKey) servedBy(v *Server) bool {
+	if k.softwareVersion != "" && v.SoftwareVersion != k.softwareVersion {
+		return false
+	}
 	if k.service != "" {
 		return v.Service == k.service
 	}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -152,7 +152,7 @@
 // equal reports whether the description of the server equals o.
 func (v *Server) equal(o *Server) bool {
 	return v.ID == o.ID && v.Incarnation == o.Incarnation && v.DataCentre == o.DataCentre &&
-		v.Service == o.Service && v.Slots == o.Slots && v.CacheTokens == o.CacheTokens &&
+		v.Service == o.Service && v.SoftwareVersion == o.SoftwareVersion && v.Slots == o.Slots && v.CacheTokens == o.CacheTokens &&
 		v.Leaving == o.Leaving && slices.EqualFunc(v.Models, o.Models, func(a, b ServerModel) bool {
 		return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 	})
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -56,6 +56,9 @@
 	Version string
 	Adapter string
 	Service string
+	// SoftwareVersion restricts the call to servers of one software version. It
+	// is empty for a call that any server of its model or service can run.
+	SoftwareVersion string
 	// PromptTokens is the length of the whole prompt, including the history.
 	PromptTokens int
 	MaxTokens    int
@@ -108,9 +111,12 @@
 	DataCentre  string
 	Models      []ServerModel
 	Service     string // set for servers that run no models
-	Slots       int
-	CacheTokens int64
-	Leaving     bool
+	// SoftwareVersion is the version of the server's software, which is
+	// independent of the versions of its models. It is empty if unknown.
+	SoftwareVersion string
+	Slots           int
+	CacheTokens     int64
+	Leaving         bool
 }
 
 // ServerModel describes a model that is loaded on a server.
