schedule: report whether a software version can run a call

A forwarder needs to reject a call at once if no server of its software version is left. Scheduler.HasVersion reports whether a known server that is not leaving runs the model or service at a version.

If HasVersion ignores that servers are leaving, TestHasVersion fails for v2 ("true (bool) != false (tt.want bool)").

--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -27,6 +27,14 @@
 	})
 }
 
+// HasVersion reports whether a server that is not leaving runs a model, or a
+// service if model is empty, at a software version. An empty version stands for
+// any.
+func (s *Scheduler) HasVersion(model, service, version string) bool {
+	k := poolKey{model: model, service: service, softwareVersion: version}
+	return slices.ContainsFunc(s.serverOrder, func(v *server) bool { return !v.Leaving && k.servedBy(&v.Server) })
+}
+
 // pool is a set of servers that can run the same calls, with the queue of these
 // calls.
 type pool struct {
--- a/schedule/softwareversion_test.go
+++ b/schedule/softwareversion_test.go
@@ -194,6 +194,37 @@
 	}
 }
 
+// Guards against calls that wait for a software version that no server runs, and
+// against the rejection of those that a server can run.
+func TestHasVersion(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	s.SetServer(0, versionServer("a", "v1", false))
+	leaving := versionServer("b", "v2", false)
+	leaving.Leaving = true
+	s.SetServer(0, leaving)
+	s.SetServer(0, versionServer("c", "v3", true))
+	s.SetServer(0, versionServer("d", "v4", false))
+	s.RemoveServer(0, "d")
+	tests := []struct {
+		model, service, version string
+		want                    bool
+	}{
+		{"m", "", "v1", true},
+		{"m", "", "", true},
+		{"m", "", "v2", false}, // leaving
+		{"m", "", "v3", false}, // runs the service only
+		{"m", "", "v4", false}, // removed
+		{"", "m", "v3", true},
+		{"", "m", "v1", false},
+		{"", "m", "", true},
+		{"other", "", "v1", false},
+		{"", "other", "", false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, s.HasVersion(tt.model, tt.service, tt.version), tt.want, "%+v", tt)
+	}
+}
+
 // versionModel drives one Scheduler whose servers have random software versions.
 type versionModel struct {
 	s        *Scheduler
