forward: pass software versions to the scheduler

The registry's software version of a server did not reach the scheduler. View.schedulerServer sets it, softwareVersion returns that of a server, and softwareVersions those of a service that are not leaving.

Without the change in schedulerServer, TestSchedulerKnowsSoftwareVersions prints "false (bool) != true (v == version bool): v1".

--- a/forward/view.go
+++ b/forward/view.go
@@ -101,6 +101,29 @@
 	return view.servers[server].Address
 }
 
+// softwareVersion returns the software version of a server, or "" if the server
+// has left or announces none.
+func (view *View) softwareVersion(server string) string {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.servers[server].Version
+}
+
+// softwareVersions returns the sorted software versions of the servers of a
+// service that are not leaving. The version of servers that announce none is "".
+func (view *View) softwareVersions(service string) []string {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	var versions []string
+	for _, e := range view.servers {
+		if e.Service == service && e.State == registry.Ready {
+			versions = append(versions, e.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // Routes implements cluster.Observer.
 func (view *View) Routes(x *route.Index) {
 	view.mu.Lock()
@@ -156,7 +179,7 @@
 func (view *View) schedulerServer(e registry.Entry) schedule.Server {
 	v := schedule.Server{
 		ID: e.ID, Incarnation: time.UnixMilli(e.StartedAt).UTC().String(), DataCentre: e.DataCentre,
-		Slots: e.Slots, Leaving: e.State != registry.Ready,
+		Slots: e.Slots, SoftwareVersion: e.Version, Leaving: e.State != registry.Ready,
 	}
 	v.Service = e.Service
 	if view.index == nil {
