schedule: share the cost estimates of software versions

The pool of a software version began with initial estimates of the costs. If few calls named the version, they did not adapt, and its servers were classified as slow or sound by comparison with them. A pool of a version now uses the estimates of the pool of all versions, whose servers also decide whether the median has to be recalibrated.

--- a/schedule/hedge.go
+++ b/schedule/hedge.go
@@ -32,7 +32,7 @@
 	if !c.Idempotent || c.exclusive || c.hedge != hedgeNone || c.Service != "" {
 		return false
 	}
-	k := &c.pool.costs
+	k := c.pool.costs
 	produced := c.runOn(v).produced()
 	decodeSeconds := c.remainingTokens(produced) * k.secondsPerToken
 	currentSeconds := decodeSeconds / v.speed.relative
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -27,6 +27,12 @@
 	})
 }
 
+// anySoftware returns the key of the pool of all software versions.
+func (k poolKey) anySoftware() poolKey {
+	k.softwareVersion = ""
+	return k
+}
+
 // HasVersion reports whether a server that is not leaving runs a model, or a
 // service if model is empty, at a software version. An empty version stands for
 // any.
@@ -45,7 +51,12 @@
 	exclusive    []*call   // queued suspects, each to be run alone on a server
 	reserved     []*server // members reserved for suspects of this host
 	waitingIndex int       // index in Scheduler.waiting, or -1
-	costs        costs
+	// base is the pool of the servers of all software versions; nil if the pool
+	// itself is not restricted to one. versionPools is the number of pools with
+	// this base.
+	base         *pool
+	versionPools int
+	costs        *costs // shared with the base
 }
 
 // membership links a server to one of its pools.
@@ -55,12 +66,20 @@
 }
 
 // poolFor returns the pool of a request, and creates it if necessary.
-func (s *Scheduler) poolFor(r *Request) *pool {
-	k := keyOf(r)
+func (s *Scheduler) poolFor(r *Request) *pool { return s.poolOf(keyOf(r)) }
+
+func (s *Scheduler) poolOf(k poolKey) *pool {
 	if p := s.pools[k]; p != nil {
 		return p
 	}
-	p := &pool{key: k, waitingIndex: -1, costs: newCosts(), queue: queue{teamShares: s.teamShares}}
+	p := &pool{key: k, waitingIndex: -1, queue: queue{teamShares: s.teamShares}}
+	if k.softwareVersion == "" {
+		p.costs = newCosts()
+	} else {
+		p.base = s.poolOf(k.anySoftware())
+		p.base.versionPools++
+		p.costs = p.base.costs
+	}
 	s.pools[k] = p
 	s.poolOrder = append(s.poolOrder, p)
 	for _, v := range s.serverOrder {
@@ -71,14 +90,19 @@
 	return p
 }
 
-// removeIfUnused removes a pool if it has neither servers nor calls. Callers may
-// name any model, so unused pools would accumulate.
+// removeIfUnused removes a pool if it has neither servers nor calls and is not
+// the base of another one. Callers may name any model, so unused pools would
+// accumulate.
 func (s *Scheduler) removeIfUnused(p *pool) {
-	if len(p.members) > 0 || p.queue.length > 0 || p.queue.inFlight > 0 || len(p.exclusive) > 0 {
+	if len(p.members) > 0 || p.queue.length > 0 || p.queue.inFlight > 0 || len(p.exclusive) > 0 || p.versionPools > 0 {
 		return
 	}
 	delete(s.pools, p.key)
 	s.poolOrder = slices.DeleteFunc(s.poolOrder, func(o *pool) bool { return o == p })
+	if p.base != nil {
+		p.base.versionPools--
+		s.removeIfUnused(p.base)
+	}
 }
 
 func (s *Scheduler) addToPool(p *pool, v *server) {
@@ -129,7 +153,9 @@
 	return nil
 }
 
-// costs are the estimated costs of the calls of one pool.
+// costs are the estimated costs of the calls of one pool. Those of all software
+// versions are estimated together: a version that gets few calls would keep its
+// initial estimates, compared with which its servers could look slow.
 type costs struct {
 	prefillPerToken  float64 // seconds per uncached prompt token
 	secondsPerToken  float64 // per output token, running median
@@ -138,8 +164,8 @@
 }
 
 // newCosts returns the initial estimates of a pool.
-func newCosts() costs {
-	return costs{prefillPerToken: 0.0002, secondsPerToken: 0.03, meanOutputTokens: 150, meanRunSeconds: 2}
+func newCosts() *costs {
+	return &costs{prefillPerToken: 0.0002, secondsPerToken: 0.03, meanOutputTokens: 150, meanRunSeconds: 2}
 }
 
 // medianStep is the relative step size of the running median of the seconds per
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -90,7 +90,7 @@
 // estimate returns the expected run time of the call on a server, in weighted
 // seconds.
 func (e earliestFinish) estimate(c *call, v *server) float64 {
-	k := &c.pool.costs
+	k := c.pool.costs
 	recompute := float64(c.uncachedTokens(v)) * k.prefillPerToken
 	work := k.meanRunSeconds
 	if c.Service == "" {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -81,7 +81,7 @@
 	if !s.detectSlow || elapsed <= 0 {
 		return
 	}
-	k := &c.pool.costs
+	k := c.pool.costs
 	k.observeToken(elapsed / float64(n))
 	v := r.server
 	wasLimited, wasSlow := v.speed.limited(), v.speed.slow
--- a/schedule/softwareversion_test.go
+++ b/schedule/softwareversion_test.go
@@ -225,6 +225,59 @@
 	}
 }
 
+// Guards against a server that looks slow because the only call of its software
+// version is compared with initial estimates, and against a median that is set
+// to that of one slow server because it is the only one of its version.
+func TestSoftwareVersionsShareEstimates(t *testing.T) {
+	const secondsPerToken = 100 * time.Millisecond // the initial estimate is 30 ms
+	for _, tt := range []struct {
+		name   string
+		factor time.Duration // by which the server of v2 takes longer
+		slow   bool
+	}{
+		{"equally fast", 1, false},
+		{"slow", 10, true},
+	} {
+		s := New(rand.NewPCG(1, 1))
+		for i := range 3 {
+			s.SetServer(0, versionServer(fmt.Sprint("a", i), "v1", false))
+		}
+		now := time.Duration(0)
+		var runs []Assignment
+		run := func(r Request) {
+			s.Enqueue(now, r)
+			a, ok := s.Next(now)
+			assert.Assert(t, ok)
+			s.FirstToken(now, a.ID, a.Server)
+			runs = append(runs, a)
+		}
+		for n := range 12 {
+			run(versionRequest(n, "", false))
+		}
+		for range 100 {
+			now += secondsPerToken
+			for _, a := range runs {
+				s.Tokens(now, a.ID, a.Server, 1)
+			}
+		}
+		s.SetServer(now, versionServer("b0", "v2", false))
+		run(versionRequest(20, "v2", false))
+		started := now
+		for i := range time.Duration(30) {
+			now = started + (i+1)*secondsPerToken
+			for _, a := range runs {
+				if a.Server != "b0" || (i+1)%tt.factor == 0 {
+					s.Tokens(now, a.ID, a.Server, 1)
+				}
+			}
+			s.Next(now)
+		}
+		for _, v := range s.servers {
+			assert.Equal(t, v.speed.slow, v.ID == "b0" && tt.slow, "%s: server %s has speed %.2f", tt.name, v.ID, v.speed.relative)
+		}
+	}
+}
+
 // versionModel drives one Scheduler whose servers have random software versions.
 type versionModel struct {
 	s        *Scheduler
