ledger, cluster: record the version at which a stream began

Cause: a stream may go on only at the software version that began it, and nothing that outlives the entry host knows that version.

Change: the commands RecordStream and LookupStream keep the version of a stream, by the id of the request that it answers, in the log of a partition: that of the program or, without one, that of the stream. ReserveTurn can record the version of its own stream and return that of the stream it takes up, so that such a turn needs no further command. An expired record counts as unknown by the machine's clock, whether or not it has been swept. Link has RecordStream and LookupStream, and Reservation has Resumed. Nothing calls them yet.

--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -5,15 +5,35 @@
 	"fmt"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
 )
 
-// BenchmarkTurns reserves and settles turns on five ledger hosts in one
-// process, with as many concurrent callers as the entry hosts of a large
-// deployment have. cpu-us/turn is the CPU time of all hosts and callers
-// together.
+// BenchmarkTurns reserves and settles turns, or records the versions of streams,
+// on five ledger hosts in one process, with as many concurrent callers as the
+// entry hosts of a large deployment have. The CPU time is that of all hosts and
+// callers together.
 func BenchmarkTurns(b *testing.B) {
+	b.Run("turn", func(b *testing.B) {
+		benchmarkLedger(b, "cpu-us/turn", func(ctx context.Context, l *Link, n int) error {
+			id := fmt.Sprint("turn-", n)
+			if _, err := l.Reserve(ctx, turnRequest(id, id, 6, "")); err != nil {
+				return err
+			}
+			return l.Settle(ctx, ledger.SettleTurn{Program: id, Turn: id, Tokens: 5, Server: "i-0123456789"})
+		})
+	})
+	b.Run("record-stream", func(b *testing.B) {
+		benchmarkLedger(b, "cpu-us/record", func(ctx context.Context, l *Link, n int) error {
+			return l.RecordStream(ctx, StreamKey{Stream: fmt.Sprint("stream-", n)}, "v1.1", time.Minute)
+		})
+	})
+}
+
+// benchmarkLedger starts a deployment and measures an operation, which gets
+// another number each time.
+func benchmarkLedger(b *testing.B, unit string, operation func(ctx context.Context, l *Link, n int) error) {
 	ids := []string{"k1", "k2", "k3", "k4", "k5"}
 	d := newDeployment(b, append(ids, "c1")...)
 	d.tolerate = 2
@@ -22,14 +42,7 @@
 		d.startLedgerHost(id, []string{"c1"}, true)
 	}
 	l := d.startLink("e1", []string{"c1"}, &observer{})
-	turn := func(ctx context.Context, n int) error {
-		id := fmt.Sprint("turn-", n)
-		if _, err := l.Reserve(ctx, turnRequest(id, id, 6, "")); err != nil {
-			return err
-		}
-		return l.Settle(ctx, ledger.SettleTurn{Program: id, Turn: id, Tokens: 5, Server: "i-0123456789"})
-	}
-	d.await("leader", func(ctx context.Context) bool { return turn(ctx, -1) == nil })
+	d.await("leader", func(ctx context.Context) bool { return operation(ctx, l, -1) == nil })
 	before := processorTime(b)
 	b.ResetTimer()
 	numbers := make(chan int)
@@ -38,7 +51,7 @@
 	for range callers {
 		go func() {
 			for n := range numbers {
-				if err := turn(b.Context(), n); err != nil {
+				if err := operation(b.Context(), l, n); err != nil {
 					done <- err
 					return
 				}
@@ -55,7 +68,7 @@
 			b.Error(err)
 		}
 	}
-	b.ReportMetric((processorTime(b)-before)/float64(b.N), "cpu-us/turn")
+	b.ReportMetric((processorTime(b)-before)/float64(b.N), unit)
 }
 
 // processorTime returns the CPU time of this process in microseconds.
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -86,15 +86,19 @@
 // id.
 func (d *deployment) startLedgerHost(id string, seeds []string, firstStart bool) *LedgerHost {
 	d.t.Helper()
-	h, err := StartLedgerHost(LedgerHostConfig{
+	h, err := StartLedgerHost(d.ledgerHostConfig(id, seeds, firstStart), d.listeners[id], zap.NewNop())
+	assert.NilError(d.t, err)
+	d.onCleanup(func() { assert.Check(d.t, h.Close()) })
+	return h
+}
+
+func (d *deployment) ledgerHostConfig(id string, seeds []string, firstStart bool) LedgerHostConfig {
+	return LedgerHostConfig{
 		HostConfig: HostConfig{
 			ID: id, DataCentre: "dc", DataFolder: filepath.Join(d.dir, id), Seeds: seeds, ToleratedLosses: d.tolerate, Key: d.key, Address: d.address,
 		},
 		Name: "store-" + id, FirstStart: firstStart,
-	}, d.listeners[id], zap.NewNop())
-	assert.NilError(d.t, err)
-	d.onCleanup(func() { assert.Check(d.t, h.Close()) })
-	return h
+	}
 }
 
 // turnRequest returns a request for a turn of a program with a budget of 10
--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -78,6 +78,8 @@
 	control.Handle(h.server, methodReserve, h.reserve)
 	control.Handle(h.server, methodSettle, h.settle)
 	control.Handle(h.server, methodExtend, h.extend)
+	control.Handle(h.server, methodRecord, h.recordStream)
+	control.Handle(h.server, methodLookup, h.lookupStream)
 	h.server.Serve(listener)
 	h.link.Start(nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -238,6 +240,16 @@
 	return out, err
 }
 
+func (h *LedgerHost) recordStream(ctx context.Context, _ string, r recordStreamRequest) (streamResponse, error) {
+	_, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{RecordStream: &r.RecordStream})
+	return streamResponse{Result: result}, err
+}
+
+func (h *LedgerHost) lookupStream(ctx context.Context, _ string, r lookupStreamRequest) (streamResponse, error) {
+	_, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{LookupStream: &r.LookupStream})
+	return streamResponse{Result: result}, err
+}
+
 // SetSeeds replaces the control hosts to contact first.
 func (h *LedgerHost) SetSeeds(ids []string) { h.link.SetSeeds(ids) }
 
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -19,6 +19,8 @@
 	methodReserve = "reserve-turn"    // entry host to the leader of a partition
 	methodSettle  = "settle-turn"     // entry host to the leader of a partition
 	methodExtend  = "extend-turn"     // entry host to the leader of a partition
+	methodRecord  = "record-stream"   // entry host to the leader of a partition
+	methodLookup  = "lookup-stream"   // entry host to the leader of a partition
 	methodPermit  = "permit"          // entry host to the leader of the control hosts
 )
 
@@ -161,6 +163,20 @@
 	Chain  []byte        `json:"chain,omitempty"`
 }
 
+type recordStreamRequest struct {
+	Partition int `json:"partition"`
+	ledger.RecordStream
+}
+
+type lookupStreamRequest struct {
+	Partition int `json:"partition"`
+	ledger.LookupStream
+}
+
+type streamResponse struct {
+	Result ledger.Result `json:"result"`
+}
+
 // replicaMessage carries a message of a log group. Partition 0 is the log of
 // the control hosts.
 type replicaMessage struct {
--- /dev/null
+++ b/cluster/streams_test.go
@@ -0,0 +1,187 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/faults"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/replica"
+)
+
+// poweredHosts are ledger hosts on in-memory disks, which can all lose power at
+// once.
+type poweredHosts struct {
+	*deployment
+	seeds  []string
+	ids    []string
+	disks  map[string]*faults.Disk
+	random *rand.Rand
+	hosts  []*LedgerHost
+}
+
+func (d *deployment) startPoweredHosts(seeds, ids []string) *poweredHosts {
+	d.t.Helper()
+	p := &poweredHosts{deployment: d, seeds: seeds, ids: ids, disks: map[string]*faults.Disk{}, random: rand.New(rand.NewPCG(1, 1))}
+	for _, id := range ids {
+		p.disks[id] = faults.NewDisk()
+	}
+	p.start(true)
+	return p
+}
+
+func (p *poweredHosts) start(firstStart bool) {
+	p.t.Helper()
+	p.hosts = nil
+	for _, id := range p.ids {
+		h, err := StartLedgerHost(p.ledgerHostConfig(id, p.seeds, firstStart), p.listeners[id], zap.NewNop(),
+			replica.WithFS(p.disks[id]), replica.WithSnapshots(8, 1<<20, 2))
+		assert.NilError(p.t, err)
+		p.hosts = append(p.hosts, h)
+	}
+}
+
+// stop closes all hosts concurrently and returns their errors.
+func (p *poweredHosts) stop() []error {
+	errs := make([]error, len(p.hosts))
+	var wait sync.WaitGroup
+	for i, h := range p.hosts {
+		wait.Go(func() { errs[i] = h.Close() })
+	}
+	wait.Wait()
+	return errs
+}
+
+// losePower crashes the disks of all hosts and starts the hosts again, with what
+// their disks had synced and on other ports.
+func (p *poweredHosts) losePower() {
+	p.t.Helper()
+	for _, id := range p.ids {
+		p.disks[id].Crash(p.random)
+	}
+	for _, err := range p.stop() {
+		if err != nil {
+			p.t.Log("host without power:", err)
+		}
+	}
+	for _, id := range p.ids {
+		l, err := (&net.ListenConfig{}).Listen(p.t.Context(), "tcp", "127.0.0.1:0")
+		assert.NilError(p.t, err)
+		p.mu.Lock()
+		p.listeners[id] = l
+		p.mu.Unlock()
+	}
+	p.start(false)
+}
+
+// Guards against a stream that is looked up in another partition than the turns
+// of its program, and against streams without a program that are all recorded in
+// one partition.
+func TestPartitionOfAStream(t *testing.T) {
+	assert.Equal(t, StreamKey{Program: "p", Stream: "s"}.partitionKey(), "p")
+	assert.Equal(t, StreamKey{Stream: "s"}.partitionKey(), "s")
+}
+
+// Guards against a stream whose version is forgotten when all ledger hosts lose
+// power at once and the entry host that began the stream is gone, whether the
+// version was recorded with the reservation of the turn or by itself, with or
+// without a program, and in whichever partition.
+func TestStreamVersionsSurviveLossOfPower(t *testing.T) {
+	d := newDeployment(t, "c1", "k1", "k2", "k3", "k4", "k5")
+	seeds := []string{"c1"}
+	d.startHost("c1", seeds, seeds)
+	hosts := d.startPoweredHosts(seeds, []string{"k1", "k2", "k3", "k4", "k5"})
+	d.onCleanup(func() {
+		for _, err := range hosts.stop() {
+			assert.Check(t, err)
+		}
+	})
+	writer := d.startLink("e1", seeds, &observer{})
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+
+	const retention = 10 * time.Minute
+	want := map[StreamKey]StreamVersion{}
+	record := func(k StreamKey, version string) {
+		assert.NilError(t, writer.RecordStream(ctx, k, version, retention))
+		want[k] = StreamVersion{Version: version, Known: true}
+	}
+	partitions := map[int]bool{}
+	for i := range 20 {
+		k := StreamKey{Program: fmt.Sprint("p", i), Stream: fmt.Sprint("turn-", i)}
+		turn := turnRequest(k.Program, k.Stream, 1, "")
+		turn.StreamVersion, turn.StreamRetention = "v1", retention.Milliseconds()
+		r, err := writer.Reserve(ctx, turn)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Resumed, StreamVersion{})
+		want[k] = StreamVersion{Version: "v1", Known: true}
+		if i%2 == 0 {
+			record(k, "v1.1")
+		}
+		record(StreamKey{Stream: fmt.Sprint("stream-", i)}, "v2")
+		partitions[ledger.GroupOf(k.Program, 3)] = true
+	}
+	assert.Equal(t, len(partitions), 3)
+	record(StreamKey{Stream: "unnamed"}, "")
+	want[StreamKey{Stream: "never"}] = StreamVersion{}
+
+	writer.Close()
+	hosts.losePower()
+	reader := d.startLink("e2", seeds, &observer{})
+	for k, version := range want {
+		got, err := reader.LookupStream(ctx, k)
+		assert.NilError(t, err)
+		assert.Equal(t, got, version, "%+v", k)
+	}
+	turn := turnRequest("p0", "later", 1, "")
+	turn.Resumes = "turn-0"
+	r, err := reader.Reserve(ctx, turn)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Resumed, StreamVersion{Version: "v1.1", Known: true})
+}
+
+// Guards against a turn that loses the version of its stream, or that of the
+// stream it takes up, because it continues a conversation of another partition.
+func TestStreamVersionsOfTurnsOfAnotherPartition(t *testing.T) {
+	ids := []string{"k1", "k2", "k3", "k4", "k5"}
+	d := newDeployment(t, append(ids, "c1")...)
+	seeds := []string{"c1"}
+	d.startHost("c1", seeds, seeds)
+	for _, id := range ids {
+		d.startLedgerHost(id, seeds, true)
+	}
+	l := d.startLink("e1", seeds, &observer{})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	_, err := l.Reserve(ctx, turnRequest("p0", "first", 1, ""))
+	assert.NilError(t, err)
+	assert.NilError(t, l.Settle(ctx, ledger.SettleTurn{
+		Program: "p0", Turn: "first", Keep: &ledger.KeptTurn{Input: []byte("in;"), Output: []byte("out;"), Retention: 60_000},
+	}))
+	own := ledger.GroupOf("p0", 3)
+	other := ""
+	for i := 1; other == ""; i++ {
+		if program := fmt.Sprint("p", i); ledger.GroupOf(program, 3) != own {
+			other = program
+		}
+	}
+	assert.NilError(t, l.RecordStream(ctx, StreamKey{other, "cut"}, "v1", time.Minute))
+	turn := turnRequest(other, "next", 1, "first")
+	turn.StreamVersion, turn.StreamRetention, turn.Resumes = "v1", 60_000, "cut"
+	r, err := l.Reserve(ctx, turn)
+	assert.NilError(t, err)
+	assert.Assert(t, r.OtherPartition)
+	assert.Equal(t, string(r.Chain), "in;out;")
+	assert.Equal(t, r.Resumed, StreamVersion{Version: "v1", Known: true})
+	got, err := l.LookupStream(ctx, StreamKey{other, "next"})
+	assert.NilError(t, err)
+	assert.Equal(t, got, StreamVersion{Version: "v1", Known: true})
+}
--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -41,6 +41,24 @@
 	// OtherPartition is set if the conversation is kept in another partition.
 	// Chain is set then, and must be stored with the turn.
 	OtherPartition bool
+	// Resumed is the record of the stream that the turn takes up, or the zero value
+	// if it takes up none.
+	Resumed StreamVersion
+}
+
+// StreamKey identifies a stream. Its record is kept in the partition of the
+// program or, if the stream belongs to none, in that of the stream.
+type StreamKey struct {
+	Program string // may be empty
+	Stream  string // id of the request that the stream answers
+}
+
+// StreamVersion is the software version of the backend server that began a
+// stream. Known is false if the ledger has no record of it. A known version may
+// be empty, since servers need not name one.
+type StreamVersion struct {
+	Version string
+	Known   bool
 }
 
 // partitionLeader is the last known leader of a partition.
@@ -79,6 +97,7 @@
 	r := Reservation{Chain: out.Chain}
 	if out.Result.Turn != nil {
 		r.LastServer = out.Result.Turn.LastServer
+		r.Resumed = streamVersion(out.Result.Turn.Resumed)
 	}
 	return r, refusalError(out.Result.Refusal)
 }
@@ -148,6 +167,50 @@
 	return refusalError(out.Result.Refusal)
 }
 
+// RecordStream records the software version of the backend server that begins a
+// stream, for at least the retention. A later record of the stream replaces the
+// version. The verdict of an error is about the record.
+func (l *Link) RecordStream(ctx context.Context, k StreamKey, version string, retention time.Duration) error {
+	var out streamResponse
+	err := l.callProgramLeader(ctx, k.partitionKey(), methodRecord, func(partition int) any {
+		return recordStreamRequest{
+			Partition: partition, RecordStream: ledger.RecordStream{Stream: k.Stream, Version: version, Retention: retention.Milliseconds()},
+		}
+	}, &out)
+	if err != nil {
+		return err
+	}
+	return refusalError(out.Result.Refusal)
+}
+
+// LookupStream returns the record of a stream. The key must name the same
+// program as that of the record.
+func (l *Link) LookupStream(ctx context.Context, k StreamKey) (StreamVersion, error) {
+	var out streamResponse
+	err := l.callProgramLeader(ctx, k.partitionKey(), methodLookup, func(partition int) any {
+		return lookupStreamRequest{Partition: partition, LookupStream: ledger.LookupStream{Stream: k.Stream}}
+	}, &out)
+	if err != nil {
+		return StreamVersion{}, err
+	}
+	return streamVersion(out.Result.Stream), refusalError(out.Result.Refusal)
+}
+
+// partitionKey returns the id whose hash determines the partition of a stream.
+func (k StreamKey) partitionKey() string {
+	if k.Program == "" {
+		return k.Stream
+	}
+	return k.Program
+}
+
+func streamVersion(s *ledger.StreamState) StreamVersion {
+	if s == nil {
+		return StreamVersion{}
+	}
+	return StreamVersion{Version: s.Version, Known: s.Known}
+}
+
 func refusalError(r *ledger.Refusal) error {
 	if r == nil {
 		return nil
@@ -164,8 +227,8 @@
 	return len(v.Plan.Partitions), nil
 }
 
-// callProgramLeader calls the leader of a program's partition. It waits for the
-// ledger plan first.
+// callProgramLeader calls the leader of the partition of a program, or of a
+// stream that belongs to none. It waits for the ledger plan first.
 func (l *Link) callProgramLeader(ctx context.Context, program, method string, params func(partition int) any, result any) error {
 	for {
 		count, err := l.partitionCount()
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -149,6 +149,21 @@
 	})
 }
 
+// BenchmarkStreamMemory reports the heap per record of a stream. Each command has
+// strings of its own, as if it had been decoded.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 100_000
+	for b.Loop() {
+		before := heapBytes()
+		m := New()
+		for i := range streams {
+			recordTestStream(m, 1, fmt.Sprintf("%016x", i), strings.Clone("v1.1"), 60_000)
+		}
+		b.ReportMetric(float64(heapBytes()-before)/streams, "bytes/record")
+		runtime.KeepAlive(m)
+	}
+}
+
 // BenchmarkSnapshot measures writing, capturing and restoring a snapshot, and
 // reports its size.
 func BenchmarkSnapshot(b *testing.B) {
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -35,6 +35,8 @@
 	checkPart(c.ReserveTurn != nil, func() error { return c.ReserveTurn.check() })
 	checkPart(c.SettleTurn != nil, func() error { return c.SettleTurn.check() })
 	checkPart(c.ExtendTurn != nil, func() error { return c.ExtendTurn.check() })
+	checkPart(c.RecordStream != nil, func() error { return c.RecordStream.check() })
+	checkPart(c.LookupStream != nil, func() error { return c.LookupStream.check() })
 	if set != 1 {
 		return fmt.Errorf("command has %d parts: want exactly one", set)
 	}
@@ -57,10 +59,7 @@
 	if c.Parent == c.Program {
 		return fmt.Errorf("parent %q: want another program", c.Parent)
 	}
-	if len(c.Parent) > maxIDBytes {
-		return fmt.Errorf("parent: %d bytes, want at most %d", len(c.Parent), maxIDBytes)
-	}
-	return nil
+	return checkLength("parent", c.Parent)
 }
 
 func (c *OpenCall) check() error {
@@ -75,7 +74,9 @@
 func (c *ReserveTurn) check() error {
 	return errors.Join(
 		checkID("program", c.Program), checkID("turn", c.Turn),
-		checkAmount("budget", c.Budget), checkAmount("most", c.MaxTokens))
+		checkAmount("budget", c.Budget), checkAmount("most", c.MaxTokens),
+		checkLength("stream-version", c.StreamVersion), checkAmount("stream-retention", c.StreamRetention),
+		checkLength("resumes", c.Resumes))
 }
 
 func (c *SettleTurn) check() error {
@@ -131,6 +132,14 @@
 	return nil
 }
 
+// checkLength checks an id or version that may be empty.
+func checkLength(field, value string) error {
+	if len(value) > maxIDBytes {
+		return fmt.Errorf("%s: %d bytes, want at most %d", field, len(value), maxIDBytes)
+	}
+	return nil
+}
+
 func checkAmount(field string, value int64) error {
 	if value < 0 || value > maxAmount {
 		return fmt.Errorf("%s %d: want 0 to %d", field, value, maxAmount)
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -75,7 +75,8 @@
 // Command is one log entry of a program group. Exactly one field is set.
 // Any command but Tick can be applied twice in a row with the same effect as
 // once, since its ids identify the duplicate. A later duplicate may have an
-// effect: a ReserveTurn after the SettleTurn of the same turn reserves again.
+// effect: a ReserveTurn after the SettleTurn of the same turn reserves again, and
+// a RecordStream after a later one of the same stream restores its version.
 type Command struct {
 	OpenProgram      *OpenProgram      `json:"open-program,omitempty"`
 	OpenCall         *OpenCall         `json:"open-call,omitempty"`
@@ -89,6 +90,8 @@
 	ReserveTurn      *ReserveTurn      `json:"reserve-turn,omitempty"`
 	SettleTurn       *SettleTurn       `json:"settle-turn,omitempty"`
 	ExtendTurn       *ExtendTurn       `json:"extend-turn,omitempty"`
+	RecordStream     *RecordStream     `json:"record-stream,omitempty"`
+	LookupStream     *LookupStream     `json:"lookup-stream,omitempty"`
 }
 
 // OpenProgram opens a program, or a sub-program if it has a parent. The budget
@@ -200,8 +203,9 @@
 	// Call is the call that the command names. If an open-call is refused, it is
 	// the program's running call or nil; with other refusals it is the unchanged
 	// call or nil.
-	Call *CallState `json:"call,omitempty"`
-	Turn *TurnState `json:"turn,omitempty"`
+	Call   *CallState   `json:"call,omitempty"`
+	Turn   *TurnState   `json:"turn,omitempty"`
+	Stream *StreamState `json:"stream,omitempty"`
 }
 
 // Refusal gives the reason why a command was not applied.
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -20,6 +20,10 @@
 	f.Add(int64(5), `{"take-over":{"program":"p","call":99,"attempt":1,"host":"h","host-incarnation":"2"}}`)
 	f.Add(int64(1<<62), `{"tick":{}}`)
 	f.Add(int64(5), `{"tick":{},"server-gone":{"server":"s","server-incarnation":"1"}}`)
+	f.Add(int64(5), `{"reserve-turn":{"program":"p","turn":"t","budget":9,"most":1,"stream-version":"v1","stream-retention":-1,"resumes":"u"}}`)
+	f.Add(int64(5), `{"record-stream":{"stream":"t","version":"v1","retention":9223372036854775807}}`)
+	f.Add(int64(1<<62), `{"record-stream":{"stream":"t","retention":4503599627370496}}`)
+	f.Add(int64(5), `{"lookup-stream":{"stream":""}}`)
 	f.Add(int64(5), `{"history":{"program":"p","from":-1,"limit":-1}}`)
 	f.Fuzz(func(t *testing.T, now int64, command string) {
 		m := New(WithRetention(0, 1))
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -86,6 +86,10 @@
 		return m.settleTurn(c.SettleTurn)
 	case c.ExtendTurn != nil:
 		return m.extendTurn(c.ExtendTurn)
+	case c.RecordStream != nil:
+		return m.recordStream(c.RecordStream)
+	case c.LookupStream != nil:
+		return m.lookupStream(c.LookupStream)
 	}
 	return Result{}
 }
--- a/ledger/machine_test.go
+++ b/ledger/machine_test.go
@@ -119,6 +119,9 @@
 func TestCaptureWhileApplying(t *testing.T) {
 	m := New()
 	fill(m, 50, 3)
+	for i := range 50 {
+		recordTestStream(m, 2, benchID(i), "v1", 10)
+	}
 	var want, got bytes.Buffer
 	assert.NilError(t, m.Snapshot(&want))
 	write := m.Capture()
@@ -129,6 +132,7 @@
 			m.ApplyCommand(3, c)
 		}
 		m.ApplyCommand(4, Command{EndProgram: &EndProgram{Program: benchID(i), Status: ProgramDone}})
+		recordTestStream(m, 4, benchID(i), "v2", 10)
 	}
 	assert.NilError(t, <-done)
 	assert.Equal(t, got.String(), want.String())
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -21,10 +21,11 @@
 	RemovedPrograms int64               `json:"forgotten"`
 	Due             []Release           `json:"due,omitempty"`
 	Gone            []serverIncarnation `json:"gone,omitempty"`
-	// Accounts and Turns count the account and turn records, which follow the
-	// programs.
+	// Accounts, Turns and Streams count the records of accounts, turns and streams,
+	// which follow the programs in this order.
 	Accounts int `json:"accounts,omitempty"`
 	Turns    int `json:"turns,omitempty"`
+	Streams  int `json:"streams,omitempty"`
 }
 
 // Snapshot writes the whole state as JSON records. The output is
@@ -43,14 +44,21 @@
 	for _, p := range m.programs {
 		programs = append(programs, p.capture())
 	}
-	accounts, kept := m.turns.capture()
-	h.Accounts, h.Turns = len(accounts), len(kept)
-	return func(w io.Writer) error { return writeSnapshot(w, h, programs, accounts, kept) }
+	c := m.turns.capture()
+	h.Accounts, h.Turns, h.Streams = len(c.accounts), len(c.kept), len(c.streams)
+	return func(w io.Writer) error { return writeSnapshot(w, h, programs, c) }
+}
+
+// capturedTurns is a copy of turns.
+type capturedTurns struct {
+	accounts []account
+	kept     []keptTurn
+	streams  []keptStream
 }
 
 // capture copies what later commands change in place. The inputs and outputs of
 // turns are immutable and shared with the copy.
-func (t *turns) capture() ([]account, []keptTurn) {
+func (t *turns) capture() capturedTurns {
 	accounts := make([]account, 0, len(t.accounts))
 	for _, a := range t.accounts {
 		c := *a
@@ -61,7 +69,11 @@
 	for _, k := range t.kept {
 		kept = append(kept, *k)
 	}
-	return accounts, kept
+	streams := make([]keptStream, 0, len(t.streams))
+	for id, r := range t.streams {
+		streams = append(streams, keptStream{id, r})
+	}
+	return capturedTurns{accounts, kept, streams}
 }
 
 // capture copies what later commands change in place. Settled calls are
@@ -77,9 +89,10 @@
 	return c
 }
 
-func writeSnapshot(w io.Writer, h header, programs []program, accounts []account, kept []keptTurn) error {
-	slices.SortFunc(accounts, func(a, b account) int { return strings.Compare(a.Program, b.Program) })
-	slices.SortFunc(kept, func(a, b keptTurn) int { return strings.Compare(a.Turn, b.Turn) })
+func writeSnapshot(w io.Writer, h header, programs []program, c capturedTurns) error {
+	slices.SortFunc(c.accounts, func(a, b account) int { return strings.Compare(a.Program, b.Program) })
+	slices.SortFunc(c.kept, func(a, b keptTurn) int { return strings.Compare(a.Turn, b.Turn) })
+	slices.SortFunc(c.streams, func(a, b keptStream) int { return strings.Compare(a.Stream, b.Stream) })
 	slices.SortFunc(programs, func(a, b program) int { return strings.Compare(a.ID, b.ID) })
 	buffered := bufio.NewWriterSize(w, 64<<10)
 	encoder := json.NewEncoder(buffered)
@@ -91,14 +104,19 @@
 			return fmt.Errorf("write program %q: %w", programs[i].ID, err)
 		}
 	}
-	for i := range accounts {
-		if err := encoder.Encode(&accounts[i]); err != nil {
-			return fmt.Errorf("write account %q: %w", accounts[i].Program, err)
+	for i := range c.accounts {
+		if err := encoder.Encode(&c.accounts[i]); err != nil {
+			return fmt.Errorf("write account %q: %w", c.accounts[i].Program, err)
 		}
 	}
-	for i := range kept {
-		if err := encoder.Encode(&kept[i]); err != nil {
-			return fmt.Errorf("write turn %q: %w", kept[i].Turn, err)
+	for i := range c.kept {
+		if err := encoder.Encode(&c.kept[i]); err != nil {
+			return fmt.Errorf("write turn %q: %w", c.kept[i].Turn, err)
+		}
+	}
+	for i := range c.streams {
+		if err := encoder.Encode(&c.streams[i]); err != nil {
+			return fmt.Errorf("write stream %q: %w", c.streams[i].Stream, err)
 		}
 	}
 	return buffered.Flush()
@@ -154,6 +172,13 @@
 		}
 		t.kept[k.Turn] = k
 	}
+	for i := range h.Streams {
+		var k keptStream
+		if err := decoder.Decode(&k); err != nil {
+			return fmt.Errorf("read stream %d of %d: %w", i+1, h.Streams, err)
+		}
+		t.streams[k.Stream] = k.streamRecord
+	}
 	return nil
 }
 
--- /dev/null
+++ b/ledger/stream.go
@@ -0,0 +1,72 @@
+package ledger
+
+import "errors"
+
+// RecordStream records the software version of the backend server that begins a
+// stream. A later record of the same stream, from an attempt that moved to
+// another server before the first event, replaces the version and may only
+// extend the expiry.
+type RecordStream struct {
+	Stream    string `json:"stream"`    // id of the request that the stream answers
+	Version   string `json:"version"`   // empty if the server names no version
+	Retention int64  `json:"retention"` // milliseconds from now
+}
+
+// LookupStream reads the record of a stream. It is a command and not a Query, so
+// that a leader that has been replaced cannot answer from an old state.
+type LookupStream struct {
+	Stream string `json:"stream"`
+}
+
+// StreamState is the record of a stream. Known is false if there is none or if
+// it has expired.
+type StreamState struct {
+	Stream  string `json:"stream"`
+	Version string `json:"version,omitempty"`
+	Known   bool   `json:"known"`
+}
+
+// streamRecord is the software version at which a stream began.
+type streamRecord struct {
+	Version string `json:"version,omitempty"`
+	Expires int64  `json:"expires"` // Unix milliseconds
+}
+
+// keptStream is a streamRecord in a snapshot.
+type keptStream struct {
+	Stream string `json:"stream"`
+	streamRecord
+}
+
+func (c *RecordStream) check() error {
+	return errors.Join(
+		checkID("stream", c.Stream), checkLength("version", c.Version), checkAmount("retention", c.Retention))
+}
+
+func (c *LookupStream) check() error { return checkID("stream", c.Stream) }
+
+func (m *StateMachine) recordStream(c *RecordStream) Result {
+	m.sweepTurns()
+	m.setStream(c.Stream, c.Version, c.Retention)
+	return Result{Stream: m.stream(c.Stream)}
+}
+
+func (m *StateMachine) lookupStream(c *LookupStream) Result {
+	m.sweepTurns()
+	return Result{Stream: m.stream(c.Stream)}
+}
+
+func (m *StateMachine) setStream(id, version string, retention int64) {
+	expires := max(m.turns.streams[id].Expires, m.clock+retention)
+	m.turns.streams[id] = streamRecord{Version: version, Expires: expires}
+}
+
+// stream returns the state of a stream. It checks the expiry itself and so does
+// not depend on the last sweep.
+func (m *StateMachine) stream(id string) *StreamState {
+	r, ok := m.turns.streams[id]
+	if !ok || r.Expires <= m.clock {
+		return &StreamState{Stream: id}
+	}
+	return &StreamState{Stream: id, Version: r.Version, Known: true}
+}
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -13,7 +13,7 @@
 
 const (
 	// sweepInterval is the minimum time, in milliseconds, between two sweeps of
-	// expired turns and accounts.
+	// expired turns, accounts and records of streams.
 	sweepInterval = 10_000
 	// accountRetention is how long, in milliseconds, the account of a program is
 	// kept after its last turn. A stopped program may be continued within the
@@ -39,6 +39,14 @@
 	// Session is the session id of the request. The turns of a session extend the
 	// same prompt.
 	Session string `json:"line,omitempty"`
+	// StreamVersion is the software version of the backend server that begins the
+	// stream of this turn. If it is set and the turn is reserved, it is recorded as
+	// by RecordStream, for StreamRetention milliseconds.
+	StreamVersion   string `json:"stream-version,omitempty"`
+	StreamRetention int64  `json:"stream-retention,omitempty"`
+	// Resumes is the id of the request whose answer began the stream that this
+	// turn takes up, or empty.
+	Resumes string `json:"resumes,omitempty"`
 }
 
 // SettleTurn releases the reservation of a turn and charges the tokens that its
@@ -82,6 +90,8 @@
 	// is recorded for the session, the last turn of its program. Only ReserveTurn
 	// returns it.
 	LastServer string `json:"last-server,omitempty"`
+	// Resumed is the record of the stream that a reserved turn takes up.
+	Resumed *StreamState `json:"resumed,omitempty"`
 }
 
 // account is the budget account of a program's turns.
@@ -111,15 +121,16 @@
 	Expires int64 `json:"expires"` // Unix milliseconds
 }
 
-// turns holds the accounts and the stored turns.
+// turns holds the accounts, the stored turns and the records of streams.
 type turns struct {
 	accounts map[string]*account
 	kept     map[string]*keptTurn
+	streams  map[string]streamRecord
 	sweepAt  int64 // earliest time of the next sweep, Unix milliseconds
 }
 
 func newTurns() turns {
-	return turns{accounts: map[string]*account{}, kept: map[string]*keptTurn{}}
+	return turns{accounts: map[string]*account{}, kept: map[string]*keptTurn{}, streams: map[string]streamRecord{}}
 }
 
 func (m *StateMachine) reserveTurn(c *ReserveTurn) Result {
@@ -147,6 +158,12 @@
 	if server, ok := a.SessionServers[c.Session]; ok {
 		state.LastServer = server
 	}
+	if c.Resumes != "" {
+		state.Resumed = m.stream(c.Resumes)
+	}
+	if c.StreamVersion != "" {
+		m.setStream(c.Turn, c.StreamVersion, c.StreamRetention)
+	}
 	return Result{Turn: state}
 }
 
@@ -236,10 +253,10 @@
 	return out.Bytes(), true
 }
 
-// sweepTurns removes expired turns and accounts. Replicas may sweep at different
-// times, since sweepAt is not part of a snapshot. The turn method checks the
-// expiry itself and so does not depend on the last sweep; lookups of accounts,
-// settleTurn, extendChain and Chain do.
+// sweepTurns removes expired turns, accounts and records of streams. Replicas may
+// sweep at different times, since sweepAt is not part of a snapshot. The turn and
+// stream methods check the expiry themselves and so do not depend on the last
+// sweep; lookups of accounts, settleTurn, extendChain and Chain do.
 func (m *StateMachine) sweepTurns() {
 	if m.clock < m.turns.sweepAt {
 		return
@@ -247,4 +264,5 @@
 	m.turns.sweepAt = m.clock + sweepInterval
 	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool { return k.Expires+sweepInterval <= m.clock })
 	maps.DeleteFunc(m.turns.accounts, func(_ string, a *account) bool { return a.UsedAt+accountRetention <= m.clock })
+	maps.DeleteFunc(m.turns.streams, func(_ string, r streamRecord) bool { return r.Expires <= m.clock })
 }
