schedule: remove the pools of former software versions

A pool was only removed when a call left it. Each release of the servers' software that streams were resumed at left a pool behind, which every update of a server visits. The pool of a software version is now removed when its last server has left and no call needs it. The estimates stay with the pool of all versions.

Without the change TestFormerSoftwareVersionsAreForgotten prints "3 (int) != 2 (int)" at the second version.

--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -101,7 +101,6 @@
 	s.poolOrder = slices.DeleteFunc(s.poolOrder, func(o *pool) bool { return o == p })
 	if p.base != nil {
 		p.base.versionPools--
-		s.removeIfUnused(p.base)
 	}
 }
 
@@ -111,16 +110,23 @@
 	s.updateEligibility(v)
 }
 
-// removeFromPools removes a server from all pools.
-func (v *server) removeFromPools() {
+// removeFromPools removes a server from all pools, and pools of software
+// versions that become unused.
+func (s *Scheduler) removeFromPools(v *server) {
 	for i := range v.pools {
 		v.setEligible(i, false)
 		p := v.pools[i].pool
 		p.members = slices.DeleteFunc(p.members, func(o *server) bool { return o == v })
 		p.reserved = slices.DeleteFunc(p.reserved, func(o *server) bool { return o == v })
 	}
+	left := v.pools
 	v.pools = v.pools[:0]
 	v.reserved = false
+	for _, m := range left {
+		if m.pool.base != nil {
+			s.removeIfUnused(m.pool)
+		}
+	}
 }
 
 // setEligible adds a server to the list of eligible servers of its i-th pool,
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -166,6 +166,9 @@
 	c.program.calls--
 	s.touch(c.program)
 	s.removeIfUnused(c.pool)
+	if c.pool.base != nil {
+		s.removeIfUnused(c.pool.base)
+	}
 	if c.hedge == hedgeQueued {
 		s.hedges = slices.DeleteFunc(s.hedges, func(o *call) bool { return o == c })
 	}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -141,7 +141,7 @@
 	s.slots += n.modelSlots() - v.modelSlots()
 	v.Server = n
 	v.cache.limit = n.CacheTokens
-	v.removeFromPools()
+	s.removeFromPools(v)
 	for _, p := range s.poolOrder {
 		if p.key.servedBy(&v.Server) {
 			s.addToPool(p, v)
@@ -185,7 +185,7 @@
 		return
 	}
 	v.removed = true
-	v.removeFromPools()
+	s.removeFromPools(v)
 	s.slots -= v.modelSlots()
 	delete(s.servers, id)
 	for i, o := range s.serverOrder {
--- a/schedule/softwareversion_test.go
+++ b/schedule/softwareversion_test.go
@@ -278,6 +278,28 @@
 	}
 }
 
+// Guards against memory that grows with the number of software versions that
+// servers have had, and against estimates that are lost with their servers.
+func TestFormerSoftwareVersionsAreForgotten(t *testing.T) {
+	s := New(rand.NewPCG(1, 1))
+	for n := range 20 {
+		version := fmt.Sprint("v", n)
+		s.SetServer(0, versionServer("a", version, false))
+		s.Enqueue(0, versionRequest(n, version, false))
+		a, ok := s.Next(0)
+		assert.Assert(t, ok)
+		s.Finished(0, a.ID, a.Server, Usage{OutputTokens: 5}, Succeeded)
+		assert.Equal(t, len(s.pools), 2)
+	}
+	estimates := s.servers["a"].pools[0].pool.costs
+	s.RemoveServer(0, "a")
+	assert.Equal(t, len(s.pools), 1)
+	s.Enqueue(0, versionRequest(30, "v", false))
+	assert.Assert(t, s.poolOrder[1].costs == estimates)
+	assert.Equal(t, len(s.Refused(noServerTimeout)), 1)
+	assert.Equal(t, len(s.pools), 0)
+}
+
 // versionModel drives one Scheduler whose servers have random software versions.
 type versionModel struct {
 	s        *Scheduler
