forward: keep streams to the software version that began them

Cause: placements did not know the version that servers announce, and after the loss of an entry host nothing mapped the request that a client names in Resumes to a version. Class of fault: state that a promise to callers needs, kept only in a process that may be lost, or nowhere.

Change: - Once an answer has begun, it goes on only at servers of its version. - The version of each stream that may be resumed is recorded in the ledger, with the reservation of its turn if all servers have one version, and with a command of its own, beside the sending of the request, otherwise. No event waits for it: a stream whose record is lost is not resumed. - A host that a client asks to take up a stream reads the record and places the call only at that version. Without a record, or without a server of the version, it refuses at once; a host that has just started first waits until the servers have announced themselves. - A call that is retried at another version before its first event replaces the record before it is sent; if an earlier record may still be committed, the call stays at its version. - Servers that announce no version are interchangeable, as before.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -169,6 +169,12 @@
 
 // attemptStream makes one attempt of serveStream.
 func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) error {
+	if fixed := r.stream.fixedVersion(); fixed != "" && t.softwareVersion != fixed {
+		return verdict.Newf(verdict.NotRun, verdict.NoServer, "server %s now has software version %q: want %q", t.server, t.softwareVersion, fixed)
+	}
+	if err := r.recordVersion(ctx, t.softwareVersion); err != nil {
+		return err
+	}
 	ctx, idle := newIdleTimer(ctx, r.call.Route, r.mayMove(t))
 	defer idle.stop()
 	resp, err := r.send(ctx, t, a)
@@ -181,6 +187,7 @@
 	}
 	if !r.progress.started {
 		r.progress.started = true
+		r.stream.begin(t.softwareVersion)
 		maps.Copy(w.Header(), r.protocol.ForwardedHeader(resp))
 		w.WriteHeader(resp.StatusCode)
 	}
@@ -209,12 +216,15 @@
 	if !after.mayRepeat(r.call.Route) {
 		return nil
 	}
-	deadline := r.call.Deadline
+	deadline, softwareVersion := r.call.Deadline, r.stream.fixedVersion()
 	return func() (ok bool) {
 		if time.Until(deadline) < minRetryTime {
 			return false
 		}
-		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) { ok = s.HasAlternative(now, t.id) })
+		if r.stream.begun.Load() {
+			softwareVersion = t.softwareVersion
+		}
+		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) { ok = s.HasAlternative(now, t.id, softwareVersion) })
 		return ok
 	}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -20,9 +20,10 @@
 
 // target is the server that is assigned to an attempt.
 type target struct {
-	id      schedule.CallID
-	server  string
-	address string
+	id              schedule.CallID
+	server          string
+	address         string
+	softwareVersion string
 }
 
 // place queues the call until a backend server is assigned.
@@ -33,7 +34,7 @@
 		ID:    schedule.CallID{Program: r.program(), Call: int(r.requestSerial.Add(1)), Attempt: r.attempts + 1},
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.lastServer,
-		Session: xxhash.Sum64String(c.Session),
+		Session: xxhash.Sum64String(c.Session), SoftwareVersion: r.stream.fixedVersion(),
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
@@ -49,18 +50,21 @@
 		// the request that caused it is separated from the others.
 		request.Affinity, request.LastServer = 0, ""
 	}
+	if err := r.awaitVersion(ctx, &request); err != nil {
+		return target{}, schedule.Assignment{}, err
+	}
 	r.attempts++
 	a, err := r.submit(ctx, &request)
 	if err != nil {
 		return target{}, a, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
 			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
 	}
-	address := r.view.address(a.Server)
+	address, softwareVersion := r.view.server(a.Server)
 	r.timing.placed = time.Since(c.Arrived)
 	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
-		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
+		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", softwareVersion), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
-	return target{id: request.ID, server: a.Server, address: address}, a, nil
+	return target{id: request.ID, server: a.Server, address: address, softwareVersion: softwareVersion}, a, nil
 }
 
 // submit waits for the assignment of a server, and for a permit if the server is
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -64,6 +64,11 @@
 	// Settle replaces the reservation with the tokens used, and records the turn if
 	// t.Keep is set.
 	Settle(ctx context.Context, t ledger.SettleTurn) error
+	// RecordStream records the software version of the backend server that begins
+	// a stream.
+	RecordStream(ctx context.Context, k cluster.StreamKey, version string, retention time.Duration) error
+	// LookupStream returns the record of a stream.
+	LookupStream(ctx context.Context, k cluster.StreamKey) (cluster.StreamVersion, error)
 }
 
 // Permits hands out permits to send requests to backend servers that take a
@@ -207,6 +212,10 @@
 			return f.failed(c, err)
 		}
 		defer r.settle()
+	} else if c.Route.Kind == route.Stream && c.resumes() {
+		if err := r.findVersion(ctx); err != nil {
+			return f.failed(c, err)
+		}
 	}
 	var err error
 	if c.Route.Kind == route.Stream {
@@ -258,6 +267,7 @@
 	fingerprint  uint64
 	crashes      int // number of servers that have crashed while the request was in flight on them
 	progress     progress
+	stream       streamVersion
 	attempts     int      // number of attempts so far
 	avoid        []string // servers on which an attempt has failed
 	lastErr      error    // error of the last attempt
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,8 @@
 	mu          sync.Mutex
 	ledger      *ledger.StateMachine
 	unavailable bool
+	recordErr   error        // returned by RecordStream
+	records     atomic.Int32 // calls of RecordStream
 	// fetched is the number of conversations that were read from the ledger.
 	fetched int
 	// otherPartition holds conversations in another partition, by turn.
@@ -75,15 +78,39 @@
 	if r.Refusal != nil {
 		return cluster.Reservation{}, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
 	}
-	if other {
-		return cluster.Reservation{Chain: []byte(chain), OtherPartition: true}, nil
+	out := cluster.Reservation{LastServer: r.Turn.LastServer}
+	if s := r.Turn.Resumed; s != nil {
+		out.Resumed = cluster.StreamVersion{Version: s.Version, Known: s.Known}
+	}
+	switch {
+	case other:
+		out.Chain, out.OtherPartition = []byte(chain), true
+	case t.WantChain:
+		l.fetched++
+		out.Chain, _ = l.ledger.Chain(t.Previous)
+	}
+	return out, nil
+}
+
+func (l *testTurns) RecordStream(_ context.Context, k cluster.StreamKey, version string, retention time.Duration) error {
+	l.records.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.recordErr != nil {
+		return l.recordErr
 	}
-	if !t.WantChain {
-		return cluster.Reservation{LastServer: r.Turn.LastServer}, nil
+	l.ledger.ApplyCommand(1, ledger.Command{RecordStream: &ledger.RecordStream{Stream: k.Stream, Version: version, Retention: retention.Milliseconds()}})
+	return nil
+}
+
+func (l *testTurns) LookupStream(_ context.Context, k cluster.StreamKey) (cluster.StreamVersion, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unavailable {
+		return cluster.StreamVersion{}, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
 	}
-	l.fetched++
-	conversation, _ := l.ledger.Chain(t.Previous)
-	return cluster.Reservation{Chain: conversation, LastServer: r.Turn.LastServer}, nil
+	r := l.ledger.ApplyCommand(1, ledger.Command{LookupStream: &ledger.LookupStream{Stream: k.Stream}})
+	return cluster.StreamVersion{Version: r.Stream.Version, Known: r.Stream.Known}, nil
 }
 
 func (l *testTurns) Settle(_ context.Context, t ledger.SettleTurn) error {
@@ -185,6 +212,7 @@
 	forwarder *Forwarder
 	turns     *testTurns
 	permits   testPermits
+	servers   []*server // for answers that replace the servers
 }
 
 // testPermits hands out a number of permits for all servers together.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -42,6 +42,12 @@
 	m.route(c).Tagged(map[string]string{"verdict": e.Verdict().String(), "reason": string(e.Reason())}).Counter("calls-refused").Inc(1)
 }
 
+// resumed counts a stream that its caller resumes, by what is known of its
+// software version.
+func (m *callMetrics) resumed(version string) {
+	m.scope.Tagged(map[string]string{"version": version}).Counter("streams-resumed").Inc(1)
+}
+
 // aborted counts an aborted stream.
 func (m *callMetrics) aborted(c *Call) { m.route(c).Counter("streams-broken").Inc(1) }
 
--- /dev/null
+++ b/forward/streamversion.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/cluster"
+	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
+)
+
+// UnknownStream is the reason for refusing to resume a stream whose software
+// version is not known.
+const UnknownStream verdict.Reason = "unknown-stream"
+
+const (
+	// streamRetention is how long the version of a stream is kept after the
+	// deadline of the call that began it. Callers resume streams within their own
+	// deadline.
+	streamRetention = 30 * time.Second
+	// registryWarmUp is the time after which a host that has just started knows the
+	// servers, even if the control hosts have restarted too. Servers announce
+	// themselves about every 1.2 s.
+	registryWarmUp = 1500 * time.Millisecond
+	// versionPollInterval is the interval at which a call waits for a server of its
+	// software version on a host that has just started.
+	versionPollInterval = 50 * time.Millisecond
+)
+
+// streamVersion tracks the software version of the servers of a stream. The
+// events of two versions don't fit together, and servers don't check this. The
+// ledger records the version before or while the first event is passed on, so
+// that any host can resume the stream; a stream without a record is not resumed.
+//
+// Servers that announce no version are interchangeable: the version "" neither
+// is recorded nor restricts a stream.
+type streamVersion struct {
+	version string
+	// fixed is set if the stream may go on only at version. begun is set once the
+	// answer has been started, at the version of the attempt's server.
+	fixed bool
+	begun atomic.Bool
+	// recorded is the version that is recorded or being recorded, or "" if there
+	// is none.
+	recorded string
+	// recording is the record in progress, or nil.
+	recording *recording
+}
+
+// recording is the recording of a stream's version in the background.
+type recording struct {
+	done chan struct{}
+	err  error // valid when done is closed
+}
+
+// resumes reports whether the call takes up a stream that an earlier call began.
+func (c *Call) resumes() bool { return c.Resumes != "" || c.LastEvent != "" }
+
+// recordsVersion reports whether the call begins a stream that may be resumed.
+func (r *execution) recordsVersion() bool {
+	return r.call.Route.Kind == route.Stream && r.call.Route.Resumable && !r.call.resumes()
+}
+
+// streamKey returns the key of a stream that the call begins or takes up.
+func (r *execution) streamKey(stream string) cluster.StreamKey {
+	k := cluster.StreamKey{Stream: stream}
+	if r.call.Turn != nil {
+		k.Program = r.call.Program
+	}
+	return k
+}
+
+func (r *execution) streamRetention() time.Duration {
+	return time.Until(r.call.Deadline) + streamRetention
+}
+
+// versions returns the software versions of the servers of the route's services
+// that are not leaving.
+func (r *execution) versions() []string {
+	var services []string
+	for _, t := range r.call.Route.Targets {
+		services = append(services, t.Service)
+	}
+	return r.view.softwareVersions(services...)
+}
+
+// expectedVersion returns the software version at which the call will begin its
+// stream, or "" if that is not known before a server is assigned.
+func (r *execution) expectedVersion() string {
+	if versions := r.versions(); r.recordsVersion() && len(versions) == 1 {
+		return versions[0]
+	}
+	return ""
+}
+
+// findVersion determines the version at which the stream that the call takes up
+// must go on.
+func (r *execution) findVersion(ctx context.Context) error {
+	if r.call.Resumes == "" {
+		// The beginning can't be identified.
+		return r.resumeAt(cluster.StreamVersion{})
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	v, err := r.turns.LookupStream(ctx, r.streamKey(r.call.Resumes))
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of the stream could not be read",
+			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
+	}
+	return r.resumeAt(v)
+}
+
+// resumeAt restricts the call to the version that its stream began at. A stream
+// without a record goes on only if no server announces a version.
+func (r *execution) resumeAt(v cluster.StreamVersion) error {
+	versions := r.versions()
+	unversioned := len(versions) == 1 && versions[0] == ""
+	r.logger.Info("stream resumed by its caller", zap.String("request", r.call.ID), zap.String("stream", r.call.Resumes),
+		zap.String("last-event", r.call.LastEvent), zap.String("software-version", v.Version), zap.Bool("known", v.Known), zap.Strings("versions", versions))
+	if !v.Known && !unversioned {
+		r.metrics.resumed("unknown")
+		return verdict.New(verdict.NotRun, UnknownStream, "the software version at which the stream began is not known")
+	}
+	r.metrics.resumed("known")
+	r.stream.version, r.stream.fixed = v.Version, true
+	return nil
+}
+
+// begin restricts the stream to the version of the server whose answer is
+// passed on.
+func (s *streamVersion) begin(version string) {
+	s.version, s.fixed = version, true
+	s.begun.Store(true)
+}
+
+// fixedVersion returns the software version to which the call is restricted, or
+// "" if there is none.
+func (s *streamVersion) fixedVersion() string {
+	if s.fixed {
+		return s.version
+	}
+	return ""
+}
+
+// awaitVersion returns an error if no server of the software version to which
+// the call is restricted can run it. On a host that has just started, it first
+// waits until all servers are known.
+func (r *execution) awaitVersion(ctx context.Context, request *schedule.Request) error {
+	for request.SoftwareVersion != "" {
+		var found bool
+		r.queue.Do(func(_ time.Duration, s *schedule.Scheduler) {
+			found = s.HasVersion(request.Model, request.Service, request.SoftwareVersion)
+		})
+		if found {
+			return nil
+		}
+		if r.view.knownFor() >= registryWarmUp || !pause.For(ctx, versionPollInterval) {
+			r.metrics.resumed("no-server")
+			return verdict.New(verdict.NotRun, verdict.NoServer, "no backend server has software version "+request.SoftwareVersion+" of the stream")
+		}
+	}
+	return nil
+}
+
+// recordVersion records the software version of the server that is about to
+// begin the stream. Events may be passed on before the record is committed: until
+// then, the stream can't be resumed by its caller. An earlier record of another
+// version must be replaced first.
+func (r *execution) recordVersion(ctx context.Context, version string) error {
+	s := &r.stream
+	if !r.recordsVersion() || s.fixed || version == s.recorded {
+		return nil
+	}
+	if s.recorded == "" {
+		s.recorded = version
+		s.recording = r.startRecording(version)
+		return nil
+	}
+	if err := r.awaitRecording(ctx); err != nil {
+		// The earlier record may still be committed.
+		s.version, s.fixed = s.recorded, true
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), version, r.streamRetention()); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of the stream could not be recorded",
+			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
+	}
+	s.recorded = version
+	return nil
+}
+
+// startRecording records the version of the stream in the background.
+func (r *execution) startRecording(version string) *recording {
+	w := &recording{done: make(chan struct{})}
+	key, retention := r.streamKey(r.call.ID), r.streamRetention()
+	r.background.Go(func() {
+		defer close(w.done)
+		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
+		defer cancel()
+		if w.err = r.turns.RecordStream(ctx, key, version, retention); w.err != nil {
+			r.logger.Warn("software version of stream not recorded; its caller can't resume it", zap.String("request", key.Stream), zap.Error(w.err))
+		}
+	})
+	return w
+}
+
+// awaitRecording waits for the recording in progress, if any. It returns an error
+// if its outcome is not known.
+func (r *execution) awaitRecording(ctx context.Context) error {
+	w := r.stream.recording
+	if w == nil {
+		return nil
+	}
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of an earlier attempt is being recorded", verdict.WithCause(ctx.Err()))
+	}
+	if w.err != nil && verdict.Of(w.err) != verdict.NotRun {
+		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "whether the software version of an earlier attempt was recorded is unknown", verdict.WithCause(w.err))
+	}
+	return nil
+}
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -19,6 +19,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	t := r.call.Turn
+	expected := r.expectedVersion()
 	cached := false
 	if t.Previous != "" {
 		r.conversation, cached = r.chains.get(t.Previous)
@@ -26,6 +27,7 @@
 	reservation, err := r.turns.Reserve(ctx, cluster.TurnRequest{
 		ReserveTurn: ledger.ReserveTurn{
 			Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, MaxTokens: t.MaxTokens, Previous: t.Previous, Session: r.call.Session,
+			StreamVersion: expected, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.Resumes,
 		},
 		WantChain: t.Previous != "" && !cached, Retention: r.call.Route.Retention,
 	})
@@ -50,6 +52,13 @@
 	}
 	r.body = r.conversation.body(r.body)
 	r.lastServer = reservation.LastServer
+	r.stream.recorded = expected
+	if r.call.resumes() {
+		if err := r.resumeAt(reservation.Resumed); err != nil {
+			r.settle()
+			return err
+		}
+	}
 	return nil
 }
 
--- a/forward/view.go
+++ b/forward/view.go
@@ -49,6 +49,8 @@
 	crashed  map[uint64]*crash    // crashes that this host has detected, by fingerprint of the request
 	suspects map[uint64][]string  // crashed servers, as reported by any host, by fingerprint of the request
 	limits   *cluster.Limits
+	// knownSince is the time of the first update of the servers.
+	knownSince time.Time
 }
 
 // exclusion excludes an incarnation of a server until a time.
@@ -94,29 +96,34 @@
 	return nil
 }
 
-// address returns the address of a server, or "" if it has left.
-func (view *View) address(server string) string {
+// server returns the address and the software version of a server, which are
+// empty if it has left.
+func (view *View) server(id string) (address, softwareVersion string) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	return view.servers[server].Address
+	e := view.servers[id]
+	return e.Address, e.Version
 }
 
-// softwareVersion returns the software version of a server, or "" if the server
-// has left or announces none.
-func (view *View) softwareVersion(server string) string {
+// knownFor returns the time since the first control host has returned its
+// servers.
+func (view *View) knownFor() time.Duration {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	return view.servers[server].Version
+	if view.knownSince.IsZero() {
+		return 0
+	}
+	return time.Since(view.knownSince)
 }
 
-// softwareVersions returns the sorted software versions of the servers of a
-// service that are not leaving. The version of servers that announce none is "".
-func (view *View) softwareVersions(service string) []string {
+// softwareVersions returns the sorted software versions of the servers of some
+// services that are not leaving. The version of servers that announce none is "".
+func (view *View) softwareVersions(services ...string) []string {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	var versions []string
 	for _, e := range view.servers {
-		if e.Service == service && e.State == registry.Ready {
+		if slices.Contains(services, e.Service) && e.State == registry.Ready {
 			versions = append(versions, e.Version)
 		}
 	}
@@ -146,6 +153,9 @@
 		}
 	}
 	view.servers = servers
+	if view.knownSince.IsZero() {
+		view.knownSince = time.Now()
+	}
 	view.mu.Unlock()
 	view.syncServers()
 }
--- a/forward/view_test.go
+++ b/forward/view_test.go
@@ -61,6 +61,7 @@
 		}
 		view.Servers(servers)
 		assert.DeepEqual(t, view.softwareVersions("engine"), tt.versions)
-		assert.Equal(t, view.softwareVersion("a"), tt.version, tt.name)
+		_, version := view.server("a")
+		assert.Equal(t, version, tt.version, tt.name)
 	}
 }
--- a/schedule/alternative_test.go
+++ b/schedule/alternative_test.go
@@ -11,7 +11,7 @@
 // them, and against calls that stay although one can.
 func TestHasAlternative(t *testing.T) {
 	server := func(id, model string, slots int, leaving bool) Server {
-		return Server{ID: id, Slots: slots, Models: []ServerModel{{Name: model}}, Leaving: leaving}
+		return Server{SoftwareVersion: "v1", ID: id, Slots: slots, Models: []ServerModel{{Name: model}}, Leaving: leaving}
 	}
 	tests := []struct {
 		name   string
@@ -45,9 +45,11 @@
 				_, ok := s.Next(0)
 				assert.Assert(t, ok)
 			}
-			assert.Equal(t, s.HasAlternative(0, id), tt.want)
+			assert.Equal(t, s.HasAlternative(0, id, ""), tt.want)
+			assert.Equal(t, s.HasAlternative(0, id, "v1"), tt.want)
+			assert.Assert(t, !s.HasAlternative(0, id, "v2"))
 		})
 	}
 	s := New(rand.NewPCG(1, 2))
-	assert.Assert(t, !s.HasAlternative(0, CallID{Program: "unknown"}))
+	assert.Assert(t, !s.HasAlternative(0, CallID{Program: "unknown"}, ""))
 }
