forward: log which stream a failed call was to resume

The reason of refused take-ups could not be counted from the log: a call that the ledger refuses fails before it logs the stream.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -234,7 +234,7 @@
 func (f *Forwarder) failed(c *Call, err error) error {
 	e := verdict.From(err)
 	f.metrics.failed(c, e)
-	f.logger.Warn("call failed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+	f.logger.Warn("call failed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program), zap.String("resumes", c.Resumes),
 		zap.String("verdict", e.Verdict().String()), zap.String("reason", string(e.Reason())),
 		zap.Duration("after", time.Since(c.Arrived)), zap.Duration("retry-after", e.RetryAfter()), zap.Error(err))
 	return e
