--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -60,7 +60,7 @@
 	if err := c.check(); err != nil {
 		return badCommand(err)
 	}
-	m.clock = max(m.clock, min(unixMillis, maxUnixMillis))
+	m.advanceClock(unixMillis)
 	switch {
 	case c.OpenProgram != nil:
 		return m.openProgram(c.OpenProgram)
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -366,6 +366,53 @@
 	}
 }
 
+// reserveTurn, settleTurn, extendTurn and the stream commands draw their ids from
+// a few, so that they repeat, continue and take up each other. Only the replicas
+// are compared; TestTurnsStayInBudget and TestStreamVersionsOfReplicas check the
+// results.
+func (sim *simulation) reserveTurn(t *rapid.T) {
+	c := &ReserveTurn{
+		Program: drawTurn(t, "program"), Turn: drawTurn(t, "turn"), Budget: 20, MaxTokens: rapid.Int64Range(0, 9).Draw(t, "most"),
+		Session: drawTurn(t, "session"), StreamVersion: drawVersion(t), StreamRetention: drawRetention(t),
+	}
+	if rapid.Bool().Draw(t, "continues") {
+		c.Previous, c.Resumes = drawTurn(t, "previous"), drawTurn(t, "resumes")
+	}
+	sim.propose(t, Command{ReserveTurn: c}, nil)
+}
+
+func (sim *simulation) settleTurn(t *rapid.T) {
+	c := &SettleTurn{
+		Program: drawTurn(t, "program"), Turn: drawTurn(t, "turn"), Tokens: rapid.Int64Range(0, 9).Draw(t, "tokens"),
+		Session: drawTurn(t, "session"), Server: drawTurn(t, "server"),
+	}
+	if rapid.Bool().Draw(t, "keep") {
+		c.Keep = &KeptTurn{Output: []byte(c.Turn), Retention: drawRetention(t)}
+		if rapid.Bool().Draw(t, "continues") {
+			c.Keep.Previous = drawTurn(t, "previous")
+		}
+	}
+	sim.propose(t, Command{SettleTurn: c}, nil)
+}
+
+func (sim *simulation) extendTurn(t *rapid.T) {
+	sim.propose(t, Command{ExtendTurn: &ExtendTurn{Turn: drawTurn(t, "turn"), Retention: drawRetention(t)}}, nil)
+}
+
+func (sim *simulation) recordStream(t *rapid.T) {
+	sim.propose(t, Command{RecordStream: &RecordStream{
+		Stream: drawTurn(t, "turn"), Version: drawVersion(t), Retention: drawRetention(t),
+	}}, nil)
+}
+
+func (sim *simulation) lookupStream(t *rapid.T) {
+	sim.propose(t, Command{LookupStream: &LookupStream{Stream: drawTurn(t, "turn")}}, nil)
+}
+
+func drawTurn(t *rapid.T, label string) string {
+	return fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, label))
+}
+
 func (sim *simulation) endProgram(t *rapid.T) {
 	sim.propose(t, Command{EndProgram: &EndProgram{Program: sim.program(t), Team: "team", Status: ProgramDone}}, nil)
 }
@@ -465,6 +512,7 @@
 		sim.apply(Command{Tick: &Tick{}})
 	}
 	assert.Equal(sim.t, len(sim.m.programs), 0, "programs left after their deadline")
+	assert.Equal(sim.t, len(sim.m.turns.kept)+len(sim.m.turns.streams), 0, "turns or streams left after their expiry")
 	for s, current := range sim.servers {
 		for i := range current {
 			if gone := (ServerGone{fmt.Sprint("s", s), fmt.Sprint(i)}); !sim.gone[gone] {
@@ -503,3 +551,17 @@
 		sim.endAll()
 	})
 }
+
+// Guards against a restored replica whose turns, accounts or streams differ from
+// those of the others, and against turns and streams that are never removed.
+func TestTurnsOfReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve-turn": sim.reserveTurn, "settle-turn": sim.settleTurn, "extend-turn": sim.extendTurn,
+			"record-stream": sim.recordStream, "lookup-stream": sim.lookupStream,
+			"apply": sim.applyInFlight, "time": sim.advanceClock, "restore": sim.restore,
+		})
+		sim.endAll()
+	})
+}
--- a/ledger/stream.go
+++ b/ledger/stream.go
@@ -46,13 +46,11 @@
 func (c *LookupStream) check() error { return checkID("stream", c.Stream) }
 
 func (m *StateMachine) recordStream(c *RecordStream) Result {
-	m.sweepTurns()
 	m.setStream(c.Stream, c.Version, c.Retention)
 	return Result{Stream: m.stream(c.Stream)}
 }
 
 func (m *StateMachine) lookupStream(c *LookupStream) Result {
-	m.sweepTurns()
 	return Result{Stream: m.stream(c.Stream)}
 }
 
@@ -61,8 +59,8 @@
 	m.turns.streams[id] = streamRecord{Version: version, Expires: expires}
 }
 
-// stream returns the state of a stream. It checks the expiry itself and so does
-// not depend on the last sweep.
+// stream returns the state of a stream, which is unknown from its expiry on,
+// before the sweep that removes it.
 func (m *StateMachine) stream(id string) *StreamState {
 	r, ok := m.turns.streams[id]
 	if !ok || r.Expires <= m.clock {
--- a/ledger/stream_test.go
+++ b/ledger/stream_test.go
@@ -107,7 +107,6 @@
 // model that their results are checked against.
 type streamTest struct {
 	now      int64
-	usedAt   int64 // last use of the account of the turns
 	steady   *StateMachine
 	replicas []*StateMachine
 	expected map[string]streamRecord
@@ -119,8 +118,7 @@
 )
 
 func newStreamTest() *streamTest {
-	const start = 1_000_000
-	return &streamTest{now: start, usedAt: start, steady: New(), replicas: []*StateMachine{New(), New()}, expected: map[string]streamRecord{}}
+	return &streamTest{now: 1_000_000, steady: New(), replicas: []*StateMachine{New(), New()}, expected: map[string]streamRecord{}}
 }
 
 func (s *streamTest) apply(t *rapid.T, c Command) Result {
@@ -171,7 +169,6 @@
 		c.Resumes = drawStream(t)
 	}
 	resumed := s.state(c.Resumes)
-	s.usedAt = s.now
 	r := s.apply(t, Command{ReserveTurn: c})
 	if r.Refusal != nil {
 		assert.Equal(t, r.Refusal.Reason, verdict.BudgetExceeded)
@@ -188,9 +185,7 @@
 }
 
 func (s *streamTest) settleTurn(t *rapid.T) {
-	if s.apply(t, Command{SettleTurn: &SettleTurn{Program: "p", Turn: drawStream(t)}}).Refusal == nil {
-		s.usedAt = s.now
-	}
+	s.apply(t, Command{SettleTurn: &SettleTurn{Program: "p", Turn: drawStream(t)}})
 }
 
 func (s *streamTest) lookup(t *rapid.T) {
@@ -198,19 +193,21 @@
 	assert.DeepEqual(t, *s.apply(t, Command{LookupStream: &LookupStream{Stream: stream}}).Stream, s.state(stream))
 }
 
+// restore checks that all replicas give the same snapshot and restores one.
 func (s *streamTest) restore(t *rapid.T) {
+	var want bytes.Buffer
+	assert.NilError(t, s.steady.Snapshot(&want))
+	for _, m := range s.replicas {
+		var got bytes.Buffer
+		assert.NilError(t, m.Snapshot(&got))
+		assert.Equal(t, got.String(), want.String())
+	}
 	i := rapid.IntRange(0, len(s.replicas)-1).Draw(t, "replica")
 	s.replicas[i] = restored(t, rapid.SampledFrom(append(s.replicas, s.steady)).Draw(t, "source"))
 }
 
-// advanceClock stays within accountRetention, so that the account of the turns
-// is kept. A tick sweeps nothing.
 func (s *streamTest) advanceClock(t *rapid.T) {
-	now := s.now + rapid.SampledFrom([]int64{1, 500, 4_999, sweepInterval, 61_000}).Draw(t, "milliseconds")
-	if now >= s.usedAt+accountRetention {
-		t.Skip("the account would expire")
-	}
-	s.now = now
+	s.now += rapid.SampledFrom([]int64{1, 500, 4_999, sweepInterval, 61_000, accountRetention}).Draw(t, "milliseconds")
 	s.apply(t, Command{Tick: &Tick{}})
 }
 
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -12,8 +12,8 @@
 const UnknownTurn verdict.Reason = "unknown-turn"
 
 const (
-	// sweepInterval is the minimum time, in milliseconds, between two sweeps of
-	// expired turns, accounts and records of streams.
+	// sweepInterval is the interval, in milliseconds of the machine's clock, at
+	// which expired turns, accounts and records of streams are removed.
 	sweepInterval = 10_000
 	// accountRetention is how long, in milliseconds, the account of a program is
 	// kept after its last turn. A stopped program may be continued within the
@@ -126,7 +126,6 @@
 	accounts map[string]*account
 	kept     map[string]*keptTurn
 	streams  map[string]streamRecord
-	sweepAt  int64 // earliest time of the next sweep, Unix milliseconds
 }
 
 func newTurns() turns {
@@ -134,7 +133,6 @@
 }
 
 func (m *StateMachine) reserveTurn(c *ReserveTurn) Result {
-	m.sweepTurns()
 	if c.Previous != "" && m.turn(c.Previous) == nil {
 		return refuse(verdict.NotRun, UnknownTurn, "turn %q does not exist or has expired", c.Previous)
 	}
@@ -174,7 +172,6 @@
 // settleTurn charges a turn once: the first settlement removes the reservation,
 // so that a duplicate is not charged.
 func (m *StateMachine) settleTurn(c *SettleTurn) Result {
-	m.sweepTurns()
 	a := m.turns.accounts[c.Program]
 	if a == nil {
 		return refuse(verdict.Ran, verdict.UnknownProgram, "program %q has no reservation", c.Program)
@@ -201,7 +198,6 @@
 }
 
 func (m *StateMachine) extendTurn(c *ExtendTurn) Result {
-	m.sweepTurns()
 	if m.turn(c.Turn) == nil {
 		return refuse(verdict.NotRun, UnknownTurn, "turn %q does not exist or has expired", c.Turn)
 	}
@@ -253,15 +249,19 @@
 	return out.Bytes(), true
 }
 
-// sweepTurns removes expired turns, accounts and records of streams. Replicas may
-// sweep at different times, since sweepAt is not part of a snapshot. The turn and
-// stream methods check the expiry themselves and so do not depend on the last
-// sweep; lookups of accounts, settleTurn, extendChain and Chain do.
-func (m *StateMachine) sweepTurns() {
-	if m.clock < m.turns.sweepAt {
-		return
+// advanceClock sets the clock, and sweeps if it enters another interval. When a
+// replica sweeps thus depends only on the clock, which is part of a snapshot: a
+// restored replica removes the same records at the same commands as the others.
+func (m *StateMachine) advanceClock(unixMillis int64) {
+	previous := m.clock
+	m.clock = max(m.clock, min(unixMillis, maxUnixMillis))
+	if m.clock/sweepInterval != previous/sweepInterval {
+		m.sweepTurns()
 	}
-	m.turns.sweepAt = m.clock + sweepInterval
+}
+
+// sweepTurns removes expired turns, accounts and records of streams.
+func (m *StateMachine) sweepTurns() {
 	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool { return k.Expires+sweepInterval <= m.clock })
 	maps.DeleteFunc(m.turns.accounts, func(_ string, a *account) bool { return a.UsedAt+accountRetention <= m.clock })
 	maps.DeleteFunc(m.turns.streams, func(_ string, r streamRecord) bool { return r.Expires <= m.clock })
--- a/ledger/turn_test.go
+++ b/ledger/turn_test.go
@@ -128,6 +128,40 @@
 	assert.Equal(t, len(m.turns.accounts), 1)
 }
 
+// Guards against a replica that keeps an account or a turn longer than the
+// others, or removes it before them, because it was restored from a snapshot
+// after they swept.
+func TestRestoredReplicaSweepsWithTheOthers(t *testing.T) {
+	const start = 1_000_000
+	tests := []struct {
+		name    string
+		expires int64 // from start
+		command Command
+	}{
+		{"account", accountRetention, Command{ReserveTurn: &ReserveTurn{Program: "p", Turn: "b", Budget: 10, MaxTokens: 1}}},
+		{"account settled", accountRetention, Command{SettleTurn: &SettleTurn{Program: "p", Turn: "a", Tokens: 1}}},
+		{"previous turn", 1000, Command{ReserveTurn: &ReserveTurn{Program: "q", Turn: "b", Previous: "a", Budget: 10, MaxTokens: 1}}},
+		{"stored turn", 1000 + sweepInterval, Command{SettleTurn: &SettleTurn{
+			Program: "p", Turn: "a", Keep: &KeptTurn{Output: []byte("x"), Retention: 60_000},
+		}}},
+	}
+	for _, tt := range tests {
+		for sinceSweep := int64(1); sinceSweep < sweepInterval; sinceSweep += 999 {
+			m := New()
+			reserveTestTurn(m, start, "a", "", 10, 5)
+			settleTestTurn(m, start, "a", 5, &KeptTurn{Output: []byte("x"), Retention: 1000})
+			m.ApplyCommand(start+tt.expires-sinceSweep, Command{ExtendTurn: &ExtendTurn{Turn: "other"}})
+			n := restored(t, m)
+			now := start + tt.expires + 1
+			assert.DeepEqual(t, n.ApplyCommand(now, tt.command), m.ApplyCommand(now, tt.command))
+			var got, want bytes.Buffer
+			assert.NilError(t, n.Snapshot(&got))
+			assert.NilError(t, m.Snapshot(&want))
+			assert.Equal(t, got.String(), want.String(), "%s, %d ms after a sweep", tt.name, sinceSweep)
+		}
+	}
+}
+
 // Guards against a session whose prompt is computed again on another server
 // because a reservation does not return the last server of the session.
 func TestLastServerOfASession(t *testing.T) {
