--- a/ledger/check.go
+++ b/ledger/check.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	maxIDBytes = 512
+	// MaxIDBytes is the maximum length of ids and versions.
+	MaxIDBytes = 512
 	// maxUnixMillis and maxAmount are low enough that sums of a few values do
 	// not overflow.
 	maxUnixMillis = int64(1) << 52
@@ -126,16 +127,16 @@
 }
 
 func checkID(field, value string) error {
-	if value == "" || len(value) > maxIDBytes {
-		return fmt.Errorf("%s: %d bytes, want 1 to %d", field, len(value), maxIDBytes)
+	if value == "" || len(value) > MaxIDBytes {
+		return fmt.Errorf("%s: %d bytes, want 1 to %d", field, len(value), MaxIDBytes)
 	}
 	return nil
 }
 
 // checkLength checks an id or version that may be empty.
 func checkLength(field, value string) error {
-	if len(value) > maxIDBytes {
-		return fmt.Errorf("%s: %d bytes, want at most %d", field, len(value), maxIDBytes)
+	if len(value) > MaxIDBytes {
+		return fmt.Errorf("%s: %d bytes, want at most %d", field, len(value), MaxIDBytes)
 	}
 	return nil
 }
--- a/ledger/stream_test.go
+++ b/ledger/stream_test.go
@@ -73,7 +73,7 @@
 // Guards against commands about streams that are applied although an id is
 // missing or a value is out of range.
 func TestInvalidStreamCommands(t *testing.T) {
-	long := strings.Repeat("x", maxIDBytes+1)
+	long := strings.Repeat("x", MaxIDBytes+1)
 	reserve := func(c ReserveTurn) Command {
 		c.Program, c.Turn = "p", "a"
 		return Command{ReserveTurn: &c}
