forward: order concurrent updates of the scheduler's servers

View.syncServers made the list of usable servers before it locked the scheduler. An update that had made its list before a server was excluded, and got the lock after that, put the server back into use until the next update. The list is now made with the scheduler locked.

--- a/forward/view.go
+++ b/forward/view.go
@@ -129,16 +129,10 @@
 
 // syncServers updates the scheduler's servers.
 func (view *View) syncServers() {
-	view.mu.Lock()
-	var usable []schedule.Server
-	for id, e := range view.servers {
-		if x, ok := view.excluded[id]; ok && time.Now().Before(x.until) {
-			continue
-		}
-		usable = append(usable, view.schedulerServer(e))
-	}
-	view.mu.Unlock()
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		// The list is made with the scheduler locked, so that concurrent updates
+		// cannot replace it with an older one.
+		usable := view.usableServers()
 		for _, v := range s.Snapshot().Servers {
 			if !slices.ContainsFunc(usable, func(o schedule.Server) bool { return o.ID == v.ID }) {
 				s.RemoveServer(now, v.ID)
@@ -150,6 +144,19 @@
 	})
 }
 
+func (view *View) usableServers() []schedule.Server {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	var usable []schedule.Server
+	for id, e := range view.servers {
+		if x, ok := view.excluded[id]; ok && time.Now().Before(x.until) {
+			continue
+		}
+		usable = append(usable, view.schedulerServer(e))
+	}
+	return usable
+}
+
 // schedulerServer converts a registry entry for the scheduler. The service of
 // an engine becomes a model, so that the scheduler takes its prefix cache into
 // account. The caller must hold view.mu.
