forward, platform: give servers that state Server-Leaving no new requests

A server that leaves now states so in all its responses (Server-Leaving: 1). Entry hosts passed the header on and ignored it: until a control host listed the server as leaving, and for as long as no control host could be reached, they went on sending to it.

A response with the header, of any status but 421, now marks the incarnation of the server that the request was sent to, before the response is passed on. A marked incarnation gets no new requests, retries or resumed streams, whatever control hosts list later; a later incarnation does. Idle connections to it are closed, and so is that of the response once its body has been read. A call that was assigned to the server before, and still waits for a permit, is queued again; that also holds if the server has announced that it is leaving. Running requests go on.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -452,3 +452,11 @@
 		b.conn.idleTimeout = min(maxIdleTimeout, max(0, d-idleTimeoutMargin))
 	}
 }
+
+// CloseAfter closes the connection of a response when its body is closed, so
+// that it is not reused.
+func CloseAfter(r *http.Response) {
+	if b, ok := r.Body.(*pooledBody); ok {
+		b.closeAfter = true
+	}
+}
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -303,3 +303,23 @@
 	assert.NilError(t, errors.Join(err, resp.Body.Close()))
 	assert.Equal(t, s.conns.Load(), int64(2))
 }
+
+// Guards against reusing a connection after the caller has found that its server
+// gets no more requests.
+func TestPoolCloseAfter(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, r *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprint(w, responseText(r.Header.Get("Id"), "body"))
+		return true
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	resp, err := p.Do(t.Context(), s.address(), requestFor("1"), matchID("1"))
+	assert.NilError(t, err)
+	CloseAfter(resp)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, errors.Join(err, resp.Body.Close()))
+	assert.Equal(t, string(body), "body")
+	_, err = roundTrip(t, p, s.address(), "2")
+	assert.NilError(t, err)
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -19,9 +20,10 @@
 
 // target is the server that is assigned to an attempt.
 type target struct {
-	id      schedule.CallID
-	server  string
-	address string
+	id        schedule.CallID
+	server    string
+	startedAt int64 // identifies the incarnation of the server
+	address   string
 }
 
 // place queues the call until a backend server is assigned.
@@ -49,50 +51,70 @@
 		request.Affinity, request.LastServer = 0, ""
 	}
 	r.attempts++
-	a, err := r.submit(ctx, &request)
+	a, e, err := r.submit(ctx, &request)
 	if err != nil {
 		return target{}, a, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
 			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
 	}
-	address := r.view.address(a.Server)
 	r.timing.placed = time.Since(c.Arrived)
 	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
 		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
-	return target{id: request.ID, server: a.Server, address: address}, a, nil
+	return target{id: request.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address}, a, nil
 }
 
 // submit waits for the assignment of a server, and for a permit if the server is
-// limited.
-func (r *execution) submit(ctx context.Context, request *schedule.Request) (schedule.Assignment, error) {
+// limited. The call is queued again if there is no permit or if the server has
+// begun to leave since the assignment. The entry is empty if the server has left.
+func (r *execution) submit(ctx context.Context, request *schedule.Request) (schedule.Assignment, registry.Entry, error) {
 	for {
 		a, err := r.queue.Submit(ctx, *request)
-		if err != nil || r.permits == nil {
-			return a, err
+		if err != nil {
+			return a, registry.Entry{}, err
 		}
-		limit := r.view.limit(a.Server)
-		if limit.PerSecond == 0 {
-			return a, nil
+		permitted, err := r.awaitPermit(ctx, a)
+		if err != nil {
+			return a, registry.Entry{}, err
 		}
-		wait := r.permits.Permit(ctx, limit)
-		if ctx.Err() != nil {
+		if permitted {
+			e, leaving := r.view.entry(a.Server)
+			if !leaving {
+				return a, e, nil
+			}
 			r.queue.Finished(a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
-			return a, ctx.Err()
-		}
-		if wait == 0 {
-			return a, nil
 		}
-		r.metrics.permitRefused()
-		r.logger.Info("server limited", zap.String("request", r.call.ID), zap.String("server", a.Server),
-			zap.Float64("per-second", limit.PerSecond), zap.Duration("limit-age", limit.Age), zap.Duration("wait", wait))
-		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
-			s.PauseServer(now, a.Server, now+wait)
-			s.Finished(now, a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
-		})
 		request.ID.Call = int(r.requestSerial.Add(1))
 	}
 }
 
+// awaitPermit asks for a permit if the assigned server is limited. Without a
+// permit, it ends the assignment and pauses the server.
+func (r *execution) awaitPermit(ctx context.Context, a schedule.Assignment) (bool, error) {
+	if r.permits == nil {
+		return true, nil
+	}
+	limit := r.view.limit(a.Server)
+	if limit.PerSecond == 0 {
+		return true, nil
+	}
+	wait := r.permits.Permit(ctx, limit)
+	if ctx.Err() != nil {
+		r.queue.Finished(a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
+		return false, ctx.Err()
+	}
+	if wait == 0 {
+		return true, nil
+	}
+	r.metrics.permitRefused()
+	r.logger.Info("server limited", zap.String("request", r.call.ID), zap.String("server", a.Server),
+		zap.Float64("per-second", limit.PerSecond), zap.Duration("limit-age", limit.Age), zap.Duration("wait", wait))
+	r.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		s.PauseServer(now, a.Server, now+wait)
+		s.Finished(now, a.ID, a.Server, schedule.Usage{}, schedule.FailedUnsent)
+	})
+	return false, nil
+}
+
 // program returns the id of the program to which the scheduler attributes the
 // call: that of the call itself if it belongs to no program.
 func (r *execution) program() string {
@@ -136,6 +158,10 @@
 	}
 	reply := r.protocol.Reply(r.call, resp)
 	backend.SetKeepAlive(resp, reply.KeepAlive)
+	if reply.Leaving && !reply.WrongServer {
+		backend.CloseAfter(resp)
+		r.view.markLeaving(t, r.call.ID)
+	}
 	if reply.Limit > 0 || reply.Signed {
 		r.view.observeLimit(t.server, reply.Limit)
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -72,6 +72,9 @@
 	// Limit is the number of requests per second that the server takes from all
 	// hosts together, or 0 if the response names none.
 	Limit float64
+	// Leaving is true if the server reports that it is leaving. It then gets no
+	// new requests until it restarts, unless WrongServer is also true.
+	Leaving bool
 	// KeepAlive is the idle timeout that the server announces for the connection,
 	// or 0 if it announces none.
 	KeepAlive time.Duration
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -42,7 +42,7 @@
 	return Reply{
 		Matches: id == "" || id == c.ID, NotRun: r.Header.Get("Not-Run") != "",
 		WrongServer: r.StatusCode == http.StatusMisdirectedRequest, Signed: r.Header.Get("Signed") != "",
-		Limit: float64(len(r.Header.Values("Limit"))),
+		Limit: float64(len(r.Header.Values("Limit"))), Leaving: r.Header.Get("Leaving") != "",
 	}
 }
 
--- a/forward/view.go
+++ b/forward/view.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex
 	index    *route.Index
 	servers  map[string]registry.Entry
+	leaving  leavingServers
 	excluded map[string]exclusion // servers that are not used at present, by id
 	crashed  map[uint64]*crash    // crashes that this host has detected, by fingerprint of the request
 	suspects map[uint64][]string  // crashed servers, as reported by any host, by fingerprint of the request
@@ -66,8 +67,8 @@
 
 func newView(f *Forwarder) *View {
 	return &View{
-		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusion{}, crashed: map[uint64]*crash{},
-		suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
+		forwarder: f, servers: map[string]registry.Entry{}, leaving: leavingServers{}, excluded: map[string]exclusion{},
+		crashed: map[uint64]*crash{}, suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
 	}
 }
 
@@ -94,11 +95,19 @@
 	return nil
 }
 
-// address returns the address of a server, or "" if it has left.
-func (view *View) address(server string) string {
+// entry returns the entry of a server, which is empty if it has left, and
+// whether the server is leaving.
+func (view *View) entry(server string) (e registry.Entry, leaving bool) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	return view.servers[server].Address
+	e, ok := view.servers[server]
+	return e, ok && view.isLeaving(e)
+}
+
+// isLeaving reports whether a server has announced that it is leaving, or has
+// said so in a response. The caller must hold view.mu.
+func (view *View) isLeaving(e registry.Entry) bool {
+	return e.State != registry.Ready || view.leaving.contains(e.ID, e.StartedAt)
 }
 
 // Routes implements cluster.Observer.
@@ -123,6 +132,7 @@
 		}
 	}
 	view.servers = servers
+	view.leaving.update(view.forwarder.clock(), servers)
 	view.mu.Unlock()
 	view.syncServers()
 }
@@ -163,7 +173,7 @@
 func (view *View) schedulerServer(e registry.Entry) schedule.Server {
 	v := schedule.Server{
 		ID: e.ID, Incarnation: time.UnixMilli(e.StartedAt).UTC().String(), DataCentre: e.DataCentre,
-		Slots: e.Slots, Leaving: e.State != registry.Ready,
+		Slots: e.Slots, Leaving: view.isLeaving(e),
 	}
 	v.Service = e.Service
 	if view.index == nil {
@@ -187,6 +197,7 @@
 	}
 	view.mu.Lock()
 	servers := len(view.servers)
+	view.leaving.update(view.forwarder.clock(), view.servers)
 	view.mu.Unlock()
 	view.forwarder.metrics.deploymentGauges(view.version(), servers, hosts)
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
@@ -250,6 +261,24 @@
 	return view.limits.Get(view.forwarder.clock(), server, view.servers[server].StartedAt)
 }
 
+// markLeaving gives an incarnation of a server no new requests, after a response
+// to the request has said that it is leaving.
+func (view *View) markLeaving(t target, request string) {
+	view.mu.Lock()
+	marked := view.leaving.mark(view.forwarder.clock(), t.server, t.startedAt)
+	if marked {
+		view.leaving.update(view.forwarder.clock(), view.servers)
+	}
+	view.mu.Unlock()
+	if !marked {
+		return
+	}
+	view.forwarder.logger.Info("backend server is leaving", zap.String("server", t.server), zap.Int64("started-at", t.startedAt),
+		zap.String("request", request))
+	view.forwarder.pool.DropAddress(t.address)
+	view.syncServers()
+}
+
 // crashes returns the number of servers that have crashed while the request was
 // in flight on them.
 func (view *View) crashes(fingerprint uint64) int {
