--- a/backend/pool.go
+++ b/backend/pool.go
@@ -397,7 +397,10 @@
 		if x.matches(r) {
 			return r, nil
 		}
-		if n, err := io.CopyN(io.Discard, r.Body, maxUnmatchedBytes); n == maxUnmatchedBytes || err != nil && !errors.Is(err, io.EOF) || r.Close {
+		if r.Close {
+			return nil, ErrUnmatchedResponses
+		}
+		if n, err := io.CopyN(io.Discard, r.Body, maxUnmatchedBytes); n == maxUnmatchedBytes || err != nil && !errors.Is(err, io.EOF) {
 			return nil, ErrUnmatchedResponses
 		}
 	}
@@ -452,3 +455,11 @@
 		b.conn.idleTimeout = min(maxIdleTimeout, max(0, d-idleTimeoutMargin))
 	}
 }
+
+// CloseAfter closes the connection of a response when its body is closed, so
+// that it is not reused.
+func CloseAfter(r *http.Response) {
+	if b, ok := r.Body.(*pooledBody); ok {
+		b.closeAfter = true
+	}
+}
--- a/forward/view.go
+++ b/forward/view.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex
 	index    *route.Index
 	servers  map[string]registry.Entry
+	leaving  leavingServers
 	excluded map[string]exclusion // servers that are not used at present, by id
 	crashed  map[uint64]*crash    // crashes that this host has detected, by fingerprint of the request
 	suspects map[uint64][]string  // crashed servers, as reported by any host, by fingerprint of the request
@@ -68,8 +69,8 @@
 
 func newView(f *Forwarder) *View {
 	return &View{
-		forwarder: f, servers: map[string]registry.Entry{}, excluded: map[string]exclusion{}, crashed: map[uint64]*crash{},
-		suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
+		forwarder: f, servers: map[string]registry.Entry{}, leaving: leavingServers{}, excluded: map[string]exclusion{},
+		crashed: map[uint64]*crash{}, suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
 	}
 }
 
@@ -96,15 +97,6 @@
 	return nil
 }
 
-// server returns the address and the software version of a server, which are
-// empty if it has left.
-func (view *View) server(id string) (address, softwareVersion string) {
-	view.mu.Lock()
-	defer view.mu.Unlock()
-	e := view.servers[id]
-	return e.Address, e.Version
-}
-
 // knownFor returns the time since the first control host has returned its
 // servers.
 func (view *View) knownFor() time.Duration {
@@ -123,7 +115,7 @@
 	defer view.mu.Unlock()
 	var versions []string
 	for _, e := range view.servers {
-		if slices.Contains(services, e.Service) && e.State == registry.Ready {
+		if slices.Contains(services, e.Service) && !view.isLeaving(e) {
 			versions = append(versions, e.Version)
 		}
 	}
@@ -131,6 +123,21 @@
 	return slices.Compact(versions)
 }
 
+// entry returns the entry of a server, which is empty if it has left, and
+// whether the server is leaving.
+func (view *View) entry(server string) (e registry.Entry, leaving bool) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	e, ok := view.servers[server]
+	return e, ok && view.isLeaving(e)
+}
+
+// isLeaving reports whether a server has announced that it is leaving, or has
+// said so in a response. The caller must hold view.mu.
+func (view *View) isLeaving(e registry.Entry) bool {
+	return e.State != registry.Ready || view.leaving.contains(e.ID, e.StartedAt)
+}
+
 // Routes implements cluster.Observer.
 func (view *View) Routes(x *route.Index) {
 	view.mu.Lock()
@@ -156,22 +163,17 @@
 	if view.knownSince.IsZero() {
 		view.knownSince = time.Now()
 	}
+	view.leaving.update(view.forwarder.clock(), servers)
 	view.mu.Unlock()
 	view.syncServers()
 }
 
 // syncServers updates the scheduler's servers.
 func (view *View) syncServers() {
-	view.mu.Lock()
-	var usable []schedule.Server
-	for id, e := range view.servers {
-		if x, ok := view.excluded[id]; ok && time.Now().Before(x.until) {
-			continue
-		}
-		usable = append(usable, view.schedulerServer(e))
-	}
-	view.mu.Unlock()
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		// The list is made with the scheduler locked, so that concurrent updates
+		// cannot replace it with an older one.
+		usable := view.usableServers()
 		for _, v := range s.Snapshot().Servers {
 			if !slices.ContainsFunc(usable, func(o schedule.Server) bool { return o.ID == v.ID }) {
 				s.RemoveServer(now, v.ID)
@@ -183,13 +185,26 @@
 	})
 }
 
+func (view *View) usableServers() []schedule.Server {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	var usable []schedule.Server
+	for id, e := range view.servers {
+		if x, ok := view.excluded[id]; ok && time.Now().Before(x.until) {
+			continue
+		}
+		usable = append(usable, view.schedulerServer(e))
+	}
+	return usable
+}
+
 // schedulerServer converts a registry entry for the scheduler. The service of
 // an engine becomes a model, so that the scheduler takes its prefix cache into
 // account. The caller must hold view.mu.
 func (view *View) schedulerServer(e registry.Entry) schedule.Server {
 	v := schedule.Server{
 		ID: e.ID, Incarnation: time.UnixMilli(e.StartedAt).UTC().String(), DataCentre: e.DataCentre,
-		Slots: e.Slots, SoftwareVersion: e.Version, Leaving: e.State != registry.Ready,
+		Slots: e.Slots, SoftwareVersion: e.Version, Leaving: view.isLeaving(e),
 	}
 	v.Service = e.Service
 	if view.index == nil {
@@ -213,6 +228,7 @@
 	}
 	view.mu.Lock()
 	servers := len(view.servers)
+	view.leaving.update(view.forwarder.clock(), view.servers)
 	view.mu.Unlock()
 	view.forwarder.metrics.deploymentGauges(view.version(), servers, hosts)
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
@@ -276,6 +292,24 @@
 	return view.limits.Get(view.forwarder.clock(), server, view.servers[server].StartedAt)
 }
 
+// markLeaving gives an incarnation of a server no new requests, after a response
+// to the request has said that it is leaving.
+func (view *View) markLeaving(t target, request string) {
+	view.mu.Lock()
+	marked := view.leaving.mark(view.forwarder.clock(), t.server, t.startedAt)
+	if marked {
+		view.leaving.update(view.forwarder.clock(), view.servers)
+	}
+	view.mu.Unlock()
+	if !marked {
+		return
+	}
+	view.forwarder.logger.Info("backend server is leaving", zap.String("server", t.server), zap.Int64("started-at", t.startedAt),
+		zap.String("request", request))
+	view.forwarder.pool.DropAddress(t.address)
+	view.syncServers()
+}
+
 // crashes returns the number of servers that have crashed while the request was
 // in flight on them.
 func (view *View) crashes(fingerprint uint64) int {
