backend, sse: test answers that end with their connection

An answer may have neither a length nor chunks and end with its connection. The tests cover, with HTTP/1.1 and HTTP/1.0 status lines and each value of Connection: an end by FIN is complete, whatever the body looks like, and the connection is not used again; a reset is an error; answers to HEAD and those with status 204 and 304 have no body whatever their header says; a stream that ends within an event, or is reset at the end of one, is not complete.

--- /dev/null
+++ b/backend/closedelimited_test.go
@@ -0,0 +1,134 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// closeDelimitedHeads are heads of responses with neither a length nor chunks.
+var closeDelimitedHeads = []string{
+	"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: keep-alive\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nId: 1\r\nConnection: keep-alive\r\n\r\n",
+	"HTTP/1.1 500 Internal Server Error\r\nId: 1\r\n\r\n",
+}
+
+// Guards against an answer that ends with its connection and is cut, taken for
+// several responses or followed by another request on its connection.
+func TestPoolCloseDelimitedAnswers(t *testing.T) {
+	bodies := []struct{ name, text string }{
+		{"empty", ""},
+		{"short", "12345"},
+		{"long", strings.Repeat("12345", 200_000)},
+		{"with another response", "12345" + responseText("1", "wrong") + responseText("2", "wrong")},
+	}
+	for _, head := range closeDelimitedHeads {
+		for _, body := range bodies {
+			t.Run(strings.ReplaceAll(head, "\r\n", " ")+body.name, func(t *testing.T) {
+				s := newScriptedServer(t, func(_ int, r *http.Request, _ []byte, w net.Conn) bool {
+					if id := r.Header.Get("Id"); id != "1" {
+						fmt.Fprint(w, responseText(id, "next"))
+						return true
+					}
+					_, err := io.WriteString(w, head+body.text)
+					assert.Check(t, err)
+					return false
+				})
+				p := NewPool(nil)
+				defer p.Close()
+				got, err := roundTrip(t, p, s.address(), "1")
+				assert.NilError(t, err)
+				assert.Assert(t, got == body.text, "%d bytes", len(got))
+				got, err = roundTrip(t, p, s.address(), "2")
+				assert.NilError(t, err)
+				assert.Equal(t, got, "next")
+				assert.Equal(t, s.conns.Load(), int64(2))
+			})
+		}
+	}
+}
+
+// Guards against an answer that ends with its connection and is taken for
+// complete although the connection was reset.
+func TestPoolCloseDelimitedAnswersReset(t *testing.T) {
+	for _, head := range closeDelimitedHeads {
+		t.Run(strings.ReplaceAll(head, "\r\n", " "), func(t *testing.T) {
+			received := make(chan struct{})
+			s := newScriptedServer(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+				_, err := io.WriteString(w, head+"12345")
+				assert.Check(t, err)
+				<-received
+				assert.Check(t, w.(*net.TCPConn).SetLinger(0))
+				return false
+			})
+			p := NewPool(nil)
+			defer p.Close()
+			resp, err := p.Do(t.Context(), s.address(), requestFor("1"), matchID("1"))
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			_, err = io.ReadFull(resp.Body, make([]byte, 5))
+			assert.NilError(t, err)
+			close(received)
+			_, err = io.ReadAll(resp.Body)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// Guards against answers that have no body and are given the bytes that follow
+// them, or wait for a body, and against losing their connections.
+func TestPoolAnswersWithoutBody(t *testing.T) {
+	answers := []struct{ method, status string }{
+		{http.MethodPost, "204 No Content"},
+		{http.MethodPost, "304 Not Modified"},
+		{http.MethodHead, "200 OK"},
+		{http.MethodHead, "404 Not Found"},
+	}
+	headers := []string{"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}
+	for _, a := range answers {
+		for _, header := range headers {
+			for _, extra := range []string{"", "12345", responseText("2", "wrong")} {
+				t.Run(strings.Join([]string{a.method, a.status, header, extra}, " "), func(t *testing.T) {
+					s := newScriptedServer(t, func(_ int, r *http.Request, _ []byte, w net.Conn) bool {
+						if id := r.Header.Get("Id"); id != "1" {
+							fmt.Fprint(w, responseText(id, "next"))
+							return true
+						}
+						_, err := io.WriteString(w, "HTTP/1.1 "+a.status+"\r\nId: 1\r\n"+header+"\r\n"+extra)
+						assert.Check(t, err)
+						return true
+					})
+					p := NewPool(nil)
+					defer p.Close()
+					req := requestFor("1")
+					req.Method, req.Body = a.method, nil
+					ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+					defer cancel()
+					resp, err := p.Do(ctx, s.address(), req, matchID("1"))
+					assert.NilError(t, err)
+					body, err := io.ReadAll(resp.Body)
+					assert.NilError(t, errors.Join(err, resp.Body.Close()))
+					assert.Equal(t, string(body), "")
+					got, err := roundTrip(t, p, s.address(), "2")
+					assert.NilError(t, err)
+					assert.Equal(t, got, "next")
+					if extra == "" {
+						assert.Equal(t, s.conns.Load(), int64(1))
+					}
+				})
+			}
+		}
+	}
+}
--- a/sse/frame_test.go
+++ b/sse/frame_test.go
@@ -35,6 +35,12 @@
 		{"id: 1\r\ndata: a\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n", []string{"1"}, io.EOF},
 		{"data: a\n\nid: 2\ndata: cu", "data: a\n\n", []string{""}, io.ErrUnexpectedEOF},
 		{"data: a\n\nid: 2\n", "data: a\n\n", []string{""}, io.ErrUnexpectedEOF},
+		{"data: a\n\nid: 2\ndata: b\n", "data: a\n\n", []string{""}, io.ErrUnexpectedEOF},
+		{"data: a\n\ni", "data: a\n\n", []string{""}, io.ErrUnexpectedEOF},
+		{"data: a\n\n: comm", "data: a\n\n", []string{""}, io.ErrUnexpectedEOF},
+		{"data: a\r\n\r", "", nil, io.ErrUnexpectedEOF},
+		{"data: a\r\n\r\ndata: b\r", "data: a\r\n\r\n", []string{""}, io.ErrUnexpectedEOF},
+		{"data: a\n\n\n", "data: a\n\n", []string{""}, io.EOF},
 	}
 	for _, tt := range tests {
 		raw, ids, err := readFrames(strings.NewReader(tt.in))
@@ -46,6 +52,16 @@
 	assert.Assert(t, errors.Is(err, ErrTooLarge))
 }
 
+// Guards against a stream whose connection is reset after a whole event, and that
+// is taken for complete.
+func TestFramesOfResetStream(t *testing.T) {
+	reset := errors.New("connection reset")
+	for _, in := range []string{"", "data: a\n\n", "data: a\n\ndata: b\n"} {
+		_, _, err := readFrames(io.MultiReader(strings.NewReader(in), iotest.ErrReader(reset)))
+		assert.Equal(t, err, reset, in)
+	}
+}
+
 // Guards against panics, and against frames that depend on how the stream is
 // split into reads.
 func FuzzFrames(f *testing.F) {
