backend: do not wait for the end of a stray response that ends its connection

After a response to another request, the pool read the body of that response to find the next one, also where none can follow because the response ends with its connection. The exchange failed in the end, but only when the server closed the connection or the deadline of the call passed. It now fails at once, with the verdict may-have-run as before.

--- a/backend/closedelimited_test.go
+++ b/backend/closedelimited_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 // closeDelimitedHeads are heads of responses with neither a length nor chunks.
@@ -132,3 +134,32 @@
 		}
 	}
 }
+
+// Guards against a response to another request that ends with its connection and
+// delays the exchange, or whose body is searched for the expected response.
+func TestPoolCloseDelimitedStrayResponse(t *testing.T) {
+	for _, head := range closeDelimitedHeads {
+		for _, open := range []bool{false, true} {
+			t.Run(fmt.Sprint(strings.ReplaceAll(head, "\r\n", " "), "open ", open), func(t *testing.T) {
+				ended := make(chan struct{})
+				s := newScriptedServer(t, func(_ int, _ *http.Request, _ []byte, w net.Conn) bool {
+					_, err := io.WriteString(w, head+"12345"+responseText("2", "wrong"))
+					assert.Check(t, err)
+					if open {
+						<-ended
+					}
+					return false
+				})
+				p := NewPool(nil)
+				defer p.Close()
+				defer close(ended)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				_, err := p.Do(ctx, s.address(), requestFor("2"), matchID("2")) //nolint:bodyclose // an error is expected
+				assert.Assert(t, errors.Is(err, ErrUnmatchedResponses), err)
+				assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+				assert.NilError(t, ctx.Err())
+			})
+		}
+	}
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -397,7 +397,10 @@
 		if x.matches(r) {
 			return r, nil
 		}
-		if n, err := io.CopyN(io.Discard, r.Body, maxUnmatchedBytes); n == maxUnmatchedBytes || err != nil && !errors.Is(err, io.EOF) || r.Close {
+		if r.Close {
+			return nil, ErrUnmatchedResponses
+		}
+		if n, err := io.CopyN(io.Discard, r.Body, maxUnmatchedBytes); n == maxUnmatchedBytes || err != nil && !errors.Is(err, io.EOF) {
 			return nil, ErrUnmatchedResponses
 		}
 	}
