forward: do not wait for the end of a rejection that ends its connection

A call that a server rejects reads the rejection to its end before it goes to another server, so that the connection can be reused. It also did so if the rejection ends with its connection, and waited until the server closed it or the deadline of the call passed. The body of such a rejection is now closed unread.

Found by reading; not seen in a run. Without the change, TestServeCloseDelimitedRejection fails in all 8 cases, each after the 3 s of the call: "no backend server accepted the request". With it, 3 runs pass with the race detector.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -167,11 +167,11 @@
 	}
 	switch {
 	case reply.WrongServer:
-		discard(resp)
+		discardRejection(resp)
 		r.view.exclude(t.server)
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "another server now has the address of "+t.server)
 	case reply.NotRun:
-		discard(resp)
+		discardRejection(resp)
 		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "server "+t.server+" rejected the request with status "+strconv.Itoa(resp.StatusCode))
 	case !reply.Signed:
 		resp.Body.Close()
@@ -180,6 +180,16 @@
 	return resp, nil
 }
 
+// discardRejection is like discard, but does not wait for the end of a response
+// whose connection cannot be reused.
+func discardRejection(resp *http.Response) {
+	if resp.Close {
+		resp.Body.Close()
+		return
+	}
+	discard(resp)
+}
+
 // attemptFailed handles a failed attempt. It returns nil if the call is to be
 // retried, after waiting for the backoff if there is one, or else the error of
 // the call.
--- a/forward/closedelimited_test.go
+++ b/forward/closedelimited_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,3 +161,35 @@
 		}
 	}
 }
+
+// Guards against a call that waits for the end of a rejection, and not for
+// another server.
+func TestServeCloseDelimitedRejection(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable\r\nNot-Run: 1", "421 Misdirected Request"} {
+		for _, h := range closeDelimited {
+			t.Run(fmt.Sprint(status, " ", h), func(t *testing.T) {
+				ended, rejected := make(chan struct{}), make(chan struct{})
+				first := startServer(t, func(n int, _ *http.Request, w io.Writer) bool {
+					fmt.Fprintf(w, "%s %s\r\n%s\r\nno", h.version, status, h.header)
+					if n == 1 {
+						close(rejected)
+					}
+					<-ended
+					return false
+				})
+				defer close(ended)
+				second := startServer(t, answerWith("ok"))
+				f := newFixture(t, first)
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					<-rejected
+					f.setServers(first, second)
+				})
+				rec, _, err := f.serve(f.call("1", &route.Route{Kind: route.NonIdempotent}))
+				wg.Wait()
+				assert.NilError(t, err)
+				assert.Equal(t, rec.Body.String(), "ok")
+			})
+		}
+	}
+}
