forward: leave a silent server only for a place that is held

What callers saw (LOST): streams that left a silent server and were aborted, though that server went on 0.3 s later.

Cause: the idle timeout asked whether another server had a free slot, gave up the stream's server, and only then queued for a place. Many streams left for one slot; a route with several services was asked about one and placed on another; a stream waited at another software version for a record; a stream left shortly before its deadline; the head of a response did not count as activity.

Change: on silence, the next attempt is placed while the present one goes on. The attempt ends only once a place on another server of the same service and version is held; if the server sends something first, the place is given back. A stream that has begun stays with its service. The check whether a silent server still accepts connections runs beside the next attempt and no longer counts it as ended.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -21,9 +21,12 @@
 const maxEventBytes = 1 << 20
 
 // discard reads up to maxDiscard bytes of an answer, so that the connection of a
-// short one can be reused.
+// short one can be reused. It does not wait for the end of an answer whose
+// connection cannot be reused.
 func discard(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	if !resp.Close {
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	}
 	resp.Body.Close()
 }
 
@@ -143,6 +146,7 @@
 // can't mistake a partial answer for a complete one.
 func (r *execution) serveStream(ctx context.Context, w http.ResponseWriter) error {
 	r.lastEvent = r.call.LastEvent
+	defer func() { r.release(r.takeNext()) }()
 	for {
 		t, a, err := r.place(ctx)
 		if err == nil {
@@ -168,26 +172,34 @@
 }
 
 // attemptStream makes one attempt of serveStream.
-func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) error {
+func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) (err error) {
 	if fixed := r.stream.fixedVersion(); fixed != "" && t.softwareVersion != fixed {
 		return verdict.Newf(verdict.NotRun, verdict.NoServer, "server %s now has software version %q: want %q", t.server, t.softwareVersion, fixed)
 	}
 	if err := r.recordVersion(ctx, t.softwareVersion); err != nil {
 		return err
 	}
-	ctx, idle := newIdleTimer(ctx, r.call.Route, r.mayMove(t))
-	defer idle.stop()
+	ctx, idle := newIdleTimer(ctx, r.call.Route, r.mover(t))
+	defer func() {
+		p := idle.stop()
+		if errors.Is(err, errIdle) {
+			r.next = p
+		} else {
+			r.release(p)
+		}
+	}()
 	resp, err := r.send(ctx, t, a)
 	if err != nil {
 		return idle.mapError(err)
 	}
 	defer resp.Body.Close()
+	idle.reset()
 	if resp.StatusCode != http.StatusOK {
-		return r.forwardFailure(ctx, w, t, resp)
+		return idle.mapError(r.forwardFailure(ctx, w, t, resp))
 	}
 	if !r.progress.started {
 		r.progress.started = true
-		r.stream.begin(t.softwareVersion)
+		r.stream.begin(t.service, t.softwareVersion)
 		maps.Copy(w.Header(), r.protocol.ForwardedHeader(resp))
 		w.WriteHeader(resp.StatusCode)
 	}
@@ -207,28 +219,6 @@
 	return nil
 }
 
-// mayMove returns a function that reports whether another server can take over
-// the stream from the attempt's server now, or nil if the route does not allow
-// another attempt.
-func (r *execution) mayMove(t target) func() bool {
-	after := r.progress
-	after.mayHaveRun++
-	if !after.mayRepeat(r.call.Route) {
-		return nil
-	}
-	deadline, softwareVersion := r.call.Deadline, r.stream.fixedVersion()
-	return func() (ok bool) {
-		if time.Until(deadline) < minRetryTime {
-			return false
-		}
-		if r.stream.begun.Load() {
-			softwareVersion = t.softwareVersion
-		}
-		r.queue.Do(func(now time.Duration, s *schedule.Scheduler) { ok = s.HasAlternative(now, t.id, softwareVersion) })
-		return ok
-	}
-}
-
 // forwardFailure forwards a server's error response, unless the caller's
 // response has already started.
 func (r *execution) forwardFailure(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response) error {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -25,22 +25,72 @@
 	server          string
 	startedAt       int64 // identifies the incarnation of the server
 	address         string
+	service         string
 	softwareVersion string
 }
 
-// place queues the call until a backend server is assigned.
+// placement is the assignment of a server to an attempt that has not been sent.
+type placement struct {
+	assignment schedule.Assignment
+	entry      registry.Entry
+	service    string
+}
+
+// place returns the server for the next attempt: the one that is held for it, or
+// else the one that is assigned to the call after queueing.
 func (r *execution) place(ctx context.Context) (target, schedule.Assignment, error) {
+	p, err := r.nextPlacement(ctx)
+	if err != nil {
+		return target{}, schedule.Assignment{}, err
+	}
+	c, a, e := r.call, p.assignment, p.entry
+	if x := r.view.service(p.service); x != nil && x.Engine != nil {
+		r.tokensPerEvent = x.Engine.TokensPerEvent
+	}
+	r.timing.placed = time.Since(c.Arrived)
+	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
+		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
+	return target{id: a.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address, service: p.service, softwareVersion: e.Version}, a, nil
+}
+
+func (r *execution) nextPlacement(ctx context.Context) (*placement, error) {
+	r.attempts++
+	if p := r.takeNext(); p != nil {
+		if e, leaving := r.view.entry(p.assignment.Server); !leaving {
+			p.entry = e
+			return p, nil
+		}
+		r.release(p)
+	}
+	service := r.stream.service
+	if service == "" {
+		service = r.call.Route.Pick(rand.Float64())
+	}
+	request := r.scheduleRequest(service, r.avoid, r.stream.fixedVersion())
+	if err := r.awaitVersion(ctx, &request); err != nil {
+		return nil, err
+	}
+	a, e, err := r.submit(ctx, &request)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
+			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
+	}
+	return &placement{a, e, service}, nil
+}
+
+// scheduleRequest returns the request to the scheduler for the current attempt,
+// at any software version if that is empty.
+func (r *execution) scheduleRequest(service string, avoid []string, softwareVersion string) schedule.Request {
 	c := r.call
-	service := c.Route.Pick(rand.Float64())
 	request := schedule.Request{
-		ID:    schedule.CallID{Program: r.program(), Call: int(r.requestSerial.Add(1)), Attempt: r.attempts + 1},
+		ID:    schedule.CallID{Program: r.program(), Call: int(r.requestSerial.Add(1)), Attempt: r.attempts},
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
-		Affinity: c.Affinity, Avoid: r.avoid, LastServer: r.lastServer,
-		Session: xxhash.Sum64String(c.Session), SoftwareVersion: r.stream.fixedVersion(),
+		Affinity: c.Affinity, Avoid: avoid, LastServer: r.lastServer,
+		Session: xxhash.Sum64String(c.Session), SoftwareVersion: softwareVersion,
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
-		r.tokensPerEvent = x.Engine.TokensPerEvent
 		if c.Turn != nil {
 			request.MaxTokens = int(c.Turn.MaxTokens)
 		}
@@ -52,20 +102,21 @@
 		// the request that caused it is separated from the others.
 		request.Affinity, request.LastServer = 0, ""
 	}
-	if err := r.awaitVersion(ctx, &request); err != nil {
-		return target{}, schedule.Assignment{}, err
-	}
-	r.attempts++
-	a, e, err := r.submit(ctx, &request)
-	if err != nil {
-		return target{}, a, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
-			verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
+	return request
+}
+
+// takeNext returns the place that is held for the next attempt, or nil.
+func (r *execution) takeNext() *placement {
+	p := r.next
+	r.next = nil
+	return p
+}
+
+// release gives up a place that is not used.
+func (r *execution) release(p *placement) {
+	if p != nil {
+		r.queue.Finished(p.assignment.ID, p.assignment.Server, schedule.Usage{}, schedule.FailedUnsent)
 	}
-	r.timing.placed = time.Since(c.Arrived)
-	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
-		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
-		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
-	return target{id: request.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address, softwareVersion: e.Version}, a, nil
 }
 
 // submit waits for the assignment of a server, and for a permit if the server is
@@ -172,11 +223,11 @@
 	}
 	switch {
 	case reply.WrongServer:
-		discardRejection(resp)
+		discard(resp)
 		r.view.exclude(t.server)
 		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "another server now has the address of "+t.server)
 	case reply.NotRun:
-		discardRejection(resp)
+		discard(resp)
 		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "server "+t.server+" rejected the request with status "+strconv.Itoa(resp.StatusCode))
 	case !reply.Signed:
 		resp.Body.Close()
@@ -185,16 +236,6 @@
 	return resp, nil
 }
 
-// discardRejection is like discard, but does not wait for the end of a response
-// whose connection cannot be reused.
-func discardRejection(resp *http.Response) {
-	if resp.Close {
-		resp.Body.Close()
-		return
-	}
-	discard(resp)
-}
-
 // attemptFailed handles a failed attempt. It returns nil if the call is to be
 // retried, after waiting for the backoff if there is one, or else the error of
 // the call.
@@ -207,12 +248,12 @@
 	r.progress.remaining = time.Until(r.call.Deadline)
 	serverDown := false
 	if !notRun && ctx.Err() == nil {
-		switch r.view.excludeIfDown(ctx, r.fingerprint, t) {
-		case refused:
-			serverDown = true
-		case unreachable:
-			// A server that was only silent may still run the request.
-			serverDown = !errors.Is(err, errIdle)
+		if errors.Is(err, errIdle) {
+			// A server that was only silent may still run the request. The check must
+			// not delay the next attempt, for which a place is held.
+			r.background.Go(func() { r.view.excludeIfDown(r.ctx, r.fingerprint, t) })
+		} else {
+			serverDown = r.view.excludeIfDown(ctx, r.fingerprint, t)
 		}
 	}
 	step := r.progress.next(r.call.Route, notRun, serverDown)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -268,9 +268,10 @@
 	crashes      int // number of servers that have crashed while the request was in flight on them
 	progress     progress
 	stream       streamVersion
-	attempts     int      // number of attempts so far
-	avoid        []string // servers on which an attempt has failed
-	lastErr      error    // error of the last attempt
+	next         *placement // held for the next attempt, or nil
+	attempts     int        // number of attempts so far
+	avoid        []string   // servers on which an attempt has failed
+	lastErr      error      // error of the last attempt
 
 	events         int64 // number of events received from servers
 	tokensPerEvent int64
--- a/forward/idletimer.go
+++ b/forward/idletimer.go
@@ -24,30 +24,38 @@
 )
 
 // idleTimer cancels an attempt on a stream whose server sends nothing within the
-// idle timeout, if another server can resume the stream. Otherwise the attempt
+// idle timeout, once a place on another server is held. Without one, the attempt
 // waits: a server may be silent for a while and go on.
 type idleTimer struct {
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	timeout time.Duration
-	mayMove func() bool
+	mover   mover
 
 	mu       sync.Mutex
 	activeAt time.Time // when the server last sent something
 	timer    *time.Timer
+	next     *placement // held for the next attempt
+}
+
+// mover finds a place on another server for a stream.
+type mover interface {
+	// acquire returns a place, or nil if there is none now.
+	acquire(ctx context.Context) *placement
+	release(p *placement)
 }
 
 var errIdle = errors.New("idle timeout")
 
 // newIdleTimer returns a context that is cancelled when the idle timeout has
-// expired and mayMove returns true. A nil mayMove stands for a stream that no
-// other server may resume.
-func newIdleTimer(ctx context.Context, r *route.Route, mayMove func() bool) (context.Context, *idleTimer) {
+// expired and the stream has a place on another server. A nil mover stands for a
+// stream that no other server may resume.
+func newIdleTimer(ctx context.Context, r *route.Route, m mover) (context.Context, *idleTimer) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &idleTimer{
-		ctx: ctx, cancel: cancel, timeout: max(minIdleTimeout, idleTimeoutFactor*r.GapObjective), mayMove: mayMove, activeAt: time.Now(),
+		ctx: ctx, cancel: cancel, timeout: max(minIdleTimeout, idleTimeoutFactor*r.GapObjective), mover: m, activeAt: time.Now(),
 	}
-	if mayMove != nil {
+	if m != nil {
 		t.schedule(t.timeout)
 	}
 	return ctx, t
@@ -62,18 +70,40 @@
 	}
 }
 
-func (t *idleTimer) check() {
+// remaining returns the time until the idle timeout expires.
+func (t *idleTimer) remaining() time.Duration {
 	t.mu.Lock()
-	idle := time.Since(t.activeAt)
-	t.mu.Unlock()
-	switch {
-	case idle < t.timeout:
-		t.schedule(t.timeout - idle)
-	case t.mayMove():
-		t.cancel(errIdle)
-	default:
+	defer t.mu.Unlock()
+	return t.timeout - time.Since(t.activeAt)
+}
+
+func (t *idleTimer) check() {
+	if d := t.remaining(); d > 0 {
+		t.schedule(d)
+		return
+	}
+	p := t.mover.acquire(t.ctx)
+	if p == nil {
 		t.schedule(t.timeout / idleRecheckDivisor)
+		return
+	}
+	if !t.give(p) {
+		t.mover.release(p)
+		t.schedule(t.timeout)
+	}
+}
+
+// give ends the attempt in favour of the place. It returns false if the server
+// has sent something meanwhile or the attempt has ended.
+func (t *idleTimer) give(p *placement) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() != nil || time.Since(t.activeAt) < t.timeout {
+		return false
 	}
+	t.next = p
+	t.cancel(errIdle)
+	return true
 }
 
 // reset restarts the idle timeout.
@@ -83,20 +113,23 @@
 	t.activeAt = time.Now()
 }
 
-func (t *idleTimer) stop() {
+// stop ends the attempt and returns the place that is held for the next one, or
+// nil.
+func (t *idleTimer) stop() *placement {
 	t.cancel(nil)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil {
 		t.timer.Stop()
 	}
+	return t.next
 }
 
 // mapError returns a server-failed error for an attempt that the idle timeout has
 // cancelled, whose own error looks like a cancellation by the caller. It returns
-// other errors unchanged.
+// other errors, and nil, unchanged.
 func (t *idleTimer) mapError(err error) error {
-	if errors.Is(context.Cause(t.ctx), errIdle) {
+	if err != nil && errors.Is(context.Cause(t.ctx), errIdle) {
 		return verdict.New(verdict.From(err).Verdict(), verdict.ServerFailed, "no data from the server", verdict.WithCause(fmt.Errorf("%w: %w", errIdle, err)))
 	}
 	return err
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,10 +40,10 @@
 // is recorded nor restricts a stream.
 type streamVersion struct {
 	version string
-	// fixed is set if the stream may go on only at version. begun is set once the
-	// answer has been started, at the version of the attempt's server.
+	// fixed is set if the stream may go on only at version.
 	fixed bool
-	begun atomic.Bool
+	// service is the service whose server has begun the answer, or "".
+	service string
 	// recorded is the version that is recorded or being recorded, or "" if there
 	// is none.
 	recorded string
@@ -131,11 +130,10 @@
 	return nil
 }
 
-// begin restricts the stream to the version of the server whose answer is
-// passed on.
-func (s *streamVersion) begin(version string) {
-	s.version, s.fixed = version, true
-	s.begun.Store(true)
+// begin restricts the stream to the service and the version of the server whose
+// answer is passed on.
+func (s *streamVersion) begin(service, version string) {
+	s.service, s.version, s.fixed = service, version, true
 }
 
 // fixedVersion returns the software version to which the call is restricted, or
--- a/forward/view.go
+++ b/forward/view.go
@@ -322,29 +322,21 @@
 	return n
 }
 
-// reachability is the result of a connection attempt to a server.
-type reachability uint8
-
-const (
-	reachable   reachability = iota
-	unreachable              // no response in time: cut off, overloaded or silent
-	refused                  // no process listens at the address
-)
-
 // excludeIfDown checks, after an interrupted attempt, whether the server still
-// accepts connections, and excludes it if not. If the server refuses connections,
-// it also records the crash, with the request as a suspect.
-func (view *View) excludeIfDown(ctx context.Context, fingerprint uint64, t target) reachability {
+// accepts connections. If not, it excludes the server and returns true. If the
+// server refuses connections, it also records the crash, with the request as a
+// suspect.
+func (view *View) excludeIfDown(ctx context.Context, fingerprint uint64, t target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.address)
 	if err == nil {
 		nc.Close()
-		return reachable
+		return false
 	}
 	view.exclude(t.server)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return unreachable
+		return true // unreachable, which isn't a crash
 	}
 	view.mu.Lock()
 	c := view.crashed[fingerprint]
@@ -358,7 +350,7 @@
 	}
 	view.mu.Unlock()
 	view.forwarder.logger.Warn("backend server crashed during a request", zap.String("server", t.server), zap.Uint64("fingerprint", fingerprint))
-	return refused
+	return true
 }
 
 // exclude stops using a server until it restarts, but no longer than
