backend: outlast servers that read nothing for a while

A request whose body does not fit into the buffers of the connection failed after 2.3 s if its server read nothing meanwhile: TCP_USER_TIMEOUT, set so that a lost peer is noticed, also ends connections whose peer has no room. A sound server may be silent for a second or so; 2 s left little margin for that.

The timeout is 3 s now. TestPoolOutlastsServerThatReadsNothing, by the reviewer, with a silence of 2.6 s and bodies of 17 and 300 kB, failed with "connection timed out" after 2.27 s before.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -42,8 +42,9 @@
 	// when the response body is closed.
 	writeFinishTimeout = 10 * time.Millisecond
 	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 2 * time.Second
+	// connection is closed. The kernel applies it also to data for which a server
+	// that reads nothing has no room, so it must exceed the silence of a sound one.
+	unackedTimeout = 3 * time.Second
 	// tcpUserTimeoutOption is the Linux socket option TCP_USER_TIMEOUT.
 	tcpUserTimeoutOption = 18
 )
--- /dev/null
+++ b/backend/silence_test.go
@@ -0,0 +1,59 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that fails because its server reads nothing for a
+// while, although the server goes on. The body does not fit into the buffers of
+// the connection.
+func TestPoolOutlastsServerThatReadsNothing(t *testing.T) {
+	const (
+		silence       = 2600 * time.Millisecond // much longer than a sound server's
+		receiveBuffer = 8 << 10
+	)
+	for _, size := range []int{17 << 10, 300 << 10} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			t.Parallel()
+			lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+				return c.Control(func(fd uintptr) {
+					_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+				})
+			}}
+			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				time.Sleep(silence)
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}()
+			p := NewPool(nil)
+			defer p.Close()
+			resp, err := p.Do(t.Context(), l.Addr().String(), &Request{Method: "POST", Target: "/", Host: "a", Body: bytes.Repeat([]byte("x"), size)}, func(*http.Response) bool { return true })
+			assert.NilError(t, err)
+			resp.Body.Close()
+		})
+	}
+}
