cluster, registry: send the backend servers in parts that survive interruptions

A poll answered an entry host that knew nothing of a control host's incarnation with all backend servers, within 600 ms. An entry host that could not receive them in time dropped the connection, dialled again and requested all of them again: a transfer that grows, with a fixed timeout and without progress that survives a failure.

registry.Table.Next now returns at most 8 KiB of changes, or one change, in the order of their revisions, with the position of the reader after them: the incarnation, the newest revision and the gap that is still to be filled. New changes come before the gap is filled. If they alone do not fit, the gap is extended to include them. An entry host keeps its position when a request fails and continues from there over a new connection; between two polls it requests further parts. After a failed request the next part has 2 KiB, and the size doubles with each part that arrives.

A restarted control host has another incarnation and sends its whole table. registry.View keeps the entries of the previous incarnation until the last part has arrived, and then removes those that were not sent again. Before, the first answer replaced them, which was right only because it was complete.

The tests of View and Table pass parts instead of lists of changes; what they assert is unchanged.

On the code before, the new tests of cluster print:

TestLargeRegistryOnSlowOrBreakingConnections/slow: timed out after 30 s waiting for: all servers received .../breaking, .../too_slow_for_the_largest_parts: the same TestServerLeavesDuringTransferOfRegistry: timed out after 30 s waiting for: some servers received

The tests of registry use the new functions and do not compile before. With single lines taken out: entries of the previous incarnation not kept, TestTransferConverges "i- was removed" and TestRestartedControlHost 7 servers instead of 100; never removed, 100 instead of 90; no room left for the gap, 259 bytes in a part of 1; a part for a removed host accepted, TestPartOfRemovedSource. Without smaller parts after a failure, the third case times out.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"path/filepath"
@@ -102,14 +103,13 @@
 
 // Host is a control host.
 type Host struct {
-	config      HostConfig
-	logger      *zap.Logger
-	server      *control.Server
-	mesh        *mesh
-	group       *replica.Group
-	state       *controlState
-	started     time.Time
-	incarnation uint64
+	config  HostConfig
+	logger  *zap.Logger
+	server  *control.Server
+	mesh    *mesh
+	group   *replica.Group
+	state   *controlState
+	started time.Time
 
 	mu            sync.Mutex
 	registry      *registry.Table
@@ -129,8 +129,8 @@
 // the listener.
 func StartHost(c HostConfig, listener net.Listener, logger *zap.Logger, opts ...replica.Option) (*Host, error) {
 	h := &Host{
-		config: c.withDefaults(), logger: logger, state: newControlState(), started: time.Now(), incarnation: rand.Uint64(),
-		registry: registry.New(), loads: newLoads(), ledgerHosts: newLedgerHosts(), limits: NewLimits(),
+		config: c.withDefaults(), logger: logger, state: newControlState(), started: time.Now(),
+		registry: registry.New(1 + rand.Uint64N(math.MaxUint64)), loads: newLoads(), ledgerHosts: newLedgerHosts(), limits: NewLimits(),
 		permits: newPermits(rand.NewPCG(rand.Uint64(), rand.Uint64())), pendingGossip: map[string]registry.Entry{},
 		lastSeen: map[string]time.Duration{}, seeds: c.Seeds,
 	}
@@ -150,6 +150,7 @@
 	control.Handle(h.server, methodGossip, h.receiveGossip)
 	control.Handle(h.server, methodSync, h.sync)
 	control.Handle(h.server, methodTable, h.sendTablePart)
+	control.Handle(h.server, methodServers, h.sendServersPart)
 	control.Handle(h.server, methodPermit, h.permit)
 	h.server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -322,8 +323,7 @@
 		Ledger: h.ledgerHosts.view(),
 		ID:     h.config.ID, DataCentre: h.config.DataCentre, Hosts: append(h.otherHosts(), h.config.ID),
 		Leader: leader, Term: status.Term, TableVersion: h.state.tableVersion(),
-		Incarnation: h.incarnation, Revision: h.registry.Revision(), Full: r.Incarnation != h.incarnation, EntryHosts: len(h.loads.hosts),
-		Suspects: h.loads.suspectList(),
+		EntryHosts: len(h.loads.hosts), Suspects: h.loads.suspectList(),
 	}
 	if plan, _, _ := h.state.plan(); plan != nil && plan.Version != r.PlanVersion {
 		out.Ledger.Plan = plan
@@ -331,11 +331,7 @@
 	if r.LedgerHost != nil {
 		return out, nil
 	}
-	since := r.Revision
-	if out.Full {
-		since = 0
-	}
-	out.Changes = h.registry.Since(since)
+	out.Part = h.serversPart(r.serversRequest)
 	out.Limits = h.limits.Report(now)
 	if r.WantInFlight {
 		out.InFlight = h.loads.remoteInFlight(now, r.Host)
@@ -375,6 +371,21 @@
 	return h.state.updates.part(r)
 }
 
+func (h *Host) sendServersPart(_ context.Context, _ string, r serversRequest) (registry.Part, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.serversPart(r), nil
+}
+
+// serversPart returns the requested part of the registry. The caller holds h.mu.
+func (h *Host) serversPart(r serversRequest) registry.Part {
+	size := maxServersPartBytes
+	if r.PartBytes > 0 {
+		size = min(size, r.PartBytes)
+	}
+	return h.registry.Next(r.Position, size)
+}
+
 // requireLeader returns an error unless this host leads the log group.
 func (h *Host) requireLeader() error { return requireLeader(h.group) }
 
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -36,6 +36,13 @@
 	// retransmits it only after a second.
 	initialRetryDelay = 100 * time.Millisecond
 	initialTimeout    = 200 * time.Millisecond
+	// maxServersPartBytes is the size of one part of the changes of a registry.
+	// Parts of all control hosts must arrive within syncTimeout even on a link
+	// with little bandwidth left.
+	maxServersPartBytes = 8 << 10
+	// minServersPartBytes is the size of the first part after a failed request.
+	// It doubles with each part that arrives.
+	minServersPartBytes = 2 << 10
 	// linkHostTTL is the time after which a control host is removed if it is not
 	// a seed, does not answer and is not listed by another one.
 	linkHostTTL = 30 * time.Second
@@ -98,16 +105,17 @@
 	ledger       atomic.Pointer[LedgerView]
 	tableOffered chan struct{} // signals that a control host has a newer table
 
-	mu            sync.Mutex
-	observer      Observer
-	hosts         map[string]*controlHost
-	seeds         []string
-	view          *registry.View
-	leaders       map[int]partitionLeader
-	ledgerHosts   map[string]*control.Peer // by id
-	loadSource    string                   // id of the control host that supplies the aggregated load
-	tableFetch    *tableFetch
-	controlLeader partitionLeader // of the control hosts' log
+	mu             sync.Mutex
+	observer       Observer
+	hosts          map[string]*controlHost
+	seeds          []string
+	view           *registry.View
+	leaders        map[int]partitionLeader
+	ledgerHosts    map[string]*control.Peer // by id
+	serversChanged bool                     // since the observer was notified
+	loadSource     string                   // id of the control host that supplies the aggregated load
+	tableFetch     *tableFetch
+	controlLeader  partitionLeader // of the control hosts' log
 }
 
 // controlHost is the state of one control host.
@@ -116,11 +124,10 @@
 	id           string
 	cancel       context.CancelFunc
 	dataCentre   string
-	incarnation  uint64
-	revision     int64
+	partBytes    int // size of the next part of the registry
 	answeredAt   time.Time
 	advertisedAt time.Time // last listed as a seed or by a control host
-	responsive   bool      // the last poll succeeded
+	responsive   bool      // the last request succeeded
 	warned       bool      // a warning was logged since the last answer
 }
 
@@ -185,7 +192,7 @@
 		ctx, cancel := context.WithCancel(l.ctx)
 		h := &controlHost{
 			Peer: control.NewPeer(id, l.config.Address(id), l.config.ID, l.config.Key, nil, l.config.Dial),
-			id:   id, cancel: cancel, advertisedAt: time.Now(),
+			id:   id, cancel: cancel, advertisedAt: time.Now(), partBytes: maxServersPartBytes,
 		}
 		l.hosts[id] = h
 		l.wait.Add(1)
@@ -217,23 +224,28 @@
 	defer h.Close()
 	delay := initialRetryDelay
 	for {
-		interval := syncInterval
-		switch {
-		case !l.sync(ctx, h, initialTimeout+delay):
-			interval = delay
-			delay = min(2*delay, syncInterval)
-		case l.isLoadSource(h):
-			interval = loadInterval
-			fallthrough
-		default:
+		ok := l.sync(ctx, h, initialTimeout+delay)
+		next := time.Now().Add(l.interval(h))
+		if ok && l.fetchServers(ctx, h, next) {
 			delay = initialRetryDelay
+		} else {
+			next = time.Now().Add(delay)
+			delay = min(2*delay, syncInterval)
 		}
-		if !pause.For(ctx, interval) {
+		if !pause.For(ctx, time.Until(next)) {
 			return
 		}
 	}
 }
 
+// interval returns the delay between two polls of a control host that answers.
+func (l *Link) interval(h *controlHost) time.Duration {
+	if l.isLoadSource(h) {
+		return loadInterval
+	}
+	return syncInterval
+}
+
 // isLoadSource returns whether a control host supplies the aggregated load: the
 // first one that answers in the same data centre, or else the first one at all.
 func (l *Link) isLoadSource(h *controlHost) bool {
@@ -250,7 +262,10 @@
 		timeout = syncTimeout
 	}
 	wantLoad := l.loadSource == h.id
-	r := syncRequest{Host: l.config.ID, Incarnation: h.incarnation, Revision: h.revision, WantInFlight: wantLoad}
+	r := syncRequest{Host: l.config.ID, WantInFlight: wantLoad}
+	if l.config.LedgerHostReport == nil {
+		r.serversRequest = l.serversRequest(h)
+	}
 	l.mu.Unlock()
 	if v := l.ledger.Load(); v != nil && v.Plan != nil {
 		r.PlanVersion = v.Plan.Version
@@ -265,7 +280,6 @@
 	defer cancel()
 	var out syncResponse
 	if err := h.Call(attempt, methodSync, r, &out); err != nil {
-		h.Reset()
 		l.markUnreachable(h, err)
 		return false
 	}
@@ -273,10 +287,75 @@
 	return true
 }
 
+// serversRequest returns the request for the next part of the registry of a
+// control host. The caller holds l.mu.
+func (l *Link) serversRequest(h *controlHost) serversRequest {
+	r := serversRequest{Position: l.view.Position(h.id)}
+	if h.partBytes < maxServersPartBytes {
+		r.PartBytes = h.partBytes
+	}
+	return r
+}
+
+// fetchServers requests the missing parts of the registry of a control host
+// until the next poll is due. It returns false if a request fails.
+func (l *Link) fetchServers(ctx context.Context, h *controlHost, until time.Time) bool {
+	for time.Now().Before(until) {
+		l.mu.Lock()
+		r := l.serversRequest(h)
+		l.mu.Unlock()
+		if !r.HasGap() {
+			return true
+		}
+		attempt, cancel := context.WithTimeout(ctx, syncTimeout)
+		var part registry.Part
+		err := h.Call(attempt, methodServers, r, &part)
+		cancel()
+		if err != nil {
+			l.markUnreachable(h, err)
+			return false
+		}
+		l.receiveServersPart(h, part)
+	}
+	return true
+}
+
+// receiveServersPart records a part. It notifies the observer only after the last
+// one; after the others, the next poll does.
+func (l *Link) receiveServersPart(h *controlHost, p registry.Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.updateServers(h, p)
+	if !p.HasGap() {
+		l.logger.Info("backend servers received", zap.String("control-host", h.id), zap.Int64("revision", p.Revision))
+		l.notifyServers()
+	}
+}
+
+// updateServers records a part of the registry of a control host. The caller
+// holds l.mu.
+func (l *Link) updateServers(h *controlHost, p registry.Part) {
+	h.partBytes = min(2*h.partBytes, maxServersPartBytes)
+	if l.view.Update(h.id, p) {
+		l.serversChanged = true
+	}
+}
+
+// notifyServers notifies the observer if the backend servers have changed. The
+// caller holds l.mu.
+func (l *Link) notifyServers() {
+	if l.serversChanged {
+		l.serversChanged = false
+		l.observer.Servers(l.view.Servers())
+	}
+}
+
+// markUnreachable records that a request has failed, and drops the connection.
 func (l *Link) markUnreachable(h *controlHost, err error) {
+	h.Reset()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h.responsive = false
+	h.responsive, h.partBytes = false, minServersPartBytes
 	l.tableFetch.withdraw(h.id)
 	if !h.warned && l.ctx.Err() == nil {
 		l.logger.Warn("control host unreachable", zap.String("control-host", h.id), zap.Error(err))
@@ -358,8 +437,6 @@
 	}
 	h.responsive = true
 	h.warned, h.answeredAt, h.dataCentre = false, time.Now(), r.DataCentre
-	full := r.Full || r.Incarnation != h.incarnation
-	h.incarnation, h.revision = r.Incarnation, r.Revision
 	l.addHosts(r.Hosts)
 	if l.loadSource == "" || l.hosts[l.loadSource] == nil ||
 		h.dataCentre == l.config.DataCentre && l.hosts[l.loadSource].dataCentre != l.config.DataCentre {
@@ -378,10 +455,8 @@
 		default:
 		}
 	}
-	if full || len(r.Changes) > 0 {
-		l.view.Update(h.id, full, r.Changes)
-		l.observer.Servers(l.view.Servers())
-	}
+	l.updateServers(h, r.Part)
+	l.notifyServers()
 	if wantLoad {
 		l.observer.Load(r.InFlight, r.EntryHosts)
 	}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -16,6 +16,7 @@
 	methodGossip  = "gossip"          // between control hosts, one way
 	methodSync    = "sync"            // entry or ledger host to control host
 	methodTable   = "table-part"      // entry host to control host
+	methodServers = "servers-part"    // entry host to control host
 	methodReserve = "reserve-turn"    // entry host to the leader of a partition
 	methodSettle  = "settle-turn"     // entry host to the leader of a partition
 	methodExtend  = "extend-turn"     // entry host to the leader of a partition
@@ -38,10 +39,7 @@
 	LedgerHost *LedgerHostReport `json:"keeper,omitempty"`
 	// PlanVersion is the version of the ledger plan that the sender has.
 	PlanVersion int64 `json:"plan-version,omitempty"`
-	// Incarnation and Revision are the incarnation of the control host and the
-	// revision of its registry that the sender last received.
-	Incarnation uint64 `json:"life,omitempty"`
-	Revision    int64  `json:"revision,omitempty"`
+	serversRequest
 	// InFlight is the number of in-flight requests of the entry host, by backend
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
@@ -53,6 +51,13 @@
 	WantInFlight bool `json:"want-runs,omitempty"`
 }
 
+// serversRequest requests the next part of the changes of the registry.
+type serversRequest struct {
+	registry.Position
+	// PartBytes is the size of the part; 0 for maxServersPartBytes.
+	PartBytes int `json:"part,omitempty"`
+}
+
 // Suspect is a request that was in flight on servers when they crashed.
 type Suspect struct {
 	Fingerprint uint64   `json:"fingerprint"`
@@ -60,18 +65,15 @@
 }
 
 type syncResponse struct {
-	ID           string            `json:"id"`
-	DataCentre   string            `json:"data-centre"`
-	Hosts        []string          `json:"hosts"`            // ids of control hosts
-	Leader       string            `json:"leader,omitempty"` // id of the leader of the control hosts' log
-	Term         uint64            `json:"term,omitempty"`   // of that log
-	TableVersion int64             `json:"table-version,omitempty"`
-	Incarnation  uint64            `json:"life"`
-	Revision     int64             `json:"revision"`
-	Full         bool              `json:"full,omitempty"` // Changes is the whole registry
-	Changes      []registry.Change `json:"changes,omitempty"`
-	EntryHosts   int               `json:"entry-hosts"`
-	Ledger       LedgerView        `json:"ledger"`
+	ID            string     `json:"id"`
+	DataCentre    string     `json:"data-centre"`
+	Hosts         []string   `json:"hosts"`            // ids of control hosts
+	Leader        string     `json:"leader,omitempty"` // id of the leader of the control hosts' log
+	Term          uint64     `json:"term,omitempty"`   // of that log
+	TableVersion  int64      `json:"table-version,omitempty"`
+	registry.Part            // not sent to ledger hosts
+	EntryHosts    int        `json:"entry-hosts"`
+	Ledger        LedgerView `json:"ledger"`
 	// InFlight is the number of in-flight requests of all other entry hosts, by
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
--- a/cluster/slowlink_test.go
+++ b/cluster/slowlink_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/registry"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/strictjson"
 )
@@ -127,6 +128,72 @@
 	assert.Assert(t, read.Load() < whole/10, "%d bytes for the whole table, %d for the change of one route", whole, read.Load())
 }
 
+// announceServers registers a number of backend servers.
+func announceServers(h *Host, servers int) {
+	for i := range servers {
+		h.Announce(registry.Entry{
+			ID: fmt.Sprintf("i-%08x", i), Service: fmt.Sprint("service-", i%40), Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), DataCentre: "dc",
+			Slots: 24, State: registry.Ready, StartedAt: 1_780_000_000_000, Sequence: 1,
+		})
+	}
+}
+
+// Guards against a registry that never reaches an entry host, since a transfer
+// that takes too long or is interrupted starts again from the beginning.
+func TestLargeRegistryOnSlowOrBreakingConnections(t *testing.T) {
+	tests := []struct {
+		name           string
+		servers        int
+		bytesPerSecond int
+		limit          int
+	}{
+		{"slow", 1400, 100_000, 0},
+		{"breaking", 1400, 0, 60_000},
+		{"too slow for the largest parts", 200, 10_000, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDeployment(t, "c1")
+			announceServers(d.startHost("c1", []string{"c1"}, []string{"c1"}), tt.servers)
+			var read atomic.Int64
+			o := &observer{}
+			d.startSlowLink(o, func(nc net.Conn) net.Conn {
+				return &countingConn{Conn: nc, read: &read, bytesPerSecond: tt.bytesPerSecond, limit: tt.limit}
+			})
+			d.await("all servers received", func(context.Context) bool { return o.check(func() bool { return len(o.servers) == tt.servers }) })
+		})
+	}
+}
+
+// Guards against a server that has left and gets requests until a large transfer
+// of the registry has ended.
+func TestServerLeavesDuringTransferOfRegistry(t *testing.T) {
+	const servers = 1400
+	d := newDeployment(t, "c1")
+	h := d.startHost("c1", []string{"c1"}, []string{"c1"})
+	announceServers(h, servers)
+	var read atomic.Int64
+	o := &observer{}
+	d.startSlowLink(o, func(nc net.Conn) net.Conn { return &countingConn{Conn: nc, read: &read, bytesPerSecond: 40_000} })
+	left := ""
+	d.await("some servers received", func(context.Context) bool {
+		return o.check(func() bool {
+			for id := range o.servers {
+				left = id
+			}
+			return left != ""
+		})
+	})
+	assert.Assert(t, h.Leave(left, 0))
+	d.await("server removed", func(context.Context) bool {
+		return o.check(func() bool {
+			_, ok := o.servers[left]
+			return !ok
+		})
+	})
+	assert.Assert(t, o.check(func() bool { return len(o.servers) < servers/2 }), "the transfer had ended")
+}
+
 // Guards against a configuration within the size limit of the operator's API
 // that the control hosts refuse, and against one that they cannot replicate.
 func TestLargestTableIsAccepted(t *testing.T) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,13 +1,11 @@
 // Package registry is the service registry of the backend servers. A Table
 // holds the announcements that one control host has received, and a View merges
-// the tables of several control hosts. The package neither sends nor receives
-// anything itself. It is deterministic: time is passed in, as the duration
-// since the process started.
+// the tables of several control hosts, from parts of bounded size. The package
+// neither sends nor receives anything itself. It is deterministic: time is
+// passed in, as the duration since the process started.
 package registry
 
 import (
-	"slices"
-	"strings"
 	"time"
 )
 
@@ -82,15 +80,17 @@
 // Table holds the newest entry of each server, and a revision number that
 // identifies changes to be distributed. It is not safe for concurrent use.
 type Table struct {
-	records  map[string]*record
-	revision int64
+	incarnation uint64
+	records     map[string]*record
+	revision    int64
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{records: map[string]*record{}} }
-
-// Revision returns the revision of the last change.
-func (t *Table) Revision() int64 { return t.revision }
+// New returns an empty table. The incarnation is not 0 and differs from those of
+// all tables that the same readers have read, since revisions start at 1 in each
+// table.
+func New(incarnation uint64) *Table {
+	return &Table{incarnation: incarnation, records: map[string]*record{}}
+}
 
 // Len returns the number of entries, including those of servers that are gone.
 func (t *Table) Len() int { return len(t.records) }
@@ -152,84 +152,3 @@
 		}
 	}
 }
-
-// Change is a changed entry, for distribution to the readers of a Table.
-type Change struct {
-	Entry
-	// Expired is true if the server has not announced itself within the
-	// timeout.
-	Expired bool `json:"silent,omitempty"`
-}
-
-// Since returns the entries changed after a revision, sorted by ID.
-func (t *Table) Since(revision int64) []Change {
-	var out []Change
-	for _, r := range t.records {
-		if r.revision > revision {
-			out = append(out, Change{Entry: r.entry, Expired: r.expired})
-		}
-	}
-	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
-
-// View merges the tables of several control hosts.
-type View struct {
-	sources map[string]map[string]Change // by control host and server ID
-}
-
-// NewView returns an empty view.
-func NewView() *View { return &View{sources: map[string]map[string]Change{}} }
-
-// Update applies the changes received from one control host. With full set,
-// they replace all earlier entries of that host.
-func (v *View) Update(source string, full bool, changes []Change) {
-	m := v.sources[source]
-	if m == nil || full {
-		m = map[string]Change{}
-		v.sources[source] = m
-	}
-	for _, c := range changes {
-		m[c.ID] = c
-	}
-}
-
-// RemoveSource removes the entries of a host that is no longer a control host.
-func (v *View) RemoveSource(source string) { delete(v.sources, source) }
-
-// Servers returns the newest entry of each usable server, by ID. A server is
-// usable if it is not gone and the entry of its newest incarnation is unexpired
-// on at least one control host. Of two servers with the same address, only the
-// one that started later can be returned, since the address must have been
-// reassigned to it.
-func (v *View) Servers() map[string]Entry {
-	newest := map[string]Entry{}
-	alive := map[string]bool{}
-	for _, m := range v.sources {
-		for id, c := range m {
-			known, ok := newest[id]
-			if !ok || c.supersedes(&known) {
-				newest[id] = c.Entry
-			}
-		}
-	}
-	for _, m := range v.sources {
-		for id, c := range m {
-			if !c.Expired && c.StartedAt == newest[id].StartedAt {
-				alive[id] = true
-			}
-		}
-	}
-	byAddress := map[string]string{} // server ID by address
-	for id, e := range newest {
-		if o, ok := byAddress[e.Address]; !ok || newest[o].StartedAt < e.StartedAt {
-			byAddress[e.Address] = id
-		}
-	}
-	for id, e := range newest {
-		if e.State == Gone || !alive[id] || byAddress[e.Address] != id {
-			delete(newest, id)
-		}
-	}
-	return newest
-}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -29,7 +29,7 @@
 		{"restarted", []Entry{{State: Gone, StartedAt: 1, Sequence: 9}, {State: Ready, StartedAt: 2, Sequence: 1}}, Ready},
 	}
 	for _, tt := range tests {
-		table := New()
+		table := New(1)
 		for _, e := range tt.announcements {
 			e.ID, e.Address = "i", "10.0.0.1:80"
 			table.Announce(0, e)
@@ -49,7 +49,7 @@
 				State: rapid.SampledFrom([]State{Ready, Leaving, Gone}).Draw(t, "state"),
 			})
 		}
-		first, second := New(), New()
+		first, second := New(1), New(1)
 		for _, e := range announcements {
 			first.Announce(0, e)
 		}
@@ -66,17 +66,16 @@
 // Guards against readers that miss a change, and against servers that stay in
 // use after they have crashed.
 func TestSilentServersAreTold(t *testing.T) {
-	table, view := New(), NewView()
+	table, view := New(1), NewView()
 	table.Announce(0, Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, StartedAt: 1})
-	view.Update("control", true, table.Since(0))
+	read := func() { view.Update("control", table.Next(view.Position("control"), 1000)) }
+	read()
 	assert.Equal(t, len(view.Servers()), 1)
-	readRevision := table.Revision()
 	table.Expire(AnnouncementTimeout + time.Second)
-	view.Update("control", false, table.Since(readRevision))
+	read()
 	assert.Equal(t, len(view.Servers()), 0)
-	readRevision = table.Revision()
 	table.Announce(AnnouncementTimeout+2*time.Second, Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, StartedAt: 1, Sequence: 1})
-	view.Update("control", false, table.Since(readRevision))
+	read()
 	assert.Equal(t, len(view.Servers()), 1)
 }
 
@@ -84,8 +83,8 @@
 // one.
 func TestReusedAddress(t *testing.T) {
 	view := NewView()
-	view.Update("a", true, []Change{{Entry: Entry{ID: "old", Service: "s", Address: "10.0.0.1:80", State: Ready, StartedAt: 1}}})
-	view.Update("b", true, []Change{{Entry: Entry{ID: "new", Service: "t", Address: "10.0.0.1:80", State: Ready, StartedAt: 2}}})
+	view.Update("a", Part{Full: true, Changes: []Change{{Entry: Entry{ID: "old", Service: "s", Address: "10.0.0.1:80", State: Ready, StartedAt: 1}}}})
+	view.Update("b", Part{Full: true, Changes: []Change{{Entry: Entry{ID: "new", Service: "t", Address: "10.0.0.1:80", State: Ready, StartedAt: 2}}}})
 	servers := view.Servers()
 	assert.Equal(t, len(servers), 1)
 	assert.Equal(t, servers["new"].Service, "t")
@@ -96,8 +95,8 @@
 func TestOneControlHostThatHearsIsEnough(t *testing.T) {
 	view := NewView()
 	e := Entry{ID: "i", Address: "10.0.0.1:80", State: Ready, StartedAt: 1}
-	view.Update("cut-off", true, []Change{{Entry: e, Expired: true}})
-	view.Update("hears", true, []Change{{Entry: e}})
+	view.Update("cut-off", Part{Full: true, Changes: []Change{{Entry: e, Expired: true}}})
+	view.Update("hears", Part{Full: true, Changes: []Change{{Entry: e}}})
 	assert.Equal(t, len(view.Servers()), 1)
 	view.RemoveSource("hears")
 	assert.Equal(t, len(view.Servers()), 0)
@@ -106,7 +105,7 @@
 // Guards against a delayed message of an earlier incarnation that marks the new
 // one as gone.
 func TestLeave(t *testing.T) {
-	table := New()
+	table := New(1)
 	table.Announce(0, Entry{ID: "i", State: Ready, StartedAt: 2})
 	_, ok := table.MarkGone(0, "i", 1)
 	assert.Assert(t, !ok)
@@ -118,7 +117,7 @@
 }
 
 func ExampleTable_Announce() {
-	t := New()
+	t := New(1)
 	_, changed := t.Announce(0, Entry{ID: "i", State: Ready, Sequence: 1})
 	fmt.Println(changed)
 	newer, changed := t.Announce(time.Second, Entry{ID: "i", State: Ready, Sequence: 2})
