logsink: keep the lines of a logger at level error

Limit splits a logger at warn. For a core that passes errors only, zap refuses the part from warn upwards, since that would lower the level, and Limit returned the part below warn, which passes nothing. It now returns the core itself.

Before, TestLimitKeepsLevel prints "0 (int) != 1 (want int): a line of level error at level error". After, 20 runs of the package pass.

--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -119,7 +119,7 @@
 	below := zapcore.NewSamplerWithOptions(belowLevelCore{core, zapcore.WarnLevel}, time.Second, perSecond, 0)
 	above, err := zapcore.NewIncreaseLevelCore(core, zapcore.WarnLevel)
 	if err != nil {
-		return below // the level of the core is above warn
+		return core // its level is above warn, so that there is nothing to limit
 	}
 	return zapcore.NewTee(below, above)
 }
--- a/logsink/sink_test.go
+++ b/logsink/sink_test.go
@@ -53,3 +53,22 @@
 	assert.Equal(t, strings.Count(out.String(), "not wanted"), 0)
 	assert.Equal(t, strings.Count(out.String(), `"host":"h"`), 100+placed)
 }
+
+// Guards against lost lines at any log level that can be set.
+func TestLimitKeepsLevel(t *testing.T) {
+	levels := []zapcore.Level{zapcore.DebugLevel, zapcore.InfoLevel, zapcore.WarnLevel, zapcore.ErrorLevel, zapcore.DPanicLevel}
+	for _, level := range levels {
+		var out bytes.Buffer
+		core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&out), level)
+		l := zap.New(Limit(core, 10)).With(zap.String("host", "h"))
+		for _, e := range levels {
+			l.Log(e, "message")
+			want := 0
+			if e >= level {
+				want = 1
+			}
+			assert.Equal(t, strings.Count(out.String(), `"host":"h"`), want, "a line of level %v at level %v", e, level)
+			out.Reset()
+		}
+	}
+}
