control: repeat proposals whose outcome a lost leadership leaves unknown

A leader that loses leadership answers its pending proposals with outcome-unknown. Client repeated requests after lost connections and timeouts, whose outcome is as unknown, but returned this error. It now repeats them too: commands are idempotent, as Propose requires. If the context ends first, the verdict remains may-have-run, with the reason control-unavailable.

--- a/control/client.go
+++ b/control/client.go
@@ -184,10 +184,11 @@
 }
 
 // retriable returns whether another control host, or the same one later, may
-// execute a request that this one rejected.
+// execute a request that this one rejected. Requests are idempotent, so one with
+// an unknown outcome is repeated too.
 func retriable(e *verdict.Error) bool {
 	switch e.Reason() {
-	case verdict.ControlUnavailable, verdict.Internal, verdict.Cancelled:
+	case verdict.ControlUnavailable, verdict.OutcomeUnknown, verdict.Internal, verdict.Cancelled:
 		return true
 	default:
 		return false
--- a/control/conn_test.go
+++ b/control/conn_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +18,17 @@
 )
 
 func testServer(t *testing.T, key string) (*Server, *Peer) {
+	t.Helper()
+	return startServer(t, key, func(s *Server) {
+		Handle(s, "echo", func(_ context.Context, _, text string) (string, error) { return text, nil })
+		Handle(s, "refuse", func(context.Context, string, struct{}) (any, error) {
+			return nil, verdict.New(verdict.Ran, verdict.Conflict, "no", verdict.WithRetryAfter(time.Second))
+		})
+		Handle(s, "lead", func(context.Context, string, struct{}) (any, error) { return nil, NewNotLeaderError("b") })
+	})
+}
+
+func startServer(t *testing.T, key string, register func(*Server)) (*Server, *Peer) {
 	t.Helper()
 	k, err := NewKey(key)
 	assert.NilError(t, err)
@@ -23,11 +36,7 @@
 	assert.NilError(t, err)
 	s := NewServer(k)
 	t.Cleanup(s.Close)
-	Handle(s, "echo", func(_ context.Context, _, text string) (string, error) { return text, nil })
-	Handle(s, "refuse", func(context.Context, string, struct{}) (any, error) {
-		return nil, verdict.New(verdict.Ran, verdict.Conflict, "no", verdict.WithRetryAfter(time.Second))
-	})
-	Handle(s, "lead", func(context.Context, string, struct{}) (any, error) { return nil, NewNotLeaderError("b") })
+	register(s)
 	s.Serve(l)
 	p := NewPeer("a", l.Addr().String(), "test", k, nil, nil)
 	t.Cleanup(p.Close)
@@ -64,6 +73,59 @@
 	assert.Equal(t, verdict.From(p.Call(t.Context(), "none", struct{}{}, nil)).Reason(), verdict.BadRequest)
 }
 
+// Guards against a proposal that is reported with an unknown outcome instead of
+// being repeated, and against one that is reported as not run when the time for
+// repetitions ends.
+func TestProposalWithUnknownOutcomeIsRepeated(t *testing.T) {
+	tests := []struct {
+		name     string
+		unknown  int // answers with an unknown outcome; -1 for all
+		want     verdict.Verdict
+		proposed int // at least
+	}{
+		{"once", 1, verdict.Ran, 2},
+		{"three times", 3, verdict.Ran, 4},
+		{"always", -1, verdict.MayHaveRun, 2},
+	}
+	for _, tt := range tests {
+		var bodies []string
+		var mu sync.Mutex
+		s, p := startServer(t, "a key for the tests", func(s *Server) {
+			Handle(s, methodPropose, func(_ context.Context, _ string, r groupRequest) (json.RawMessage, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				bodies = append(bodies, string(r.Body))
+				if tt.unknown < 0 || len(bodies) <= tt.unknown {
+					return nil, verdict.New(verdict.MayHaveRun, verdict.OutcomeUnknown, "leadership was lost")
+				}
+				return json.RawMessage(`"done"`), nil
+			})
+		})
+		c := NewClient("e", s.key, []HostAddress{{ID: "a", Address: p.address}}, 1)
+		defer c.Close()
+		timeout := testTimeout
+		if tt.unknown < 0 {
+			timeout = 300 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		result, err := Propose[string](ctx, c, ConfigGroup, "command")
+		mu.Lock()
+		assert.Assert(t, len(bodies) >= tt.proposed, "%s: %d proposals, %v", tt.name, len(bodies), err)
+		for _, b := range bodies {
+			assert.Equal(t, b, `"command"`, tt.name)
+		}
+		mu.Unlock()
+		if tt.want == verdict.Ran {
+			assert.NilError(t, err, tt.name)
+			assert.Equal(t, result, "done", tt.name)
+		} else {
+			assert.Equal(t, verdict.Of(err), tt.want, tt.name)
+			assert.Equal(t, verdict.From(err).Reason(), verdict.ControlUnavailable, tt.name)
+		}
+	}
+}
+
 // Guards against an unauthenticated connection that makes the host allocate a
 // large frame, and against calls before authentication.
 func TestConnectionsWithoutProof(t *testing.T) {
--- a/control/host_test.go
+++ b/control/host_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -128,6 +129,7 @@
 	key       Key
 	addresses []HostAddress
 	hosts     []*Host
+	hostLinks []*link // of control hosts to each other
 	links     []*link // of entry hosts
 	clients   []*Client
 	boards    []*board.Board
@@ -149,9 +151,11 @@
 	}
 	folder := t.TempDir()
 	for i, l := range listeners {
+		hostLink := newLink()
+		c.hostLinks = append(c.hostLinks, hostLink)
 		h, err := StartHost(HostConfig{
 			ID: c.addresses[i].ID, Hosts: c.addresses, ProgramGroups: 2, Key: key, LeaseTTL: testTTL,
-			DataFolder: filepath.Join(folder, c.addresses[i].ID),
+			DataFolder: filepath.Join(folder, c.addresses[i].ID), Dial: hostLink.dial,
 		}, l, zap.NewNop())
 		assert.NilError(t, err)
 		c.hosts = append(c.hosts, h)
@@ -177,7 +181,7 @@
 }
 
 func (c *testCluster) close() {
-	for _, l := range c.links {
+	for _, l := range slices.Concat(c.hostLinks, c.links) {
 		l.setConnected(true)
 	}
 	for _, r := range c.renewers {
@@ -195,16 +199,21 @@
 
 // stopLeader closes the control host that leads a group.
 func (c *testCluster) stopLeader(group int) {
-	for i, h := range c.hosts {
+	if i := c.leader(group); i >= 0 {
+		assert.NilError(c.t, c.hosts[i].Close())
+		c.hosts[i] = nil
+	}
+}
+
+// leader returns the index of the control host that leads a group, or -1.
+func (c *testCluster) leader(group int) int {
+	return slices.IndexFunc(c.hosts, func(h *Host) bool {
 		if h == nil {
-			continue
-		}
-		if _, ok := h.groups[group].Leading(); ok {
-			assert.NilError(c.t, h.Close())
-			c.hosts[i] = nil
-			return
+			return false
 		}
-	}
+		_, ok := h.groups[group].Leading()
+		return ok
+	})
 }
 
 func testContext(t *testing.T) context.Context {
@@ -244,6 +253,34 @@
 	}
 }
 
+// Guards against a change that is reported with an unknown outcome after its
+// leader has lost leadership, although it can be repeated under its id. What the
+// leader sends to the other control hosts is lost, so that the change is in its
+// log only.
+func TestChangeOutlivesItsLeader(t *testing.T) {
+	c := startCluster(t, 1)
+	ctx := testContext(t)
+	<-c.renewers[0].Granted()
+	configuration := NewConfiguration(c.clients[0])
+	for round := range 3 {
+		change := tree.Change{
+			ChangeID: fmt.Sprint("change-", round),
+			Writes:   []tree.Write{{Path: "/teams/a/limits", Value: json.RawMessage(fmt.Sprintf(`{"weight":%d}`, round+1)), IfVersion: int64(round)}},
+		}
+		if round == 1 {
+			leader := c.leader(ConfigGroup)
+			for leader < 0 {
+				assert.Assert(t, pause.For(ctx, time.Millisecond), "timed out: no leader")
+				leader = c.leader(ConfigGroup)
+			}
+			c.hostLinks[leader].setConnected(false)
+		}
+		o, err := configuration.Apply(ctx, change)
+		assert.NilError(t, err)
+		assert.Assert(t, o.Applied, "%+v", o)
+	}
+}
+
 // waitInForce waits until the leader reports a revision to be in force, and
 // then checks all entry hosts.
 func (c *testCluster) waitInForce(ctx context.Context, configuration *Configuration, revision int64) {
