cluster: ignore answers of control hosts that were removed meanwhile

A control host that neither answers nor is listed is removed with its servers. An answer that arrived at that moment added them again, and no later removal found them; if the host was listed again meanwhile, an older part replaced the position of the newer transfer.

Before, TestAnswerOfRemovedControlHost prints "1 (int) != 0 (int)". With the check for polls only, it prints "{1 1 0 0} (registry.Position) != {1 2 0 0}".

--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -252,6 +252,32 @@
 	})
 }
 
+// Guards against servers that stay in use because a control host answers after
+// it was removed, and against a lost entry if it is listed again meanwhile.
+func TestAnswerOfRemovedControlHost(t *testing.T) {
+	l := NewLink(LinkConfig{ID: "e1"}, zap.NewNop())
+	o := &observer{}
+	l.observer = o
+	table := registry.New(1)
+	announce := func(id string) {
+		table.Announce(0, registry.Entry{ID: id, Address: id, State: registry.Ready, StartedAt: 1})
+	}
+	announce("i-1")
+	removed, current := &controlHost{id: "c1"}, &controlHost{id: "c1"}
+	early := table.Next(registry.Position{}, maxServersPartBytes)
+	l.applyResponse(removed, syncResponse{Part: early}, false)
+	assert.Equal(t, len(l.view.Servers()), 0)
+	assert.Equal(t, l.loadSource, "")
+	announce("i-2")
+	l.hosts["c1"] = current
+	l.applyResponse(current, syncResponse{Part: table.Next(registry.Position{}, maxServersPartBytes)}, false)
+	assert.Equal(t, len(o.servers), 2)
+	position := l.view.Position("c1")
+	l.receiveServersPart(removed, early)
+	assert.Equal(t, l.view.Position("c1"), position)
+	assert.Equal(t, len(l.view.Servers()), 2)
+}
+
 // Guards against a control host that loses the routing table on restart.
 func TestStateSnapshot(t *testing.T) {
 	s := newControlState()
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -325,6 +325,9 @@
 func (l *Link) receiveServersPart(h *controlHost, p registry.Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.hosts[h.id] != h {
+		return // removed while the request was in progress
+	}
 	l.updateServers(h, p)
 	if !p.HasGap() {
 		l.logger.Info("backend servers received", zap.String("control-host", h.id), zap.Int64("revision", p.Revision))
@@ -432,6 +435,9 @@
 func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.hosts[h.id] != h {
+		return // removed while the request was in progress
+	}
 	if h.warned {
 		l.logger.Info("control host reachable again", zap.String("control-host", h.id))
 	}
