ledger: keep the version of the last attempt when a late record arrives

Cause: a command may be applied twice, and late. A RecordStream or ReserveTurn of an attempt that is applied after the RecordStream of a later attempt restored the earlier version, at which a caller would then resume the stream.

Change: RecordStream names the number of its attempt; ReserveTurn counts as attempt 0. A record of a lower attempt than the current one keeps the version and may only extend the expiry. An attempt has one server and so one version; a record of the same attempt replaces the version nevertheless, so that records without a number, of hosts and logs before this change, have the effect that they had. An expired record counts as none, whether or not it has been swept.

--- a/cluster/streams_test.go
+++ b/cluster/streams_test.go
@@ -111,7 +111,7 @@
 	const retention = 10 * time.Minute
 	want := map[StreamKey]StreamVersion{}
 	record := func(k StreamKey, version string) {
-		assert.NilError(t, writer.RecordStream(ctx, k, version, retention))
+		assert.NilError(t, writer.RecordStream(ctx, k, version, 1, retention))
 		want[k] = StreamVersion{Version: version, Known: true}
 	}
 	partitions := map[int]bool{}
@@ -173,7 +173,7 @@
 			other = program
 		}
 	}
-	assert.NilError(t, l.RecordStream(ctx, StreamKey{other, "cut"}, "v1", time.Minute))
+	assert.NilError(t, l.RecordStream(ctx, StreamKey{other, "cut"}, "v1", 1, time.Minute))
 	turn := turnRequest(other, "next", 1, "first")
 	turn.StreamVersion, turn.StreamRetention, turn.Resumes = "v1", 60_000, "cut"
 	r, err := l.Reserve(ctx, turn)
--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -168,13 +168,16 @@
 }
 
 // RecordStream records the software version of the backend server that begins a
-// stream, for at least the retention. A later record of the stream replaces the
-// version. The verdict of an error is about the record.
-func (l *Link) RecordStream(ctx context.Context, k StreamKey, version string, retention time.Duration) error {
+// stream, for at least the retention. A record of a lower attempt than the current
+// one does not replace the version. The verdict of an error is about the record.
+func (l *Link) RecordStream(ctx context.Context, k StreamKey, version string, attempt int, retention time.Duration) error {
 	var out streamResponse
 	err := l.callProgramLeader(ctx, k.partitionKey(), methodRecord, func(partition int) any {
 		return recordStreamRequest{
-			Partition: partition, RecordStream: ledger.RecordStream{Stream: k.Stream, Version: version, Retention: retention.Milliseconds()},
+			Partition: partition,
+			RecordStream: ledger.RecordStream{
+				Stream: k.Stream, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
+			},
 		}
 	}, &out)
 	if err != nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -65,8 +65,9 @@
 	// t.Keep is set.
 	Settle(ctx context.Context, t ledger.SettleTurn) error
 	// RecordStream records the software version of the backend server that begins
-	// a stream.
-	RecordStream(ctx context.Context, k cluster.StreamKey, version string, retention time.Duration) error
+	// a stream. A record of a lower attempt than the current one does not replace
+	// the version.
+	RecordStream(ctx context.Context, k cluster.StreamKey, version string, attempt int, retention time.Duration) error
 	// LookupStream returns the record of a stream.
 	LookupStream(ctx context.Context, k cluster.StreamKey) (cluster.StreamVersion, error)
 }
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,8 @@
 	unavailable bool
 	recordErr   error        // returned by RecordStream
 	records     atomic.Int32 // calls of RecordStream
+	// recorded holds the commands that recorded versions of streams.
+	recorded []ledger.Command
 	// fetched is the number of conversations that were read from the ledger.
 	fetched int
 	// otherPartition holds conversations in another partition, by turn.
@@ -74,7 +77,9 @@
 	if other {
 		t.Previous = ""
 	}
-	r := l.ledger.ApplyCommand(1, ledger.Command{ReserveTurn: &t.ReserveTurn})
+	command := ledger.Command{ReserveTurn: &t.ReserveTurn}
+	l.recorded = append(l.recorded, command)
+	r := l.ledger.ApplyCommand(1, command)
 	if r.Refusal != nil {
 		return cluster.Reservation{}, verdict.New(r.Refusal.Verdict, r.Refusal.Reason, r.Refusal.Message)
 	}
@@ -92,17 +97,31 @@
 	return out, nil
 }
 
-func (l *testTurns) RecordStream(_ context.Context, k cluster.StreamKey, version string, retention time.Duration) error {
+func (l *testTurns) RecordStream(_ context.Context, k cluster.StreamKey, version string, attempt int, retention time.Duration) error {
 	l.records.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.recordErr != nil {
 		return l.recordErr
 	}
-	l.ledger.ApplyCommand(1, ledger.Command{RecordStream: &ledger.RecordStream{Stream: k.Stream, Version: version, Retention: retention.Milliseconds()}})
+	command := ledger.Command{RecordStream: &ledger.RecordStream{
+		Stream: k.Stream, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
+	}}
+	l.recorded = append(l.recorded, command)
+	l.ledger.ApplyCommand(1, command)
 	return nil
 }
 
+// repeatRecords applies all commands that recorded versions of streams again,
+// latest first.
+func (l *testTurns) repeatRecords() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range slices.Backward(l.recorded) {
+		l.ledger.ApplyCommand(1, c)
+	}
+}
+
 func (l *testTurns) LookupStream(_ context.Context, k cluster.StreamKey) (cluster.StreamVersion, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -188,7 +188,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), version, r.streamRetention()); err != nil {
+	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), version, r.attempts, r.streamRetention()); err != nil {
 		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of the stream could not be recorded",
 			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
 	}
@@ -199,12 +199,12 @@
 // startRecording records the version of the stream in the background.
 func (r *execution) startRecording(version string) *recording {
 	w := &recording{done: make(chan struct{})}
-	key, retention := r.streamKey(r.call.ID), r.streamRetention()
+	key, attempt, retention := r.streamKey(r.call.ID), r.attempts, r.streamRetention()
 	r.background.Go(func() {
 		defer close(w.done)
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
 		defer cancel()
-		if w.err = r.turns.RecordStream(ctx, key, version, retention); w.err != nil {
+		if w.err = r.turns.RecordStream(ctx, key, version, attempt, retention); w.err != nil {
 			r.logger.Warn("software version of stream not recorded; its caller can't resume it", zap.String("request", key.Stream), zap.Error(w.err))
 		}
 	})
--- a/forward/streamversion_test.go
+++ b/forward/streamversion_test.go
@@ -46,7 +46,8 @@
 }
 
 // Guards against a record that names the version of an earlier attempt, at which
-// a caller would then resume the stream.
+// a caller would then resume the stream, also if the commands of that attempt are
+// applied late.
 func TestRecordedVersionIsThatOfFirstEvent(t *testing.T) {
 	tests := []struct {
 		name string
@@ -75,6 +76,8 @@
 			f.waitForSettlements()
 			assert.Equal(t, first.requests(), 1)
 			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Version: "v2", Known: true})
+			f.turns.repeatRecords()
+			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Version: "v2", Known: true})
 		})
 	}
 }
@@ -207,7 +210,7 @@
 func TestResumeAwaitsVersion(t *testing.T) {
 	s := startServer(t, streamFour)
 	f := newFixture(t)
-	assert.NilError(t, f.turns.RecordStream(t.Context(), cluster.StreamKey{Stream: "first"}, "v1", time.Minute))
+	assert.NilError(t, f.turns.RecordStream(t.Context(), cluster.StreamKey{Stream: "first"}, "v1", 1, time.Minute))
 	time.AfterFunc(registryWarmUp/4, func() { f.setVersions([]string{"v1"}, s) })
 	resume := func(id string) error {
 		c := f.call(id, resumableRoute())
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -75,8 +75,7 @@
 // Command is one log entry of a program group. Exactly one field is set.
 // Any command but Tick can be applied twice in a row with the same effect as
 // once, since its ids identify the duplicate. A later duplicate may have an
-// effect: a ReserveTurn after the SettleTurn of the same turn reserves again, and
-// a RecordStream after a later one of the same stream restores its version.
+// effect: a ReserveTurn after the SettleTurn of the same turn reserves again.
 type Command struct {
 	OpenProgram      *OpenProgram      `json:"open-program,omitempty"`
 	OpenCall         *OpenCall         `json:"open-call,omitempty"`
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -401,7 +401,7 @@
 
 func (sim *simulation) recordStream(t *rapid.T) {
 	sim.propose(t, Command{RecordStream: &RecordStream{
-		Stream: drawTurn(t, "turn"), Version: drawVersion(t), Retention: drawRetention(t),
+		Stream: drawTurn(t, "turn"), Version: drawVersion(t), Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"), Retention: drawRetention(t),
 	}}, nil)
 }
 
--- a/ledger/stream.go
+++ b/ledger/stream.go
@@ -3,13 +3,15 @@
 import "errors"
 
 // RecordStream records the software version of the backend server that begins a
-// stream. A later record of the same stream, from an attempt that moved to
-// another server before the first event, replaces the version and may only
-// extend the expiry.
+// stream. An attempt that moved to another server before the first event records
+// the stream again. A record of a lower attempt is late: it keeps the version. All
+// records of one attempt name the same version. A record may only extend the
+// expiry.
 type RecordStream struct {
-	Stream    string `json:"stream"`    // id of the request that the stream answers
-	Version   string `json:"version"`   // empty if the server names no version
-	Retention int64  `json:"retention"` // milliseconds from now
+	Stream    string `json:"stream"`            // id of the request that the stream answers
+	Version   string `json:"version"`           // empty if the server names no version
+	Attempt   int    `json:"attempt,omitempty"` // number of the attempt; that of ReserveTurn is 0
+	Retention int64  `json:"retention"`         // milliseconds from now
 }
 
 // LookupStream reads the record of a stream. It is a command and not a Query, so
@@ -29,6 +31,7 @@
 // streamRecord is the software version at which a stream began.
 type streamRecord struct {
 	Version string `json:"version,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
 	Expires int64  `json:"expires"` // Unix milliseconds
 }
 
@@ -40,13 +43,14 @@
 
 func (c *RecordStream) check() error {
 	return errors.Join(
-		checkID("stream", c.Stream), checkLength("version", c.Version), checkAmount("retention", c.Retention))
+		checkID("stream", c.Stream), checkLength("version", c.Version),
+		checkAmount("attempt", int64(c.Attempt)), checkAmount("retention", c.Retention))
 }
 
 func (c *LookupStream) check() error { return checkID("stream", c.Stream) }
 
 func (m *StateMachine) recordStream(c *RecordStream) Result {
-	m.setStream(c.Stream, c.Version, c.Retention)
+	m.setStream(c.Stream, c.Version, c.Attempt, c.Retention)
 	return Result{Stream: m.stream(c.Stream)}
 }
 
@@ -54,9 +58,15 @@
 	return Result{Stream: m.stream(c.Stream)}
 }
 
-func (m *StateMachine) setStream(id, version string, retention int64) {
-	expires := max(m.turns.streams[id].Expires, m.clock+retention)
-	m.turns.streams[id] = streamRecord{Version: version, Expires: expires}
+func (m *StateMachine) setStream(id, version string, attempt int, retention int64) {
+	r := streamRecord{Version: version, Attempt: attempt, Expires: m.clock + retention}
+	if old, ok := m.turns.streams[id]; ok && old.Expires > m.clock {
+		r.Expires = max(r.Expires, old.Expires)
+		if old.Attempt > attempt {
+			r.Version, r.Attempt = old.Version, old.Attempt
+		}
+	}
+	m.turns.streams[id] = r
 }
 
 // stream returns the state of a stream, which is unknown from its expiry on,
--- a/ledger/stream_test.go
+++ b/ledger/stream_test.go
@@ -39,6 +39,45 @@
 	assert.DeepEqual(t, lookupTestStream(m, 2000, "b"), StreamState{Stream: "b", Version: "v2", Known: true})
 }
 
+// Guards against a stream that is resumed at the version of an earlier attempt
+// because a command of that attempt is applied again, or late, after the record
+// of a later one, and against such a record that lasts shorter than either
+// command asks for.
+func TestLateRecordKeepsVersion(t *testing.T) {
+	record := func(attempt int, version string) Command {
+		return Command{RecordStream: &RecordStream{Stream: "a", Version: version, Attempt: attempt, Retention: 1000}}
+	}
+	reserve := Command{ReserveTurn: &ReserveTurn{
+		Program: "p", Turn: "a", Budget: 10, MaxTokens: 1, StreamVersion: "v1", StreamRetention: 1000,
+	}}
+	tests := []struct {
+		name     string
+		commands []Command
+		version  string
+	}{
+		{"reservation", []Command{reserve, record(2, "v2"), reserve}, "v2"},
+		{"reservation after first attempt", []Command{record(1, "v2"), reserve}, "v2"},
+		{"record", []Command{record(1, "v1"), record(2, "v2"), record(1, "v1")}, "v2"},
+		{"record of a server without version", []Command{record(1, ""), record(2, "v2"), record(1, "")}, "v2"},
+		{"record before one of a server without version", []Command{record(1, "v1"), record(2, ""), record(1, "v1")}, ""},
+		{"two records", []Command{record(3, "v3"), record(1, "v1"), record(2, "v2")}, "v3"},
+		{"back to the first version", []Command{reserve, record(2, "v2"), record(3, "v1"), record(2, "v2"), reserve}, "v1"},
+		{"in order", []Command{reserve, reserve, record(2, "v2"), record(2, "v2"), record(3, "v3")}, "v3"},
+		{"without attempts", []Command{record(0, "v1"), record(0, "v2")}, "v2"}, // as older hosts send them
+	}
+	for _, tt := range tests {
+		m := New()
+		now := int64(0)
+		for _, c := range tt.commands {
+			now += 100
+			assert.Assert(t, m.ApplyCommand(now, c).Refusal == nil, tt.name)
+			m = restored(t, m)
+		}
+		assert.DeepEqual(t, lookupTestStream(m, now+999, "a"), StreamState{Stream: "a", Version: tt.version, Known: true})
+		assert.DeepEqual(t, lookupTestStream(m, now+1000, "a"), StreamState{Stream: "a"})
+	}
+}
+
 // Guards against a turn that is reserved without the version of its stream, a
 // refused turn that leaves a record, and a turn that takes up a stream without
 // the version at which the stream began.
@@ -85,6 +124,7 @@
 		{"record without stream", Command{RecordStream: &RecordStream{Version: "v1"}}},
 		{"record of a long stream", Command{RecordStream: &RecordStream{Stream: long}}},
 		{"record of a long version", Command{RecordStream: &RecordStream{Stream: "a", Version: long}}},
+		{"record with negative attempt", Command{RecordStream: &RecordStream{Stream: "a", Attempt: -1}}},
 		{"record with negative retention", Command{RecordStream: &RecordStream{Stream: "a", Retention: -1}}},
 		{"record with excessive retention", Command{RecordStream: &RecordStream{Stream: "a", Retention: maxAmount + 1}}},
 		{"lookup without stream", Command{LookupStream: &LookupStream{}}},
@@ -129,8 +169,15 @@
 	return want
 }
 
-func (s *streamTest) record(stream, version string, retention int64) {
-	s.expected[stream] = streamRecord{version, max(s.expected[stream].Expires, s.now+retention)}
+func (s *streamTest) record(stream, version string, attempt int, retention int64) {
+	expires := s.now + retention
+	if r := s.expected[stream]; r.Expires > s.now {
+		expires = max(expires, r.Expires)
+		if r.Attempt > attempt {
+			version, attempt = r.Version, r.Attempt
+		}
+	}
+	s.expected[stream] = streamRecord{version, attempt, expires}
 }
 
 func (s *streamTest) state(stream string) StreamState {
@@ -153,9 +200,11 @@
 }
 
 func (s *streamTest) recordStream(t *rapid.T) {
-	c := &RecordStream{Stream: drawStream(t), Version: drawVersion(t), Retention: drawRetention(t)}
+	c := &RecordStream{
+		Stream: drawStream(t), Version: drawVersion(t), Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"), Retention: drawRetention(t),
+	}
 	r := s.apply(t, Command{RecordStream: c})
-	s.record(c.Stream, c.Version, c.Retention)
+	s.record(c.Stream, c.Version, c.Attempt, c.Retention)
 	assert.DeepEqual(t, *r.Stream, s.state(c.Stream))
 }
 
@@ -175,7 +224,7 @@
 		return
 	}
 	if c.StreamVersion != "" {
-		s.record(c.Turn, c.StreamVersion, c.StreamRetention)
+		s.record(c.Turn, c.StreamVersion, 0, c.StreamRetention)
 	}
 	if c.Resumes == "" {
 		assert.Assert(t, r.Turn.Resumed == nil)
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -41,7 +41,7 @@
 	Session string `json:"line,omitempty"`
 	// StreamVersion is the software version of the backend server that begins the
 	// stream of this turn. If it is set and the turn is reserved, it is recorded as
-	// by RecordStream, for StreamRetention milliseconds.
+	// by RecordStream with attempt 0, for StreamRetention milliseconds.
 	StreamVersion   string `json:"stream-version,omitempty"`
 	StreamRetention int64  `json:"stream-retention,omitempty"`
 	// Resumes is the id of the request whose answer began the stream that this
@@ -160,7 +160,7 @@
 		state.Resumed = m.stream(c.Resumes)
 	}
 	if c.StreamVersion != "" {
-		m.setStream(c.Turn, c.StreamVersion, c.StreamRetention)
+		m.setStream(c.Turn, c.StreamVersion, 0, c.StreamRetention)
 	}
 	return Result{Turn: state}
 }
