ledger: let a turn that continues a stream share its reservation

Cause: when an entry host is lost, the reservation of its turn is never settled, since only that host could. The turn by which the client takes the stream up reserved as many tokens again, so that a program whose budget holds just one more turn was refused with 402.

Change: the turns of one stream share one reservation, of the most tokens that any of them may generate. While one of them is not settled, the whole reservation counts as used, in part as spent: what the turn of a lost host has handed out is not known. Once all of them are settled, their tokens are charged and the rest is released. A take-up that has not run is settled with 0 tokens and leaves the reservation as it was. A take-up for which no turn of the stream is open reserves its tokens as before.

The rule rests on the client: it names the last event that it has received, and so receives no more tokens from all turns of the stream than from one that is not interrupted, also if the first host goes on after the connection broke. A turn therefore shares a reservation only if it names both the stream and the last event, on a route whose streams may be resumed, and if the events of the stream are known to have the same number of tokens as before. Any other turn reserves all its tokens.

A replica of an earlier version ignores the new fields, so that it reserves more than the others until it is replaced.

Tests: on the code before, TestTakeUpSharesReservation is refused with "budget of 40 tokens: 0 spent, 40 reserved, 40 wanted". Without sharing, TestReservationOfStreamThatIsTakenUp fails in its first case and TestTakeUpsStayInBudget after 1 case, with a refused take-up. The latter also fails with tokens that are not accounted for if one settlement closes the stream (after 42 cases), if turns from the start share (1), and if the first (139) or the last (42) turn determines the reservation; the cases of the former fail for each of these as well, and if the size of events is not compared. The tests of ledger and forward and the stream tests of platform and cluster pass.

--- a/forward/turn.go
+++ b/forward/turn.go
@@ -10,6 +10,7 @@
 
 	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -28,6 +29,7 @@
 		ReserveTurn: ledger.ReserveTurn{
 			Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, MaxTokens: t.MaxTokens, Previous: t.Previous, Session: r.call.Session,
 			StreamVersion: expected, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.Resumes,
+			Continues: r.call.continues(), TokensPerEvent: r.uniformTokensPerEvent(),
 		},
 		WantChain: t.Previous != "" && !cached, Retention: r.call.Route.Retention,
 	})
@@ -62,6 +64,26 @@
 	return nil
 }
 
+// continues reports whether the call asks for the rest of a stream only, after the
+// last event that its caller has received.
+func (c *Call) continues() bool {
+	return c.Route.Kind == route.Stream && c.Route.Resumable && c.Resumes != "" && c.LastEvent != ""
+}
+
+// uniformTokensPerEvent returns the number of tokens in each event of the route's
+// services, or 0 if it is not the same for all of them.
+func (r *execution) uniformTokensPerEvent() int64 {
+	uniform := int64(0)
+	for i, t := range r.call.Route.Targets {
+		x := r.view.service(t.Service)
+		if x == nil || x.Engine == nil || i > 0 && x.Engine.TokensPerEvent != uniform {
+			return 0
+		}
+		uniform = x.Engine.TokensPerEvent
+	}
+	return uniform
+}
+
 // settle settles the tokens of a turn in the background, unless recordTurn has
 // already done so. Until it succeeds, the whole reservation counts as used.
 func (r *execution) settle() {
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -76,7 +76,14 @@
 		checkID("program", c.Program), checkID("turn", c.Turn),
 		checkAmount("budget", c.Budget), checkAmount("most", c.MaxTokens),
 		checkLength("stream-version", c.StreamVersion), checkAmount("stream-retention", c.StreamRetention),
-		checkLength("resumes", c.Resumes))
+		checkLength("resumes", c.Resumes), checkContinues(c), checkAmount("tokens-per-event", c.TokensPerEvent))
+}
+
+func checkContinues(c *ReserveTurn) error {
+	if c.Continues && c.Resumes == "" {
+		return errors.New("turn continues a stream, but resumes none")
+	}
+	return nil
 }
 
 func (c *SettleTurn) check() error {
--- a/ledger/fuzz_test.go
+++ b/ledger/fuzz_test.go
@@ -21,6 +21,7 @@
 	f.Add(int64(1<<62), `{"tick":{}}`)
 	f.Add(int64(5), `{"tick":{},"server-gone":{"server":"s","server-incarnation":"1"}}`)
 	f.Add(int64(5), `{"reserve-turn":{"program":"p","turn":"t","budget":9,"most":1,"stream-version":"v1","stream-retention":-1,"resumes":"u"}}`)
+	f.Add(int64(6), `{"reserve-turn":{"program":"p","turn":"v","budget":9,"most":1,"resumes":"t","continues":true,"tokens-per-event":1}}`)
 	f.Add(int64(5), `{"record-stream":{"stream":"t","version":"v1","retention":9223372036854775807}}`)
 	f.Add(int64(1<<62), `{"record-stream":{"stream":"t","retention":4503599627370496}}`)
 	f.Add(int64(5), `{"lookup-stream":{"stream":""}}`)
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -368,15 +368,17 @@
 
 // reserveTurn, settleTurn, extendTurn and the stream commands draw their ids from
 // a few, so that they repeat, continue and take up each other. Only the replicas
-// are compared; TestTurnsStayInBudget and TestStreamVersionsOfReplicas check the
-// results.
+// are compared; TestTurnsStayInBudget, TestTakeUpsStayInBudget and
+// TestStreamVersionsOfReplicas check the results.
 func (sim *simulation) reserveTurn(t *rapid.T) {
 	c := &ReserveTurn{
 		Program: drawTurn(t, "program"), Turn: drawTurn(t, "turn"), Budget: 20, MaxTokens: rapid.Int64Range(0, 9).Draw(t, "most"),
 		Session: drawTurn(t, "session"), StreamVersion: drawVersion(t), StreamRetention: drawRetention(t),
+		TokensPerEvent: rapid.Int64Range(0, 2).Draw(t, "tokens-per-event"),
 	}
 	if rapid.Bool().Draw(t, "continues") {
 		c.Previous, c.Resumes = drawTurn(t, "previous"), drawTurn(t, "resumes")
+		c.Continues = rapid.Bool().Draw(t, "continues-stream")
 	}
 	sim.propose(t, Command{ReserveTurn: c}, nil)
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -62,7 +62,7 @@
 	accounts := make([]account, 0, len(t.accounts))
 	for _, a := range t.accounts {
 		c := *a
-		c.Reserved, c.SessionServers = maps.Clone(a.Reserved), maps.Clone(a.SessionServers)
+		c.Reserved, c.Streams, c.SessionServers = maps.Clone(a.Reserved), maps.Clone(a.Streams), maps.Clone(a.SessionServers)
 		accounts = append(accounts, c)
 	}
 	kept := make([]keptTurn, 0, len(t.kept))
@@ -159,10 +159,16 @@
 
 func (t *turns) restore(decoder *json.Decoder, h header) error {
 	for i := range h.Accounts {
-		a := &account{Reserved: map[string]int64{}}
+		a := newAccount()
 		if err := decoder.Decode(a); err != nil {
 			return fmt.Errorf("read account %d of %d: %w", i+1, h.Accounts, err)
 		}
+		for turn, n := range a.Reserved {
+			// Older snapshots have reservations by turn only.
+			if _, open := a.Streams[turn]; !open {
+				a.Streams[turn] = openStream{MaxTokens: n, Open: []string{turn}}
+			}
+		}
 		t.accounts[a.Program] = a
 	}
 	for i := range h.Turns {
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"slices"
 
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -28,7 +29,8 @@
 
 // ReserveTurn reserves the maximum number of tokens that a turn can generate.
 // The turns of a program may run concurrently. A reservation is refused if the
-// sum of their reserved and spent tokens would exceed the budget.
+// sum of their reserved and spent tokens would exceed the budget. A turn that
+// continues a stream shares the reservation of the stream (see openStream).
 type ReserveTurn struct {
 	Program   string `json:"program"`
 	Turn      string `json:"turn"`
@@ -47,6 +49,14 @@
 	// Resumes is the id of the request whose answer began the stream that this
 	// turn takes up, or empty.
 	Resumes string `json:"resumes,omitempty"`
+	// Continues is set if the caller names the last event that it has received of
+	// the stream that this turn takes up, so that the turn generates only the rest.
+	Continues bool `json:"continues,omitempty"`
+	// TokensPerEvent is the number of tokens in each event of the stream, or 0 if it
+	// is not known. A stream with events of different sizes may have more than
+	// MaxTokens tokens, since it goes on after the last event and not after the last
+	// token.
+	TokensPerEvent int64 `json:"tokens-per-event,omitempty"`
 }
 
 // SettleTurn releases the reservation of a turn and charges the tokens that its
@@ -96,16 +106,101 @@
 
 // account is the budget account of a program's turns.
 type account struct {
-	Program  string           `json:"program"`
-	Spent    int64            `json:"spent"`
-	Reserved map[string]int64 `json:"reserved,omitempty"` // by turn
-	UsedAt   int64            `json:"used-at"`            // Unix milliseconds
+	Program string `json:"program"`
+	Spent   int64  `json:"spent"`
+	// Reserved has the rest of the reservation of each open stream. Both maps are
+	// keyed by the id of the request that began the stream.
+	Reserved map[string]int64      `json:"reserved,omitempty"`
+	Streams  map[string]openStream `json:"open-streams,omitempty"`
+	UsedAt   int64                 `json:"used-at"` // Unix milliseconds
 	// SessionServers has the last server of each of the first maxSessions sessions,
 	// and LastServer is that of the latest turn.
 	SessionServers map[string]string `json:"lines,omitempty"`
 	LastServer     string            `json:"last,omitempty"`
 }
 
+// openStream is a stream that has turns which are not settled. The turns that
+// continue a stream, each after the last event that the caller has received, share
+// one reservation: together they hand it no more tokens than one turn that is not
+// interrupted. A turn of a lost host is never settled, and what it has handed out
+// is not known, so the whole reservation counts as used while a turn is open. When
+// none is, their settlements tell the tokens.
+type openStream struct {
+	MaxTokens      int64 `json:"most"`              // of the turn with the most
+	Settled        int64 `json:"settled,omitempty"` // tokens charged for settled turns
+	TokensPerEvent int64 `json:"tokens-per-event,omitempty"`
+	// Open has the turns that are not settled. It is shared with snapshots and not
+	// changed in place.
+	Open []string `json:"open"`
+}
+
+func newAccount() *account {
+	return &account{Reserved: map[string]int64{}, Streams: map[string]openStream{}}
+}
+
+// used returns the tokens that count as used, settled ones included.
+func (s openStream) used() int64 { return max(s.MaxTokens, s.Settled) }
+
+// streamOf returns the open stream that a reserved turn belongs to.
+func (a *account) streamOf(turn string) (stream string, reserved bool) {
+	if slices.Contains(a.Streams[turn].Open, turn) {
+		return turn, true
+	}
+	for stream, s := range a.Streams {
+		if slices.Contains(s.Open, turn) {
+			return stream, true
+		}
+	}
+	return "", false
+}
+
+// setStream replaces an open stream, or removes it once all its turns are
+// settled.
+func (a *account) setStream(stream string, s openStream) {
+	if len(s.Open) == 0 {
+		delete(a.Streams, stream)
+		delete(a.Reserved, stream)
+		return
+	}
+	a.Streams[stream] = s
+	a.Reserved[stream] = s.used() - s.Settled
+}
+
+// reserve reserves a turn that is not reserved. If that would exceed the budget,
+// it returns false and the number of tokens that are missing to the reservation of
+// the turn's stream.
+func (a *account) reserve(c *ReserveTurn) (wanted int64, ok bool) {
+	stream := c.Turn
+	if c.Continues && c.TokensPerEvent > 0 {
+		s, open := a.Streams[c.Resumes]
+		if !open || s.TokensPerEvent == c.TokensPerEvent {
+			stream = c.Resumes
+		}
+	}
+	s, open := a.Streams[stream]
+	if !open {
+		s.TokensPerEvent = c.TokensPerEvent
+	}
+	before := s.used()
+	s.MaxTokens = max(s.MaxTokens, c.MaxTokens)
+	s.Open = slices.Concat(s.Open, []string{c.Turn})
+	wanted = s.used() - before
+	if a.Spent+a.reserved()+wanted > c.Budget {
+		return wanted, false
+	}
+	a.setStream(stream, s)
+	return wanted, true
+}
+
+// settle charges the tokens of a reserved turn.
+func (a *account) settle(stream, turn string, tokens int64) {
+	s := a.Streams[stream]
+	s.Settled += tokens
+	s.Open = slices.DeleteFunc(slices.Clone(s.Open), func(id string) bool { return id == turn })
+	a.Spent += tokens
+	a.setStream(stream, s)
+}
+
 func (a *account) reserved() int64 {
 	sum := int64(0)
 	for _, n := range a.Reserved {
@@ -138,18 +233,18 @@
 	}
 	a := m.turns.accounts[c.Program]
 	if a == nil {
-		a = &account{Program: c.Program, Reserved: map[string]int64{}}
+		a = newAccount()
+		a.Program = c.Program
 		m.turns.accounts[c.Program] = a
 	}
 	a.UsedAt = m.clock
-	if _, reserved := a.Reserved[c.Turn]; !reserved {
-		if a.Spent+a.reserved()+c.MaxTokens > c.Budget {
+	if _, reserved := a.streamOf(c.Turn); !reserved {
+		if wanted, ok := a.reserve(c); !ok {
 			r := refuse(verdict.NotRun, verdict.BudgetExceeded, "budget of %d tokens: %d spent, %d reserved, %d wanted",
-				c.Budget, a.Spent, a.reserved(), c.MaxTokens)
+				c.Budget, a.Spent, a.reserved(), wanted)
 			r.Turn = a.state(c.Turn)
 			return r
 		}
-		a.Reserved[c.Turn] = c.MaxTokens
 	}
 	state := a.state(c.Turn)
 	state.LastServer = a.LastServer
@@ -169,16 +264,15 @@
 	return &TurnState{Turn: turn, Spent: a.Spent, Reserved: a.reserved()}
 }
 
-// settleTurn charges a turn once: the first settlement removes the reservation,
-// so that a duplicate is not charged.
+// settleTurn charges a turn once: after the first settlement it is not open, so
+// that a duplicate is not charged.
 func (m *StateMachine) settleTurn(c *SettleTurn) Result {
 	a := m.turns.accounts[c.Program]
 	if a == nil {
 		return refuse(verdict.Ran, verdict.UnknownProgram, "program %q has no reservation", c.Program)
 	}
-	if _, ok := a.Reserved[c.Turn]; ok {
-		delete(a.Reserved, c.Turn)
-		a.Spent += c.Tokens
+	if stream, reserved := a.streamOf(c.Turn); reserved {
+		a.settle(stream, c.Turn, c.Tokens)
 	}
 	a.UsedAt = m.clock
 	if c.Server != "" {
