forward, ledger: keep a stream at the service that began it

Cause: the service of a route with several (a split) was drawn anew for each attempt and for each try of a client, so that a stream could go on at a server of another service, or be refused because that service lacks its version.

Change: the record of a stream, which its version was, holds the service too. A client's try is placed at that service, or refused if the route no longer leads there; an answer that has begun stays with its service.

Turns of routes with several services take a command of their own for the record, since the service is not known when they are reserved.

--- a/cluster/bench_test.go
+++ b/cluster/bench_test.go
@@ -26,7 +26,7 @@
 	})
 	b.Run("record-stream", func(b *testing.B) {
 		benchmarkLedger(b, "cpu-us/record", func(ctx context.Context, l *Link, n int) error {
-			return l.RecordStream(ctx, StreamKey{Stream: fmt.Sprint("stream-", n)}, "v1.1", 1, time.Minute)
+			return l.RecordStream(ctx, StreamKey{Stream: fmt.Sprint("stream-", n)}, "engine", "v1.1", 1, time.Minute)
 		})
 	})
 }
--- a/cluster/streams_test.go
+++ b/cluster/streams_test.go
@@ -111,18 +111,18 @@
 	const retention = 10 * time.Minute
 	want := map[StreamKey]StreamVersion{}
 	record := func(k StreamKey, version string) {
-		assert.NilError(t, writer.RecordStream(ctx, k, version, 1, retention))
-		want[k] = StreamVersion{Version: version, Known: true}
+		assert.NilError(t, writer.RecordStream(ctx, k, "engine", version, 1, retention))
+		want[k] = StreamVersion{Service: "engine", Version: version, Known: true}
 	}
 	partitions := map[int]bool{}
 	for i := range 20 {
 		k := StreamKey{Program: fmt.Sprint("p", i), Stream: fmt.Sprint("turn-", i)}
 		turn := turnRequest(k.Program, k.Stream, 1, "")
-		turn.StreamVersion, turn.StreamRetention = "v1", retention.Milliseconds()
+		turn.StreamService, turn.StreamVersion, turn.StreamRetention = "engine", "v1", retention.Milliseconds()
 		r, err := writer.Reserve(ctx, turn)
 		assert.NilError(t, err)
 		assert.Equal(t, r.Resumed, StreamVersion{})
-		want[k] = StreamVersion{Version: "v1", Known: true}
+		want[k] = StreamVersion{Service: "engine", Version: "v1", Known: true}
 		if i%2 == 0 {
 			record(k, "v1.1")
 		}
@@ -145,7 +145,7 @@
 	turn.Resumes = "turn-0"
 	r, err := reader.Reserve(ctx, turn)
 	assert.NilError(t, err)
-	assert.Equal(t, r.Resumed, StreamVersion{Version: "v1.1", Known: true})
+	assert.Equal(t, r.Resumed, StreamVersion{Service: "engine", Version: "v1.1", Known: true})
 }
 
 // Guards against a turn that loses the version of its stream, or that of the
@@ -173,7 +173,7 @@
 			other = program
 		}
 	}
-	assert.NilError(t, l.RecordStream(ctx, StreamKey{other, "cut"}, "v1", 1, time.Minute))
+	assert.NilError(t, l.RecordStream(ctx, StreamKey{other, "cut"}, "", "v1", 1, time.Minute))
 	turn := turnRequest(other, "next", 1, "first")
 	turn.StreamVersion, turn.StreamRetention, turn.Resumes = "v1", 60_000, "cut"
 	r, err := l.Reserve(ctx, turn)
--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -53,10 +53,11 @@
 	Stream  string // id of the request that the stream answers
 }
 
-// StreamVersion is the software version of the backend server that began a
-// stream. Known is false if the ledger has no record of it. A known version may
-// be empty, since servers need not name one.
+// StreamVersion is the service and the software version of the backend server
+// that began a stream. Known is false if the ledger has no record of it. A known
+// version may be empty, since servers need not name one.
 type StreamVersion struct {
+	Service string
 	Version string
 	Known   bool
 }
@@ -167,16 +168,16 @@
 	return refusalError(out.Result.Refusal)
 }
 
-// RecordStream records the software version of the backend server that begins a
-// stream, for at least the retention. A record of a lower attempt than the current
+// RecordStream records the service and the software version of the backend server
+// that begins a stream, for at least the retention. A record of a lower attempt than the current
 // one does not replace the version. The verdict of an error is about the record.
-func (l *Link) RecordStream(ctx context.Context, k StreamKey, version string, attempt int, retention time.Duration) error {
+func (l *Link) RecordStream(ctx context.Context, k StreamKey, service, version string, attempt int, retention time.Duration) error {
 	var out streamResponse
 	err := l.callProgramLeader(ctx, k.partitionKey(), methodRecord, func(partition int) any {
 		return recordStreamRequest{
 			Partition: partition,
 			RecordStream: ledger.RecordStream{
-				Stream: k.Stream, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
+				Stream: k.Stream, Service: service, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
 			},
 		}
 	}, &out)
@@ -211,7 +212,7 @@
 	if s == nil {
 		return StreamVersion{}
 	}
-	return StreamVersion{Version: s.Version, Known: s.Known}
+	return StreamVersion{Service: s.Service, Version: s.Version, Known: s.Known}
 }
 
 func refusalError(r *ledger.Refusal) error {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -176,7 +176,7 @@
 	if fixed := r.stream.fixedVersion(); fixed != "" && t.softwareVersion != fixed {
 		return verdict.Newf(verdict.NotRun, verdict.NoServer, "server %s now has software version %q: want %q", t.server, t.softwareVersion, fixed)
 	}
-	if err := r.recordVersion(ctx, t.softwareVersion); err != nil {
+	if err := r.recordOrigin(ctx, origin{t.service, t.softwareVersion}); err != nil {
 		return err
 	}
 	ctx, idle := newIdleTimer(ctx, r.call.Route, r.mover(t))
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -64,10 +64,10 @@
 	// Settle replaces the reservation with the tokens used, and records the turn if
 	// t.Keep is set.
 	Settle(ctx context.Context, t ledger.SettleTurn) error
-	// RecordStream records the software version of the backend server that begins
-	// a stream. A record of a lower attempt than the current one does not replace
+	// RecordStream records the service and the software version of the backend
+	// server that begins a stream. A record of a lower attempt than the current one does not replace
 	// the version.
-	RecordStream(ctx context.Context, k cluster.StreamKey, version string, attempt int, retention time.Duration) error
+	RecordStream(ctx context.Context, k cluster.StreamKey, service, version string, attempt int, retention time.Duration) error
 	// LookupStream returns the record of a stream.
 	LookupStream(ctx context.Context, k cluster.StreamKey) (cluster.StreamVersion, error)
 }
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -85,7 +85,7 @@
 	}
 	out := cluster.Reservation{LastServer: r.Turn.LastServer}
 	if s := r.Turn.Resumed; s != nil {
-		out.Resumed = cluster.StreamVersion{Version: s.Version, Known: s.Known}
+		out.Resumed = cluster.StreamVersion{Service: s.Service, Version: s.Version, Known: s.Known}
 	}
 	switch {
 	case other:
@@ -97,7 +97,7 @@
 	return out, nil
 }
 
-func (l *testTurns) RecordStream(_ context.Context, k cluster.StreamKey, version string, attempt int, retention time.Duration) error {
+func (l *testTurns) RecordStream(_ context.Context, k cluster.StreamKey, service, version string, attempt int, retention time.Duration) error {
 	l.records.Add(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -105,7 +105,7 @@
 		return l.recordErr
 	}
 	command := ledger.Command{RecordStream: &ledger.RecordStream{
-		Stream: k.Stream, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
+		Stream: k.Stream, Service: service, Version: version, Attempt: attempt, Retention: retention.Milliseconds(),
 	}}
 	l.recorded = append(l.recorded, command)
 	l.ledger.ApplyCommand(1, command)
@@ -129,7 +129,7 @@
 		return cluster.StreamVersion{}, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "no leader")
 	}
 	r := l.ledger.ApplyCommand(1, ledger.Command{LookupStream: &ledger.LookupStream{Stream: k.Stream}})
-	return cluster.StreamVersion{Version: r.Stream.Version, Known: r.Stream.Known}, nil
+	return cluster.StreamVersion{Service: r.Stream.Service, Version: r.Stream.Version, Known: r.Stream.Known}, nil
 }
 
 func (l *testTurns) Settle(_ context.Context, t ledger.SettleTurn) error {
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,27 +32,31 @@
 	versionPollInterval = 50 * time.Millisecond
 )
 
-// streamVersion tracks the software version of the servers of a stream. The
-// events of two versions don't fit together, and servers don't check this. The
-// ledger records the version before or while the first event is passed on, so
-// that any host can resume the stream; a stream without a record is not resumed.
+// origin is the service and the software version of the server that begins a
+// stream.
+type origin struct{ service, version string }
+
+// streamVersion tracks the origin of a stream. The events of two versions don't
+// fit together, and servers don't check this. The ledger records the origin
+// before or while the first event is passed on, so that any host can resume the
+// stream; a stream without a record is not resumed.
 //
-// Servers that announce no version are interchangeable: the version "" neither
-// is recorded nor restricts a stream.
+// Servers that announce no version are interchangeable: an origin without a
+// version neither is recorded nor restricts a stream.
 type streamVersion struct {
 	version string
 	// fixed is set if the stream may go on only at version.
 	fixed bool
-	// service is the service whose server has begun the answer, or "".
+	// service is the service at which the stream goes on, or "" if that is open.
 	service string
-	// recorded is the version that is recorded or being recorded, or "" if there
-	// is none.
-	recorded string
+	// recorded is the origin that is recorded or being recorded. Its version is ""
+	// if there is none.
+	recorded origin
 	// recording is the record in progress, or nil.
 	recording *recording
 }
 
-// recording is the recording of a stream's version in the background.
+// recording is the recording of a stream's origin in the background.
 type recording struct {
 	done chan struct{}
 	err  error // valid when done is closed
@@ -88,16 +93,17 @@
 	return r.view.softwareVersions(services...)
 }
 
-// expectedVersion returns the software version at which the call will begin its
-// stream, or "" if that is not known before a server is assigned.
-func (r *execution) expectedVersion() string {
-	if versions := r.versions(); r.recordsVersion() && len(versions) == 1 {
-		return versions[0]
+// expectedOrigin returns the origin of the stream that the call will begin, or an
+// empty one if that is not known before a server is assigned.
+func (r *execution) expectedOrigin() origin {
+	targets := r.call.Route.Targets
+	if versions := r.versions(); r.recordsVersion() && len(versions) == 1 && len(targets) == 1 {
+		return origin{targets[0].Service, versions[0]}
 	}
-	return ""
+	return origin{}
 }
 
-// findVersion determines the version at which the stream that the call takes up
+// findVersion determines the service and the version at which the stream that the call takes up
 // must go on.
 func (r *execution) findVersion(ctx context.Context) error {
 	if r.call.Resumes == "" {
@@ -114,19 +120,24 @@
 	return r.resumeAt(v)
 }
 
-// resumeAt restricts the call to the version that its stream began at. A stream
-// without a record goes on only if no server announces a version.
+// resumeAt restricts the call to the service and the version that its stream
+// began at. A stream without a record goes on only if no server announces a
+// version.
 func (r *execution) resumeAt(v cluster.StreamVersion) error {
 	versions := r.versions()
 	unversioned := len(versions) == 1 && versions[0] == ""
 	r.logger.Info("stream resumed by its caller", zap.String("request", r.call.ID), zap.String("stream", r.call.Resumes),
-		zap.String("last-event", r.call.LastEvent), zap.String("software-version", v.Version), zap.Bool("known", v.Known), zap.Strings("versions", versions))
+		zap.String("last-event", r.call.LastEvent), zap.String("service", v.Service), zap.String("software-version", v.Version), zap.Bool("known", v.Known), zap.Strings("versions", versions))
 	if !v.Known && !unversioned {
 		r.metrics.resumed("unknown")
 		return verdict.New(verdict.NotRun, UnknownStream, "the software version at which the stream began is not known")
 	}
+	if v.Service != "" && !slices.ContainsFunc(r.call.Route.Targets, func(t route.Target) bool { return t.Service == v.Service }) {
+		r.metrics.resumed("no-server")
+		return verdict.New(verdict.NotRun, verdict.NoServer, "the route no longer leads to service "+v.Service+", which began the stream")
+	}
 	r.metrics.resumed("known")
-	r.stream.version, r.stream.fixed = v.Version, true
+	r.stream.service, r.stream.version, r.stream.fixed = v.Service, v.Version, true
 	return nil
 }
 
@@ -165,44 +176,44 @@
 	return nil
 }
 
-// recordVersion records the software version of the server that is about to
-// begin the stream. Events may be passed on before the record is committed: until
-// then, the stream can't be resumed by its caller. An earlier record of another
-// version must be replaced first.
-func (r *execution) recordVersion(ctx context.Context, version string) error {
+// recordOrigin records the origin of the stream that a server is about to begin.
+// Events may be passed on before the record is committed: until then, the stream
+// can't be resumed by its caller. An earlier record of another origin must be
+// replaced first.
+func (r *execution) recordOrigin(ctx context.Context, o origin) error {
 	s := &r.stream
-	if !r.recordsVersion() || s.fixed || version == s.recorded {
+	if !r.recordsVersion() || s.fixed || o == s.recorded || o.version == "" && s.recorded.version == "" {
 		return nil
 	}
-	if s.recorded == "" {
-		s.recorded = version
-		s.recording = r.startRecording(version)
+	if s.recorded.version == "" {
+		s.recorded = o
+		s.recording = r.startRecording(o)
 		return nil
 	}
 	if err := r.awaitRecording(ctx); err != nil {
 		// The earlier record may still be committed.
-		s.version, s.fixed = s.recorded, true
+		s.service, s.version, s.fixed = s.recorded.service, s.recorded.version, true
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), version, r.attempts, r.streamRetention()); err != nil {
+	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), o.service, o.version, r.attempts, r.streamRetention()); err != nil {
 		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of the stream could not be recorded",
 			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
 	}
-	s.recorded = version
+	s.recorded = o
 	return nil
 }
 
-// startRecording records the version of the stream in the background.
-func (r *execution) startRecording(version string) *recording {
+// startRecording records the origin of the stream in the background.
+func (r *execution) startRecording(o origin) *recording {
 	w := &recording{done: make(chan struct{})}
 	key, attempt, retention := r.streamKey(r.call.ID), r.attempts, r.streamRetention()
 	r.background.Go(func() {
 		defer close(w.done)
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
 		defer cancel()
-		if w.err = r.turns.RecordStream(ctx, key, version, attempt, retention); w.err != nil {
+		if w.err = r.turns.RecordStream(ctx, key, o.service, o.version, attempt, retention); w.err != nil {
 			r.logger.Warn("software version of stream not recorded; its caller can't resume it", zap.String("request", key.Stream), zap.Error(w.err))
 		}
 	})
--- a/forward/streamversion_test.go
+++ b/forward/streamversion_test.go
@@ -75,9 +75,9 @@
 			assert.Assert(t, !aborted)
 			f.waitForSettlements()
 			assert.Equal(t, first.requests(), 1)
-			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Version: "v2", Known: true})
+			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Service: "engine", Version: "v2", Known: true})
 			f.turns.repeatRecords()
-			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Version: "v2", Known: true})
+			assert.Equal(t, f.recordedVersion("s"), cluster.StreamVersion{Service: "engine", Version: "v2", Known: true})
 		})
 	}
 }
@@ -105,7 +105,10 @@
 			assert.NilError(t, err)
 			f.waitForSettlements()
 			assert.Equal(t, f.turns.records.Load(), tt.commands)
-			want := cluster.StreamVersion{Version: tt.versions[second.requests()], Known: tt.versions[0] != ""}
+			want := cluster.StreamVersion{}
+			if tt.versions[0] != "" {
+				want = cluster.StreamVersion{Service: "engine", Version: tt.versions[second.requests()], Known: true}
+			}
 			assert.Equal(t, f.recordedVersion("s"), want)
 		})
 	}
@@ -210,7 +213,7 @@
 func TestResumeAwaitsVersion(t *testing.T) {
 	s := startServer(t, streamFour)
 	f := newFixture(t)
-	assert.NilError(t, f.turns.RecordStream(t.Context(), cluster.StreamKey{Stream: "first"}, "v1", 1, time.Minute))
+	assert.NilError(t, f.turns.RecordStream(t.Context(), cluster.StreamKey{Stream: "first"}, "engine", "v1", 1, time.Minute))
 	time.AfterFunc(registryWarmUp/4, func() { f.setVersions([]string{"v1"}, s) })
 	resume := func(id string) error {
 		c := f.call(id, resumableRoute())
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	t := r.call.Turn
-	expected := r.expectedVersion()
+	expected := r.expectedOrigin()
 	cached := false
 	if t.Previous != "" {
 		r.conversation, cached = r.chains.get(t.Previous)
@@ -28,7 +28,7 @@
 	reservation, err := r.turns.Reserve(ctx, cluster.TurnRequest{
 		ReserveTurn: ledger.ReserveTurn{
 			Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, MaxTokens: t.MaxTokens, Previous: t.Previous, Session: r.call.Session,
-			StreamVersion: expected, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.Resumes,
+			StreamService: expected.service, StreamVersion: expected.version, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.Resumes,
 			Continues: r.call.continues(), TokensPerEvent: r.uniformTokensPerEvent(),
 		},
 		WantChain: t.Previous != "" && !cached, Retention: r.call.Route.Retention,
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -76,7 +76,7 @@
 	return errors.Join(
 		checkID("program", c.Program), checkID("turn", c.Turn),
 		checkAmount("budget", c.Budget), checkAmount("most", c.MaxTokens),
-		checkLength("stream-version", c.StreamVersion), checkAmount("stream-retention", c.StreamRetention),
+		checkLength("stream-service", c.StreamService), checkLength("stream-version", c.StreamVersion), checkAmount("stream-retention", c.StreamRetention),
 		checkLength("resumes", c.Resumes), checkContinues(c), checkAmount("tokens-per-event", c.TokensPerEvent))
 }
 
--- a/ledger/stream.go
+++ b/ledger/stream.go
@@ -9,6 +9,7 @@
 // expiry.
 type RecordStream struct {
 	Stream    string `json:"stream"`            // id of the request that the stream answers
+	Service   string `json:"service,omitempty"` // service of the server
 	Version   string `json:"version"`           // empty if the server names no version
 	Attempt   int    `json:"attempt,omitempty"` // number of the attempt; that of ReserveTurn is 0
 	Retention int64  `json:"retention"`         // milliseconds from now
@@ -24,12 +25,14 @@
 // it has expired.
 type StreamState struct {
 	Stream  string `json:"stream"`
+	Service string `json:"service,omitempty"`
 	Version string `json:"version,omitempty"`
 	Known   bool   `json:"known"`
 }
 
-// streamRecord is the software version at which a stream began.
+// streamRecord is the service and the software version at which a stream began.
 type streamRecord struct {
+	Service string `json:"service,omitempty"`
 	Version string `json:"version,omitempty"`
 	Attempt int    `json:"attempt,omitempty"`
 	Expires int64  `json:"expires"` // Unix milliseconds
@@ -43,14 +46,14 @@
 
 func (c *RecordStream) check() error {
 	return errors.Join(
-		checkID("stream", c.Stream), checkLength("version", c.Version),
+		checkID("stream", c.Stream), checkLength("service", c.Service), checkLength("version", c.Version),
 		checkAmount("attempt", int64(c.Attempt)), checkAmount("retention", c.Retention))
 }
 
 func (c *LookupStream) check() error { return checkID("stream", c.Stream) }
 
 func (m *StateMachine) recordStream(c *RecordStream) Result {
-	m.setStream(c.Stream, c.Version, c.Attempt, c.Retention)
+	m.setStream(c.Stream, streamRecord{Service: c.Service, Version: c.Version, Attempt: c.Attempt}, c.Retention)
 	return Result{Stream: m.stream(c.Stream)}
 }
 
@@ -58,13 +61,15 @@
 	return Result{Stream: m.stream(c.Stream)}
 }
 
-func (m *StateMachine) setStream(id, version string, attempt int, retention int64) {
-	r := streamRecord{Version: version, Attempt: attempt, Expires: m.clock + retention}
+// setStream records a stream, which expires after the retention.
+func (m *StateMachine) setStream(id string, r streamRecord, retention int64) {
+	r.Expires = m.clock + retention
 	if old, ok := m.turns.streams[id]; ok && old.Expires > m.clock {
-		r.Expires = max(r.Expires, old.Expires)
-		if old.Attempt > attempt {
-			r.Version, r.Attempt = old.Version, old.Attempt
+		expires := max(r.Expires, old.Expires)
+		if old.Attempt > r.Attempt {
+			r = old
 		}
+		r.Expires = expires
 	}
 	m.turns.streams[id] = r
 }
@@ -76,5 +81,5 @@
 	if !ok || r.Expires <= m.clock {
 		return &StreamState{Stream: id}
 	}
-	return &StreamState{Stream: id, Version: r.Version, Known: true}
+	return &StreamState{Stream: id, Service: r.Service, Version: r.Version, Known: true}
 }
--- a/ledger/stream_test.go
+++ b/ledger/stream_test.go
@@ -169,20 +169,20 @@
 	return want
 }
 
-func (s *streamTest) record(stream, version string, attempt int, retention int64) {
+func (s *streamTest) record(stream, service, version string, attempt int, retention int64) {
 	expires := s.now + retention
 	if r := s.expected[stream]; r.Expires > s.now {
 		expires = max(expires, r.Expires)
 		if r.Attempt > attempt {
-			version, attempt = r.Version, r.Attempt
+			service, version, attempt = r.Service, r.Version, r.Attempt
 		}
 	}
-	s.expected[stream] = streamRecord{version, attempt, expires}
+	s.expected[stream] = streamRecord{service, version, attempt, expires}
 }
 
 func (s *streamTest) state(stream string) StreamState {
 	if r, ok := s.expected[stream]; ok && r.Expires > s.now {
-		return StreamState{Stream: stream, Version: r.Version, Known: true}
+		return StreamState{Stream: stream, Service: r.Service, Version: r.Version, Known: true}
 	}
 	return StreamState{Stream: stream}
 }
@@ -195,16 +195,20 @@
 	return rapid.SampledFrom([]string{"v1", "v1.1", "v2", ""}).Draw(t, "version")
 }
 
+func drawService(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"s1", "s2", ""}).Draw(t, "service")
+}
+
 func drawRetention(t *rapid.T) int64 {
 	return rapid.SampledFrom([]int64{60_000, 5_000, 1, 0}).Draw(t, "retention")
 }
 
 func (s *streamTest) recordStream(t *rapid.T) {
 	c := &RecordStream{
-		Stream: drawStream(t), Version: drawVersion(t), Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"), Retention: drawRetention(t),
+		Stream: drawStream(t), Service: drawService(t), Version: drawVersion(t), Attempt: rapid.IntRange(0, 3).Draw(t, "attempt"), Retention: drawRetention(t),
 	}
 	r := s.apply(t, Command{RecordStream: c})
-	s.record(c.Stream, c.Version, c.Attempt, c.Retention)
+	s.record(c.Stream, c.Service, c.Version, c.Attempt, c.Retention)
 	assert.DeepEqual(t, *r.Stream, s.state(c.Stream))
 }
 
@@ -212,7 +216,7 @@
 func (s *streamTest) reserveTurn(t *rapid.T) {
 	c := &ReserveTurn{
 		Program: "p", Turn: drawStream(t), Budget: streamTestBudget, MaxTokens: rapid.Int64Range(0, 9).Draw(t, "most"),
-		StreamVersion: drawVersion(t), StreamRetention: drawRetention(t),
+		StreamService: drawService(t), StreamVersion: drawVersion(t), StreamRetention: drawRetention(t),
 	}
 	if rapid.Bool().Draw(t, "resumes") {
 		c.Resumes = drawStream(t)
@@ -224,7 +228,7 @@
 		return
 	}
 	if c.StreamVersion != "" {
-		s.record(c.Turn, c.StreamVersion, 0, c.StreamRetention)
+		s.record(c.Turn, c.StreamService, c.StreamVersion, 0, c.StreamRetention)
 	}
 	if c.Resumes == "" {
 		assert.Assert(t, r.Turn.Resumed == nil)
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -42,8 +42,10 @@
 	// same prompt.
 	Session string `json:"line,omitempty"`
 	// StreamVersion is the software version of the backend server that begins the
-	// stream of this turn. If it is set and the turn is reserved, it is recorded as
-	// by RecordStream with attempt 0, for StreamRetention milliseconds.
+	// stream of this turn, and StreamService its service. If StreamVersion is set
+	// and the turn is reserved, they are recorded as by RecordStream with attempt 0,
+	// for StreamRetention milliseconds.
+	StreamService   string `json:"stream-service,omitempty"`
 	StreamVersion   string `json:"stream-version,omitempty"`
 	StreamRetention int64  `json:"stream-retention,omitempty"`
 	// Resumes is the id of the request whose answer began the stream that this
@@ -255,7 +257,7 @@
 		state.Resumed = m.stream(c.Resumes)
 	}
 	if c.StreamVersion != "" {
-		m.setStream(c.Turn, c.StreamVersion, 0, c.StreamRetention)
+		m.setStream(c.Turn, streamRecord{Service: c.StreamService, Version: c.StreamVersion}, c.StreamRetention)
 	}
 	return Result{Turn: state}
 }
