cmd/sycamoreline-platform: stop without waiting for unused connections

http.Server.Shutdown waits 5 s for a connection on which no request has been sent. The metrics server was added last and so stopped first: beside such a connection, an entry host began its drain 5 s late and had too little time for it. On the callers' and the health port, such a connection delayed the end of the process.

The metrics server now starts first, stops last and closes its connections without waiting. The other servers wait 200 ms for the first request on an open connection.

--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -97,7 +97,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	}
 	logger.Info("starting", zap.String("data-centre", s.DataCentre), zap.Strings("seeds", s.Seeds), zap.Bool("first-start", s.FirstStart))
-	app := fx.New(c.module(roleParams{s, path, logger, scope}), fx.Invoke(serveMetrics(s, handler, logger)), fx.StopTimeout(s.DrainTimeout()),
+	app := fx.New(fx.Invoke(serveMetrics(s, handler, logger)), c.module(roleParams{s, path, logger, scope}), fx.StopTimeout(s.DrainTimeout()),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(ctx); err != nil {
 		logger.Error("start failed", zap.Error(err))
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -22,12 +22,19 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeaderBytes is above the limit of any configuration.
 	maxHeaderBytes = 64 << 10
+	// unusedTimeout is the time for which stop waits for the first request on an
+	// open connection. The request may be on its way. http.Server.Shutdown waits
+	// 5 s, most of the time until the process is killed.
+	unusedTimeout = 200 * time.Millisecond
 )
 
 // server is an HTTP server on one address.
 type server struct {
 	http.Server
 	done sync.WaitGroup
+
+	mu     sync.Mutex
+	unused map[net.Conn]struct{} // connections before their first request
 }
 
 // serve listens on an address and starts an HTTP server there.
@@ -39,7 +46,8 @@
 	s := &server{Server: http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(logger),
-	}}
+	}, unused: map[net.Conn]struct{}{}}
+	s.ConnState = s.connectionChanged
 	s.done.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server stopped", zap.String("address", address), zap.Error(err))
@@ -57,9 +65,29 @@
 	return l, nil
 }
 
+func (s *server) connectionChanged(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.unused[c] = struct{}{}
+	} else {
+		delete(s.unused, c)
+	}
+}
+
+func (s *server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.unused {
+		c.Close()
+	}
+}
+
 // stop waits for in-flight requests until the context ends, and then closes their
 // connections.
 func (s *server) stop(ctx context.Context) error {
+	timer := time.AfterFunc(unusedTimeout, s.closeUnused)
+	defer timer.Stop()
 	err := s.Shutdown(ctx)
 	if err != nil {
 		err = errors.Join(err, s.Close())
@@ -68,8 +96,16 @@
 	return err
 }
 
+// stopNow closes all connections. Requests in progress get no answer.
+func (s *server) stopNow() error {
+	err := s.Close()
+	s.done.Wait()
+	return err
+}
+
 // serveMetrics returns a function that adds the server of the metrics endpoint to
-// the lifecycle of an app.
+// the lifecycle of an app. Hooks stop in reverse order: invoked before the role's
+// module, the server runs until the role has stopped.
 func serveMetrics(s platform.Settings, handler http.Handler, logger *zap.Logger) func(fx.Lifecycle) {
 	return func(lifecycle fx.Lifecycle) {
 		var metricsServer *server
@@ -78,7 +114,7 @@
 				metricsServer, err = serve(s.MetricsAddress(), handler, logger)
 				return err
 			},
-			OnStop: func(ctx context.Context) error { return metricsServer.stop(ctx) },
+			OnStop: func(context.Context) error { return metricsServer.stopNow() },
 		})
 	}
 }
