cmd/sycamoreline-platform: answer running requests at the end of the drain

When the time of the drain ended, the connections of running requests were closed without an answer. Their callers could not tell whether they may have run.

The gate is now signalled a second time 0.9 s before the process is killed, which cancels these requests. They have 0.4 s to return their answers before their connections are closed, and 0.5 s remain for closing the host. Until now, 0.7 s remained. The control API keeps 0.7 s for its requests. The time limit of the whole stop is now 0.2 s below the drain time; no test covers it.

--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -55,6 +55,10 @@
 // errors, which report rejected requests and failures, are not limited.
 const maxLogLinesPerSecond = 200
 
+// exitTimeout is the part of the drain time that is reserved for the end of the
+// process, such as writing its last log lines.
+const exitTimeout = 200 * time.Millisecond
+
 // roleParams are the inputs of every role's module.
 type roleParams struct {
 	settings     platform.Settings
@@ -110,7 +114,7 @@
 		status = subcommands.ExitStatus(v.ExitCode)
 	}
 	logger.Info("stopping")
-	stopCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout())
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout()-exitTimeout)
 	defer cancel()
 	if err := app.Stop(stopCtx); err != nil {
 		logger.Error("graceful shutdown failed", zap.Error(err))
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -24,9 +24,15 @@
 	// drainRetryAfter is the Retry-After of requests rejected during a drain: a
 	// new connection goes to another host.
 	drainRetryAfter = 50 * time.Millisecond
+	// answerTimeout is the part of the drain time in which cancelled requests
+	// return their answers. Requests that are accepted during drainDelay and take
+	// 4 s end before they are cancelled.
+	answerTimeout = 400 * time.Millisecond
 	// closeTimeout is the part of the drain time that is reserved for closing
 	// the servers and the host.
-	closeTimeout = 700 * time.Millisecond
+	closeTimeout = 500 * time.Millisecond
+	// controlCloseTimeout is the time in which requests to the control API may end.
+	controlCloseTimeout = 700 * time.Millisecond
 	// chainMemoryDivisor limits the cache of conversations that may be continued
 	// on this host to 1/8 of the memory.
 	chainMemoryDivisor = 8
@@ -79,7 +85,7 @@
 			},
 			OnStop: func(ctx context.Context) error {
 				cancel()
-				ctx, cancelStop := context.WithTimeout(ctx, closeTimeout)
+				ctx, cancelStop := context.WithTimeout(ctx, controlCloseTimeout)
 				defer cancelStop()
 				return errors.Join(api.stop(ctx), host.Close())
 			},
@@ -124,14 +130,7 @@
 			},
 			OnStop: func(ctx context.Context) error {
 				defer cancel()
-				ctx, cancelStop := context.WithTimeout(ctx, s.DrainTimeout()-closeTimeout)
-				defer cancelStop()
-				gate.Signal()
-				select {
-				case <-gate.Done():
-				case <-ctx.Done():
-				}
-				err := callers.stop(ctx)
+				err := drain(ctx, gate, callers, s.DrainTimeout()-closeTimeout)
 				f.Close()
 				link.Close()
 				return errors.Join(err, health.stop(ctx))
@@ -141,6 +140,26 @@
 	})
 }
 
+// drain drains the gate and stops the callers' server. It cancels requests that
+// are still running answerTimeout before the timeout, so that their callers learn
+// whether they may have run, and closes the remaining connections at the timeout.
+func drain(ctx context.Context, g *balancer.Gate, callers *server, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	g.Signal()
+	select {
+	case <-g.Done():
+	case <-time.After(timeout - answerTimeout):
+		g.Signal()
+	case <-ctx.Done():
+	}
+	select {
+	case <-g.Done():
+	case <-ctx.Done():
+	}
+	return callers.stop(ctx)
+}
+
 // countRequests counts in-flight requests, so that a shutdown waits for them, and
 // rejects requests that the gate does not admit.
 func countRequests(g *balancer.Gate, h http.Handler) http.Handler {
