cmd/sycamoreline-platform: survive SIGHUP while starting and stopping

SIGHUP was registered only while watchSeeds ran. Before it, and after its context had ended, SIGHUP ended the process. Control and ledger hosts end the context first when they stop.

main now registers SIGHUP first and until the exit. watchSeeds receives the signals through roleParams. Only the start of the Go program itself, before main, remains.

The tests run the process. Without the change: TestSIGHUPDuringStart: write settings.json: broken pipe (process ended) TestSIGHUPDuringStop: signal: hangup With it, both passed 3 times in a row.

--- a/cmd/sycamoreline-platform/ledger.go
+++ b/cmd/sycamoreline-platform/ledger.go
@@ -12,7 +12,7 @@
 
 // ledgerModule runs a ledger host. The control hosts assign its partitions.
 func ledgerModule(p roleParams) fx.Option {
-	s, path, logger := p.settings, p.settingsPath, p.logger
+	s, logger := p.settings, p.logger
 	return fx.Invoke(func(lifecycle fx.Lifecycle, shutdown fx.Shutdowner) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -37,7 +37,7 @@
 					return err
 				}
 				logger.Info("ledger host started")
-				go watchSeeds(ctx, path, s, logger, host.SetSeeds)
+				go watchSeeds(ctx, p, host.SetSeeds)
 				go stopOnFailure(ctx, host, shutdown, logger)
 				return nil
 			},
--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -33,11 +33,14 @@
 const memoryLimitFraction = 0.6
 
 func main() {
+	// SIGHUP would end the process at any time at which it is not registered.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	commander := subcommands.NewCommander(flag.CommandLine, "sycamoreline-platform")
 	commander.Register(commander.HelpCommand(), "")
-	commander.Register(&roleCommand{name: "entry", synopsis: "run an entry host", module: entryModule}, "")
-	commander.Register(&roleCommand{name: "control", synopsis: "run a control host", module: controlModule}, "")
-	commander.Register(&roleCommand{name: "ledger", synopsis: "run a ledger host", module: ledgerModule}, "")
+	commander.Register(&roleCommand{name: "entry", synopsis: "run an entry host", module: entryModule, reload: reload}, "")
+	commander.Register(&roleCommand{name: "control", synopsis: "run a control host", module: controlModule, reload: reload}, "")
+	commander.Register(&roleCommand{name: "ledger", synopsis: "run a ledger host", module: ledgerModule, reload: reload}, "")
 	commander.Register(&checkCommand{}, "")
 	commander.Register(&historyCommand{}, "")
 	flag.Parse()
@@ -65,12 +68,14 @@
 	settingsPath string
 	logger       *zap.Logger
 	metrics      tally.Scope
+	reload       <-chan os.Signal // receives a signal when the settings file has changed
 }
 
 // roleCommand runs a role until the process is signalled to stop.
 type roleCommand struct {
 	name, synopsis string
 	module         func(p roleParams) fx.Option
+	reload         <-chan os.Signal
 }
 
 func (c *roleCommand) Name() string           { return c.name }
@@ -101,7 +106,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	}
 	logger.Info("starting", zap.String("data-centre", s.DataCentre), zap.Strings("seeds", s.Seeds), zap.Bool("first-start", s.FirstStart))
-	app := fx.New(fx.Invoke(serveMetrics(s, handler, logger)), c.module(roleParams{s, path, logger, scope}), fx.StopTimeout(s.DrainTimeout()),
+	app := fx.New(fx.Invoke(serveMetrics(s, handler, logger)), c.module(roleParams{s, path, logger, scope, c.reload}), fx.StopTimeout(s.DrainTimeout()),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(ctx); err != nil {
 		logger.Error("start failed", zap.Error(err))
--- a/cmd/sycamoreline-platform/process_test.go
+++ b/cmd/sycamoreline-platform/process_test.go
@@ -175,3 +175,44 @@
 		})
 	}
 }
+
+// Guards against a SIGHUP that ends the process while it starts.
+func TestSIGHUPDuringStart(t *testing.T) {
+	p := newProcess(t, "entry", "127.48.1.1")
+	assert.NilError(t, syscall.Mkfifo(p.settingsPath, 0o600))
+	p.start(t)
+	// Opening the pipe blocks until the process reads its settings.
+	f, err := os.OpenFile(p.settingsPath, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	defer f.Close()
+	assert.NilError(t, p.Process.Signal(syscall.SIGHUP))
+	assert.NilError(t, os.Remove(p.settingsPath))
+	settings := p.settings(t)
+	assert.NilError(t, os.WriteFile(p.settingsPath, settings, 0o600))
+	_, err = f.Write(settings)
+	assert.NilError(t, err)
+	f.Close()
+	p.awaitMessage(t, "starting")
+	p.awaitStart(t)
+	assert.NilError(t, p.Process.Signal(syscall.SIGTERM))
+	p.awaitEnd(t)
+}
+
+// Guards against a SIGHUP that ends the process while it stops.
+func TestSIGHUPDuringStop(t *testing.T) {
+	p := newProcess(t, "control", "127.48.1.1")
+	assert.NilError(t, os.WriteFile(p.settingsPath, p.settings(t), 0o600))
+	p.start(t)
+	p.connect(t, testControlPort)
+	assert.Assert(t, pause.For(t.Context(), 200*time.Millisecond))
+	assert.NilError(t, p.Process.Signal(syscall.SIGTERM))
+	p.awaitMessage(t, "stopping")
+	for running := true; running; {
+		assert.NilError(t, p.Process.Signal(syscall.SIGHUP))
+		select {
+		case _, running = <-p.messages:
+		case <-time.After(time.Millisecond):
+		}
+	}
+	p.awaitEnd(t)
+}
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -53,7 +53,7 @@
 
 // controlModule runs a control host.
 func controlModule(p roleParams) fx.Option {
-	s, path, logger := p.settings, p.settingsPath, p.logger
+	s, logger := p.settings, p.logger
 	return fx.Invoke(func(lifecycle fx.Lifecycle, shutdown fx.Shutdowner) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -78,7 +78,7 @@
 				if host, err = cluster.StartHost(c, l, logger); err != nil {
 					return err
 				}
-				go watchSeeds(ctx, path, s, logger, host.SetSeeds)
+				go watchSeeds(ctx, p, host.SetSeeds)
 				go stopOnFailure(ctx, host, shutdown, logger)
 				api, err = serve(s.Listen.Control, platform.NewControlAPI(host, s, logger), logger)
 				return err
@@ -96,7 +96,7 @@
 
 // entryModule runs an entry host.
 func entryModule(p roleParams) fx.Option {
-	s, path, logger := p.settings, p.settingsPath, p.logger
+	s, logger := p.settings, p.logger
 	return fx.Invoke(func(lifecycle fx.Lifecycle) error {
 		key, err := control.NewKey(s.DeploymentKey)
 		if err != nil {
@@ -120,7 +120,7 @@
 		lifecycle.Append(fx.Hook{
 			OnStart: func(context.Context) error {
 				link.Start(f.View())
-				go watchSeeds(ctx, path, s, logger, link.SetSeeds)
+				go watchSeeds(ctx, p, link.SetSeeds)
 				var err error
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
--- a/cmd/sycamoreline-platform/seeds.go
+++ b/cmd/sycamoreline-platform/seeds.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,25 +16,22 @@
 
 // watchSeeds calls f with the IDs of the seeds whenever they change in the
 // settings file.
-func watchSeeds(ctx context.Context, path string, s platform.Settings, logger *zap.Logger, f func(ids []string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	seeds := s.SeedHosts()
+func watchSeeds(ctx context.Context, p roleParams, f func(ids []string)) {
+	seeds := p.settings.SeedHosts()
 	for ctx.Err() == nil {
 		waitCtx, cancel := context.WithTimeout(ctx, settingsPollInterval)
 		select {
-		case <-hup:
+		case <-p.reload:
 		case <-waitCtx.Done():
 		}
 		cancel()
-		reloaded, err := platform.ReadSettings(path)
+		reloaded, err := platform.ReadSettings(p.settingsPath)
 		if err != nil {
-			logger.Warn("settings file not reloaded; keeping the previous settings", zap.Error(err))
+			p.logger.Warn("settings file not reloaded; keeping the previous settings", zap.Error(err))
 			continue
 		}
 		if ids := reloaded.SeedHosts(); !slices.Equal(ids, seeds) {
-			logger.Info("settings reloaded", zap.Strings("seeds", ids))
+			p.logger.Info("settings reloaded", zap.Strings("seeds", ids))
 			seeds = ids
 			f(ids)
 		}
