schedule: send hedges only to servers with a free slot

The choice of a server for a hedge could be the server of the program's last call even if it had no free slot, since such a wait is allowed for a first run. The hedge then queued there, and its reason did not say so.

A hedge now considers that server only if it has a free slot.

TestHedgeRunsInFreeSlot without the change: cached (a.Server string) != free (string) TestCallsAreNeitherLostNorDoubled found it with more checks than by default (-rapid.checks=10000, on the code before this change): expression is false: a.Reason == "cached-prefix-wait" || len(m.inFlight[a.Server]) < v.Slots

--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -57,7 +57,8 @@
 }
 
 // considerLast considers the server of the program's last call, even if it has
-// no free slot, since the wait may be shorter than the prefill elsewhere.
+// no free slot, since the wait may be shorter than the prefill elsewhere. A hedge
+// runs only in a free slot.
 func (l *selection) considerLast(s *Scheduler) {
 	c, v := l.call, l.call.lastServer
 	if v == nil || !v.available() || v.speed.slow || s.now < v.speed.backoffUntil || s.now < v.pausedUntil || v.membershipOf(c.pool) == nil {
@@ -67,7 +68,7 @@
 	switch {
 	case excess <= 0:
 		l.consider(v, 0, "cached-prefix")
-	case excess <= l.maxOvercommit*float64(v.slots()):
+	case c.running == 0 && excess <= l.maxOvercommit*float64(v.slots()):
 		l.consider(v, excess*c.pool.costs.meanRunSeconds/float64(v.slots()), "cached-prefix-wait")
 	}
 }
