schedule: count runs in progress when a server comes back

RemoveServer followed by SetServer made a new record of the server. Its earlier runs did not count, so that a server that was excluded for a short time got more runs than it has slots, and other runs beside a suspect that must run alone.

A removed server with runs is now kept until they end. If the same incarnation comes back before that, it keeps its runs and estimates. A new incarnation gets a new record without runs, also if it replaces a server that was not removed. A call has at most one run per server ID, whatever the incarnation, since Finished identifies runs by the ID.

--- a/schedule/run.go
+++ b/schedule/run.go
@@ -15,9 +15,12 @@
 
 func (r *run) produced() int { return r.resumedTokens + r.tokens }
 
+// runOn returns the run of the call on a server or on an earlier incarnation of
+// it, or nil. There is at most one, since the driver identifies runs by the ID of
+// the server.
 func (c *call) runOn(v *server) *run {
 	for i := range c.runs[:c.running] {
-		if c.runs[i].server == v {
+		if c.runs[i].server.ID == v.ID {
 			return &c.runs[i]
 		}
 	}
@@ -162,6 +165,9 @@
 	if r == &c.runs[0] {
 		c.runs[0] = c.runs[1]
 	}
+	if v.removed && len(v.runs) == 0 {
+		delete(s.removedServers, v.key())
+	}
 	s.updateEligibility(v)
 	s.updateMonitored(v)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -21,9 +21,10 @@
 	hosts  int // live entry hosts, including this one
 
 	servers        map[string]*server
-	serverOrder    []*server // in order of addition, since map order is random
-	monitored      []*server // checked periodically
-	slots          int       // sum over the servers that run models and are not leaving
+	serverOrder    []*server             // in order of addition, since map order is random
+	removedServers map[serverKey]*server // those that still have runs
+	monitored      []*server             // checked periodically
+	slots          int                   // sum over the servers that run models and are not leaving
 	pools          map[poolKey]*pool
 	poolOrder      []*pool // in order of addition
 	waiting        []*pool // pools with waiting calls
@@ -87,6 +88,7 @@
 		random:         rand.New(source),
 		hosts:          1,
 		servers:        map[string]*server{},
+		removedServers: map[serverKey]*server{},
 		pools:          map[poolKey]*pool{},
 		calls:          map[CallID]*call{},
 		programs:       map[string]*program{},
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -23,7 +23,9 @@
 	random    *rand.Rand
 	now       time.Duration
 	servers   map[string]Server
-	inFlight  map[string][]CallID
+	removed   map[string]Server
+	inFlight  map[string][]CallID // runs on the current incarnations
+	orphaned  map[string][]CallID // runs on earlier incarnations
 	started   map[CallID][]string // servers that run the call
 	queued    map[CallID]Request
 	admitted  map[string]bool
@@ -31,13 +33,16 @@
 	crashes   map[uint64]int
 	exclusive map[string]bool // servers that run a suspect alone
 	calls     int
+
+	incarnations int
 }
 
 func newModel(t *rapid.T) *schedulerModel {
 	seed := rapid.Uint64().Draw(t, "seed")
 	m := &schedulerModel{
 		s: New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
-		servers: map[string]Server{}, inFlight: map[string][]CallID{}, started: map[CallID][]string{},
+		servers: map[string]Server{}, removed: map[string]Server{},
+		inFlight: map[string][]CallID{}, orphaned: map[string][]CallID{}, started: map[CallID][]string{},
 		queued: map[CallID]Request{}, admitted: map[string]bool{}, refused: map[CallID]string{},
 		crashes: map[uint64]int{}, exclusive: map[string]bool{},
 	}
@@ -52,6 +57,33 @@
 	m.s.SetServer(m.now, v)
 }
 
+// toggleServer removes a server, or adds it again.
+func (m *schedulerModel) toggleServer(id string) {
+	if v, ok := m.removed[id]; ok {
+		delete(m.removed, id)
+		m.setServer(v)
+		return
+	}
+	m.removed[id] = m.servers[id]
+	delete(m.servers, id)
+	m.s.RemoveServer(m.now, id)
+}
+
+// restartServer sets a new incarnation of a server, which may have been removed.
+func (m *schedulerModel) restartServer(id string) {
+	v, ok := m.removed[id]
+	if !ok {
+		v = m.servers[id]
+	}
+	delete(m.removed, id)
+	m.incarnations++
+	v.Incarnation = fmt.Sprint(m.incarnations)
+	m.orphaned[id] = append(m.orphaned[id], m.inFlight[id]...)
+	m.inFlight[id] = nil
+	m.exclusive[id] = false
+	m.setServer(v)
+}
+
 func (m *schedulerModel) enqueue(t *rapid.T) {
 	m.calls++
 	r := Request{
@@ -112,7 +144,9 @@
 }
 
 func (m *schedulerModel) finish(id CallID, server string, outcome Outcome) {
-	m.inFlight[server] = slices.DeleteFunc(m.inFlight[server], func(o CallID) bool { return o == id })
+	for _, runs := range []map[string][]CallID{m.inFlight, m.orphaned} {
+		runs[server] = slices.DeleteFunc(runs[server], func(o CallID) bool { return o == id })
+	}
 	m.started[id] = slices.DeleteFunc(m.started[id], func(o string) bool { return o == server })
 	m.exclusive[server] = m.exclusive[server] && len(m.inFlight[server]) > 0
 	m.s.Finished(m.now, id, server, Usage{PromptTokens: 10, OutputTokens: 5}, outcome)
@@ -122,7 +156,7 @@
 func (m *schedulerModel) randomRun() (CallID, string, bool) {
 	for _, i := range m.random.Perm(3) {
 		v := fmt.Sprint("s", i)
-		if l := m.inFlight[v]; len(l) > 0 {
+		if l := slices.Concat(m.inFlight[v], m.orphaned[v]); len(l) > 0 {
 			return l[m.random.IntN(len(l))], v, true
 		}
 	}
@@ -132,7 +166,7 @@
 func (m *schedulerModel) step(t *rapid.T) {
 	m.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
 	id, server, ok := m.randomRun()
-	switch rapid.IntRange(0, 8).Draw(t, "event") {
+	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0, 1, 2:
 		m.enqueue(t)
 	case 3:
@@ -151,11 +185,16 @@
 			}
 		}
 	case 7:
-		v := m.servers[fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "leaving"))]
-		v.Leaving = !v.Leaving
-		m.setServer(v)
+		if v, ok := m.servers[fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "leaving"))]; ok {
+			v.Leaving = !v.Leaving
+			m.setServer(v)
+		}
 	case 8:
 		m.s.Report(m.now, server, Load{Age: time.Second, Running: rapid.IntRange(0, 4).Draw(t, "load")})
+	case 9:
+		m.toggleServer(fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "removed")))
+	case 10:
+		m.restartServer(fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "restarted")))
 	}
 	m.takeAssignments(t)
 }
@@ -169,6 +208,9 @@
 			m.step(t)
 		}
 		for _, id := range []string{"s0", "s1", "s2"} {
+			if _, ok := m.removed[id]; ok {
+				m.toggleServer(id)
+			}
 			v := m.servers[id]
 			v.Leaving = false
 			m.setServer(v)
@@ -186,6 +228,7 @@
 			assert.Equal(t, v.InFlight, 0, "runs remain on %s", v.ID)
 		}
 		assert.Equal(t, len(m.s.calls), 0)
+		assert.Equal(t, len(m.s.removedServers), 0)
 	})
 }
 
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -124,21 +124,30 @@
 	}
 }
 
-// SetServer adds a backend server or updates its description. A new incarnation
-// resets the estimates of its speed, cache and load.
+// serverKey identifies a process of a backend server.
+type serverKey struct{ id, incarnation string }
+
+func (v *server) key() serverKey { return serverKey{v.ID, v.Incarnation} }
+
+// SetServer adds a backend server or updates its description. A server that was
+// removed while it had runs keeps them, and the estimates of its speed and cache,
+// if it comes back before they end. A new incarnation starts without runs and
+// with new estimates.
 func (s *Scheduler) SetServer(now time.Duration, n Server) {
 	s.advance(now)
 	v := s.servers[n.ID]
-	if v == nil {
-		v = &server{monitoredIndex: -1, rounding: s.random.Float64(), speed: newSpeed(s.thresholds)}
-		s.servers[n.ID] = v
-		s.serverOrder = append(s.serverOrder, v)
-	} else if v.equal(&n) {
+	switch {
+	case v == nil:
+		v = s.addServer(&n)
+	case v.equal(&n):
 		return
-	} else if v.Incarnation != n.Incarnation {
-		v.speed, v.cache, v.remoteInFlight, v.pausedUntil = newSpeed(s.thresholds), cacheEstimate{}, 0, 0
+	case v.Incarnation != n.Incarnation:
+		s.removeServer(v)
+		v = s.addServer(&n)
+	default:
+		s.slots -= v.modelSlots()
 	}
-	s.slots += n.modelSlots() - v.modelSlots()
+	s.slots += n.modelSlots()
 	v.Server = n
 	v.cache.limit = n.CacheTokens
 	s.removeFromPools(v)
@@ -149,6 +158,21 @@
 	}
 }
 
+// addServer adds a server without a description, or again the removed one of the
+// same incarnation that still has runs.
+func (s *Scheduler) addServer(n *Server) *server {
+	k := serverKey{n.ID, n.Incarnation}
+	v := s.removedServers[k]
+	if v == nil {
+		v = &server{monitoredIndex: -1, rounding: s.random.Float64(), speed: newSpeed(s.thresholds)}
+	}
+	delete(s.removedServers, k)
+	v.removed = false
+	s.servers[n.ID] = v
+	s.serverOrder = append(s.serverOrder, v)
+	return v
+}
+
 // equal reports whether the description of the server equals o.
 func (v *Server) equal(o *Server) bool {
 	return v.ID == o.ID && v.Incarnation == o.Incarnation && v.DataCentre == o.DataCentre &&
@@ -180,19 +204,21 @@
 // with Finished.
 func (s *Scheduler) RemoveServer(now time.Duration, id string) {
 	s.advance(now)
-	v := s.servers[id]
-	if v == nil {
-		return
+	if v := s.servers[id]; v != nil {
+		s.removeServer(v)
 	}
+}
+
+func (s *Scheduler) removeServer(v *server) {
 	v.removed = true
 	s.removeFromPools(v)
 	s.slots -= v.modelSlots()
-	delete(s.servers, id)
-	for i, o := range s.serverOrder {
-		if o == v {
-			s.serverOrder = append(s.serverOrder[:i], s.serverOrder[i+1:]...)
-			break
-		}
+	delete(s.servers, v.ID)
+	s.serverOrder = slices.DeleteFunc(s.serverOrder, func(o *server) bool { return o == v })
+	// SetHosts, SetSuspects and Report do not update removed servers.
+	v.remoteInFlight, v.remotelyReserved = 0, false
+	if len(v.runs) > 0 {
+		s.removedServers[v.key()] = v
 	}
 }
 
