schedule: stop monitoring removed servers

A server that was removed after a failure stayed in the list of the periodic check for ever, since its failure count was never reset.

A removed server is now monitored only while it has runs.

TestRemovedServersAreNotMonitored without the change: 1 (int) != 0 (int) It fails in the same way without the call of updateMonitored in removeServer.

--- a/schedule/removed_test.go
+++ b/schedule/removed_test.go
@@ -56,3 +56,30 @@
 		})
 	}
 }
+
+// Guards against memory and periodic work that grow with the number of servers
+// that were removed after a failure.
+func TestRemovedServersAreNotMonitored(t *testing.T) {
+	s := New(rand.NewPCG(1, 2))
+	s.SetServer(0, Server{ID: "a", Slots: 2, Models: []ServerModel{{Name: "m"}}})
+	var runs []Assignment
+	for _, program := range []string{"p", "q"} {
+		s.Enqueue(0, request(program, 0))
+		a, ok := s.Next(0)
+		assert.Assert(t, ok)
+		runs = append(runs, a)
+	}
+	s.Finished(0, runs[0].ID, "a", Usage{}, Crashed)
+	s.RemoveServer(0, "a")
+	assert.Equal(t, len(s.monitored), 1, "a server with a run is not monitored")
+	s.Finished(0, runs[1].ID, "a", Usage{}, Crashed)
+	assert.Equal(t, len(s.monitored), 0)
+
+	s.SetServer(0, Server{ID: "b", Slots: 2, Models: []ServerModel{{Name: "m"}}})
+	s.Enqueue(0, request("r", 0))
+	a, ok := s.Next(0)
+	assert.Assert(t, ok)
+	s.Finished(0, a.ID, "b", Usage{}, Crashed)
+	s.RemoveServer(0, "b")
+	assert.Equal(t, len(s.monitored), 0)
+}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -220,6 +220,7 @@
 	if len(v.runs) > 0 {
 		s.removedServers[v.key()] = v
 	}
+	s.updateMonitored(v)
 }
 
 // Report records a load report of a server. The reported load minus the
@@ -249,10 +250,10 @@
 }
 
 // updateMonitored updates the list of servers that the periodic check visits:
-// those with runs, and those that are slow, recovering, failing, in backoff or
-// paused.
+// those with runs and, unless they were removed, those that are slow, recovering,
+// failing, in backoff or paused.
 func (s *Scheduler) updateMonitored(v *server) {
-	busy := len(v.runs) > 0 || v.speed.limited() || s.now < max(v.pausedUntil, v.speed.backoffUntil)
+	busy := len(v.runs) > 0 || !v.removed && (v.speed.limited() || s.now < max(v.pausedUntil, v.speed.backoffUntil))
 	switch {
 	case busy && v.monitoredIndex < 0:
 		v.monitoredIndex = len(s.monitored)
