cmd/sycamoreline-platform: stop the health server without waiting

The health server waited for unused connections after the callers' server had done so, which took up to another half second of the time reserved for closing the host: http.Server.Shutdown polls at growing intervals. The answers of the health server are negative by then, so that a check that is cut off changes nothing.

It now closes its connections without waiting.

--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -133,7 +133,7 @@
 				err := drain(ctx, gate, callers, s.DrainTimeout()-closeTimeout)
 				f.Close()
 				link.Close()
-				return errors.Join(err, health.stop(ctx))
+				return errors.Join(err, health.stopNow())
 			},
 		})
 		return nil
