--- a/schedule/slowness.go
+++ b/schedule/slowness.go
@@ -140,9 +140,9 @@
 }
 
 // recalibratePool sets the median of a pool, or of its base, to that of its
-// servers if most of them are slow, and classifies them again. It is called when a server becomes
-// slow. If most servers are slow, work cannot be moved to faster ones, and
-// limiting all of them would only lengthen the queue.
+// servers if most of them are slow, and classifies them again. It is called when
+// a server becomes slow. If most servers are slow, work cannot be moved to faster
+// ones, and limiting all of them would only lengthen the queue.
 func (s *Scheduler) recalibratePool(now time.Duration, p *pool) {
 	if p.base != nil {
 		p = p.base
