--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,7 +49,8 @@
 	}
 	r.timing.placed = time.Since(c.Arrived)
 	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
-		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version), zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
+		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version),
+		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
 	return target{id: a.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address, service: p.service, softwareVersion: e.Version}, a, nil
 }
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -127,7 +127,8 @@
 	versions := r.versions()
 	unversioned := len(versions) == 1 && versions[0] == ""
 	r.logger.Info("stream resumed by its caller", zap.String("request", r.call.ID), zap.String("stream", r.call.Resumes),
-		zap.String("last-event", r.call.LastEvent), zap.String("service", v.Service), zap.String("software-version", v.Version), zap.Bool("known", v.Known), zap.Strings("versions", versions))
+		zap.String("last-event", r.call.LastEvent), zap.String("service", v.Service),
+		zap.String("software-version", v.Version), zap.Bool("known", v.Known), zap.Strings("versions", versions))
 	if !v.Known && !unversioned {
 		r.metrics.resumed("unknown")
 		return verdict.New(verdict.NotRun, UnknownStream, "the software version at which the stream began is not known")
