backend, cmd, forward: give the reasons of waits in tests

Comments only. The waits in real time stand for servers that are silent or slow, or let a connection or packets arrive; no result depends on a wait being exact.

--- a/backend/silence_test.go
+++ b/backend/silence_test.go
@@ -39,7 +39,7 @@
 					return
 				}
 				defer c.Close()
-				time.Sleep(silence)
+				time.Sleep(silence) // a server that reads nothing
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return
--- a/cmd/sycamoreline-platform/server_test.go
+++ b/cmd/sycamoreline-platform/server_test.go
@@ -23,7 +23,7 @@
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 	assert.NilError(t, err)
 	defer c.Close()
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond) // until the server has accepted the connection
 	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 	defer cancel()
 	start := time.Now()
@@ -38,7 +38,7 @@
 	running := make(chan struct{})
 	s, err := serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(running)
-		time.Sleep(3 * unusedTimeout)
+		time.Sleep(3 * unusedTimeout) // the request outlasts the wait for unused connections
 		w.WriteHeader(http.StatusOK)
 	}), zap.NewNop())
 	assert.NilError(t, err)
--- a/forward/closedelimited_test.go
+++ b/forward/closedelimited_test.go
@@ -45,7 +45,7 @@
 	_, err := io.WriteString(w, text)
 	assert.Check(t, err)
 	for read.Load() < want && t.Context().Err() == nil {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the text is read: a reset drops what is not
 	}
 	assert.Check(t, w.(*net.TCPConn).SetLinger(0))
 }
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -100,7 +100,7 @@
 	t.Parallel()
 	silent := startServer(t, silentStream(3)) // goes on after 1.8 s
 	slow := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond) // a server that needs longer than the time left
 		streamEvents(w, r.Header.Get("Id"), 3, 4, true)
 		return true
 	})
@@ -158,7 +158,7 @@
 		}
 	}()
 	sound := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
-		time.Sleep(time.Second)
+		time.Sleep(time.Second) // the place stays occupied while the others ask for one
 		streamEvents(w, r.Header.Get("Id"), 3, 4, true)
 		return true
 	})
@@ -181,9 +181,9 @@
 func TestServeStreamCountsHeadAsActivity(t *testing.T) {
 	t.Parallel()
 	first := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
-		time.Sleep(minIdleTimeout - 300*time.Millisecond)
+		time.Sleep(minIdleTimeout - 300*time.Millisecond) // a silence before the head
 		streamEvents(w, r.Header.Get("Id"), 1, 0, false)
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond) // and one after it
 		for i := 1; i <= 4; i++ {
 			e := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
 			fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -33,7 +33,7 @@
 			from++
 		}
 		if at == 0 {
-			time.Sleep(silence)
+			time.Sleep(silence) // the silence of the server
 		}
 		head := &strings.Builder{}
 		streamEvents(head, r.Header.Get("Id"), 1, 0, false)
@@ -42,7 +42,7 @@
 		}
 		for i := from; i <= 4; i++ {
 			if i == at {
-				time.Sleep(silence)
+				time.Sleep(silence) // the silence of the server
 			}
 			e := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
 			if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e); err != nil {
