forward, balancer: tell what ends a call without a complete answer

Cause: the logs did not distinguish the hypotheses on requests without an answer: whether the caller, the deadline, the shutdown of the host or a server ended an aborted stream, how much of its time it had used, and how long the table had been in force. Change: call failed and stream aborted carry the route's timeout, the share of the caller's time that was used, version and age of the table; stream aborted and the metric streams-broken also the cause. The shutdown cancels requests with a cause of its own. A turn that is not recorded counts as an aborted stream.

--- a/balancer/gate.go
+++ b/balancer/gate.go
@@ -160,6 +160,9 @@
 	g.apply((*Drain).HandedOver)
 }
 
+// errStopping is the cause of the cancellation of a request by CancelRequests.
+var errStopping = verdict.New(verdict.MayHaveRun, verdict.Draining, "this entry host is shutting down")
+
 // Wrap returns a handler whose requests are cancelled by CancelRequests. From
 // the phase Leaving on, it closes connections after the response, so that
 // callers connect again through the load balancer.
@@ -168,9 +171,9 @@
 		if g.Phase() != Serving {
 			w.Header().Set("Connection", "close")
 		}
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		stop := context.AfterFunc(g.requests, cancel)
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		stop := context.AfterFunc(g.requests, func() { cancel(errStopping) })
 		defer stop()
 		h.ServeHTTP(w, r.WithContext(ctx))
 	})
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -162,8 +162,7 @@
 			err = r.placementFailed(err)
 		}
 		if r.progress.started {
-			r.metrics.aborted(r.call)
-			r.logger.Warn("stream aborted", zap.String("request", r.call.ID), zap.Int64("events", r.events), zap.Error(err))
+			r.aborted(ctx, r.call, r.events, err)
 			r.settle()
 			panic(http.ErrAbortHandler)
 		}
@@ -211,7 +210,8 @@
 	r.answered(t, resp.StatusCode)
 	if r.call.Turn != nil && r.call.Route.KeepsHistory {
 		if err := r.recordTurn(); err != nil {
-			r.logger.Warn("turn not recorded; stream aborted", zap.String("request", r.call.ID), zap.Error(err))
+			r.logger.Warn("turn not recorded", zap.String("request", r.call.ID), zap.Error(err))
+			r.aborted(ctx, r.call, r.events, err)
 			r.settle()
 			panic(http.ErrAbortHandler)
 		}
--- a/forward/call.go
+++ b/forward/call.go
@@ -44,6 +44,20 @@
 	// Resumes is the id of the request whose answer began the stream that this
 	// call takes up, or empty.
 	Resumes string
+
+	callerTime time.Duration // from Arrived to the caller's own deadline
+}
+
+// limitDeadline limits the deadline to the end of the route's timeout.
+func (c *Call) limitDeadline() {
+	limit := c.Arrived.Add(c.Route.Timeout)
+	if c.Deadline.IsZero() {
+		c.Deadline = limit
+	}
+	c.callerTime = c.Deadline.Sub(c.Arrived)
+	if limit.Before(c.Deadline) {
+		c.Deadline = limit
+	}
 }
 
 // Turn describes a request that is a turn of a program.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash"
 	"math/rand/v2"
 	"net/http"
@@ -210,16 +211,13 @@
 // be completed, Serve panics with http.ErrAbortHandler, so that the caller
 // receives an aborted response.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, c *Call) error {
+	c.limitDeadline()
 	size := int64(len(c.Body))
 	if !f.bodies.TryAcquire(size) {
 		return f.failed(c, verdict.New(verdict.NotRun, verdict.Overloaded, "the bodies of calls in progress exceed their memory limit",
 			verdict.WithRetryAfter(recoveryRetryAfter())))
 	}
 	defer f.bodies.Release(size)
-	limit := c.Arrived.Add(c.Route.Timeout)
-	if c.Deadline.IsZero() || limit.Before(c.Deadline) {
-		c.Deadline = limit
-	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	r := &execution{Forwarder: f, call: c, body: c.Body, fingerprint: fingerprint(c)}
@@ -255,12 +253,47 @@
 func (f *Forwarder) failed(c *Call, err error) error {
 	e := verdict.From(err)
 	f.metrics.failed(c, e)
-	f.logger.Warn("call failed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program), zap.String("resumes", c.Resumes),
-		zap.String("verdict", e.Verdict().String()), zap.String("reason", string(e.Reason())),
-		zap.Duration("after", time.Since(c.Arrived)), zap.Duration("retry-after", e.RetryAfter()), zap.Error(err))
+	f.logger.Warn("call failed", append(f.endFields(c, err), zap.String("program", c.Program), zap.String("resumes", c.Resumes),
+		zap.String("verdict", e.Verdict().String()), zap.String("reason", string(e.Reason())), zap.Duration("retry-after", e.RetryAfter()))...)
 	return e
 }
 
+// aborted logs and counts a call whose response has begun and cannot be completed.
+func (f *Forwarder) aborted(ctx context.Context, c *Call, events int64, err error) {
+	cause := endCause(ctx, err)
+	f.metrics.aborted(c, cause)
+	f.logger.Warn("stream aborted", append(f.endFields(c, err), zap.String("cause", string(cause)), zap.Int64("events", events))...)
+}
+
+// endFields returns the log fields of a call that ends without a complete answer:
+// how much of its time it has used, and what it knew of its route.
+func (f *Forwarder) endFields(c *Call, err error) []zap.Field {
+	after := time.Since(c.Arrived)
+	version, age := f.view.table()
+	return []zap.Field{
+		zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.Duration("after", after),
+		zap.Duration("route-timeout", c.Route.Timeout), zap.Float64("time-used", after.Seconds()/max(time.Millisecond, c.callerTime).Seconds()),
+		zap.Int64("table", version), zap.Duration("table-age", age), zap.Error(err),
+	}
+}
+
+// endCause returns what has ended a call: cancelled if its caller has gone,
+// draining if this host stops, timeout at the deadline, or else the reason of the
+// error.
+func endCause(ctx context.Context, err error) verdict.Reason {
+	if ctx.Err() == nil {
+		return verdict.From(err).Reason()
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return verdict.Timeout
+	case errors.Is(cause, context.Canceled):
+		return verdict.Cancelled
+	default:
+		return verdict.From(cause).Reason()
+	}
+}
+
 // fingerprint hashes the parts of a request that are the same in a resend.
 func fingerprint(c *Call) uint64 {
 	d := xxhash.New()
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -48,8 +48,10 @@
 	m.scope.Tagged(map[string]string{"version": version}).Counter("streams-resumed").Inc(1)
 }
 
-// aborted counts an aborted stream.
-func (m *callMetrics) aborted(c *Call) { m.route(c).Counter("streams-broken").Inc(1) }
+// aborted counts an aborted stream by what ended it.
+func (m *callMetrics) aborted(c *Call, cause verdict.Reason) {
+	m.route(c).Tagged(map[string]string{"cause": string(cause)}).Counter("streams-broken").Inc(1)
+}
 
 // failedAttempt counts a failed attempt by verdict and reason.
 func (m *callMetrics) failedAttempt(e *verdict.Error) {
--- a/forward/view.go
+++ b/forward/view.go
@@ -45,6 +45,7 @@
 
 	mu       sync.Mutex
 	index    *route.Index
+	indexAt  time.Time // when index came into force
 	servers  map[string]registry.Entry
 	leaving  leavingServers
 	excluded map[string]exclusion // servers that are not used at present, by id
@@ -87,10 +88,19 @@
 
 // version returns the version of the routing table in force, or 0.
 func (view *View) version() int64 {
-	if x := view.Index(); x != nil {
-		return x.Version()
+	version, _ := view.table()
+	return version
+}
+
+// table returns the version of the routing table in force and its age on this
+// host, which are 0 without one.
+func (view *View) table() (version int64, age time.Duration) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	if view.index == nil {
+		return 0, 0
 	}
-	return 0
+	return view.index.Version(), time.Since(view.indexAt)
 }
 
 // service returns a service of the routing table, or nil.
@@ -145,7 +155,7 @@
 // Routes implements cluster.Observer.
 func (view *View) Routes(x *route.Index) {
 	view.mu.Lock()
-	view.index = x
+	view.index, view.indexAt = x, time.Now()
 	view.mu.Unlock()
 	view.syncServers()
 }
