forward: begin the response with the first event

Callers saw a closed connection without a byte of a response when a stream ended between the head of the server's response and its first event, at the route's timeout or because the server broke off. Cause: the response counted as begun once the server's head had arrived, so that a failure could only abort it; but nothing is sent before the first event. Change: the response begins with the first event, or the end of a stream without events. Until then a failed call gets its error response, and a second attempt passes on the head of the server that begins the stream.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -196,12 +196,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return idle.mapError(r.forwardFailure(ctx, w, t, resp))
 	}
-	if !r.progress.started {
-		r.progress.started = true
-		r.stream.begin(t.service, t.softwareVersion)
-		maps.Copy(w.Header(), r.protocol.ForwardedHeader(resp))
-		w.WriteHeader(resp.StatusCode)
-	}
 	if err := r.forwardEvents(ctx, w, t, resp, idle); err != nil {
 		return idle.mapError(err)
 	}
@@ -219,6 +213,18 @@
 	return nil
 }
 
+// beginResponse writes the head of the response, unless an earlier attempt has
+// done so.
+func (r *execution) beginResponse(w http.ResponseWriter, t target, resp *http.Response) {
+	if r.progress.started {
+		return
+	}
+	r.progress.started = true
+	r.stream.begin(t.service, t.softwareVersion)
+	maps.Copy(w.Header(), r.protocol.ForwardedHeader(resp))
+	w.WriteHeader(resp.StatusCode)
+}
+
 // forwardFailure forwards a server's error response, unless the caller's
 // response has already started.
 func (r *execution) forwardFailure(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response) error {
@@ -236,6 +242,8 @@
 }
 
 // forwardEvents forwards the events of a server's response until it is complete.
+// The caller's response begins with the first event: until then, a call that
+// fails can get an error response.
 func (r *execution) forwardEvents(ctx context.Context, w http.ResponseWriter, t target, resp *http.Response, idle *idleTimer) error {
 	frames := sse.NewFrameReader(resp.Body, maxEventBytes)
 	flusher := http.NewResponseController(w)
@@ -243,6 +251,7 @@
 	for {
 		f, err := frames.Next()
 		if errors.Is(err, io.EOF) {
+			r.beginResponse(w, t, resp)
 			return nil
 		}
 		if err != nil {
@@ -264,6 +273,7 @@
 			r.timing.firstEvent = time.Since(r.call.Arrived)
 		}
 		reporter.observe(t, int(max(1, r.tokensPerEvent)))
+		r.beginResponse(w, t, resp)
 		if _, err := w.Write(f.Raw); err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has disconnected", verdict.WithCause(err))
 		}
