schedule, forward: count calls that wait at servers before refusing others

Callers saw late answers and failures at a crest with 259 hosts, and hardly a refusal: calls waited for up to two seconds in the queues of servers, or were rejected by servers again and again until their deadline. Cause: hosts refuse calls by the length of their own queues, but each host may always have two runs on any engine and three on any other server. With many hosts these fill the queues of all servers before any call waits at a host. Change: the expected wait includes the runs of all hosts beyond the slots of the servers, and the calls that back off after a rejection. An eligible server stands in the way of a refusal only if it has a free slot as far as is known.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -272,7 +272,7 @@
 	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.attempts),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", serverDown), zap.Bool("retry", step == Retry), zap.Error(err))
 	if step == Retry && notRun && v.Reason() == verdict.Overloaded {
-		pause.For(ctx, r.progress.backoff(rand.Float64()))
+		r.backOff(ctx, t.service)
 	}
 	if step == Retry && ctx.Err() == nil {
 		return nil
@@ -288,6 +288,14 @@
 		verdict.WithCause(err), verdict.WithRetryAfter(defaultRetryAfter))
 }
 
+// backOff waits before a call that was rejected is sent again. It counts as
+// waiting meanwhile.
+func (r *execution) backOff(ctx context.Context, service string) {
+	r.view.addBackingOff(service, 1)
+	defer r.view.addBackingOff(service, -1)
+	pause.For(ctx, r.progress.backoff(rand.Float64()))
+}
+
 // classifyFailure returns the outcome of a failed attempt for the scheduler.
 func classifyFailure(v *verdict.Error) schedule.Outcome {
 	switch {
--- a/forward/view.go
+++ b/forward/view.go
@@ -54,6 +54,9 @@
 	limits   *cluster.Limits
 	outcomes *cluster.Outcomes
 	accused  map[string]bool // servers of which any host has reported failures
+	// backingOff counts the calls that wait to be sent again after a rejection, by
+	// service.
+	backingOff map[string]int
 	// knownSince is the time of the first update of the servers.
 	knownSince time.Time
 }
@@ -75,7 +78,7 @@
 	return &View{
 		forwarder: f, servers: map[string]registry.Entry{}, leaving: leavingServers{}, excluded: map[string]exclusion{},
 		crashed: map[uint64]*crash{}, suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
-		outcomes: cluster.NewOutcomes(), accused: map[string]bool{},
+		outcomes: cluster.NewOutcomes(), accused: map[string]bool{}, backingOff: map[string]int{},
 	}
 }
 
@@ -272,6 +275,9 @@
 		}
 		list = append(list, cluster.Suspect{Fingerprint: f, Servers: c.servers})
 	}
+	for service, n := range view.backingOff {
+		waiting[service] += n
+	}
 	now := view.forwarder.clock()
 	view.limits.Expire(now)
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
@@ -280,6 +286,15 @@
 	}
 }
 
+// addBackingOff adds n to the calls of a service that wait to be sent again.
+func (view *View) addBackingOff(service string, n int) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	if view.backingOff[service] += n; view.backingOff[service] == 0 {
+		delete(view.backingOff, service)
+	}
+}
+
 // Limits implements cluster.Observer.
 func (view *View) Limits(list []cluster.ServerLimit) {
 	view.mu.Lock()
--- a/forward/view_test.go
+++ b/forward/view_test.go
@@ -6,9 +6,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/sycamoreline/sycamoreline/registry"
+	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 // Guards against calls that are not restricted to the software version of a
@@ -88,3 +91,23 @@
 		view.mu.Unlock()
 	}
 }
+
+// Guards against calls that wait to be sent again after a rejection and are not
+// reported, so that no host knows that the servers are full.
+func TestReportCountsCallsThatBackOff(t *testing.T) {
+	f := newFixture(t, startServer(t, rejectRequest))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, err := f.serve(f.call("1", &route.Route{Kind: route.NonIdempotent}))
+		assert.Check(t, verdict.Of(err) == verdict.NotRun)
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.forwarder.View().Report().Waiting["plain"] == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no call waits")
+	}, poll.WithDelay(time.Millisecond))
+	<-done
+	assert.Equal(t, f.forwarder.View().Report().Waiting["plain"], 0)
+}
--- a/schedule/hopeless.go
+++ b/schedule/hopeless.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -26,13 +27,14 @@
 
 // ServiceQueue is the queue of a service at all entry hosts together.
 type ServiceQueue struct {
-	Waiting   int     `json:"waiting"`    // calls that wait for a server
+	Waiting   int     `json:"waiting"`    // calls that wait for a server, or to be sent again after a rejection
 	PerSecond float64 `json:"per-second"` // calls that its servers complete
 }
 
-// wait returns the expected wait of a call that arrives now.
-func (q ServiceQueue) wait() time.Duration {
-	return time.Duration(float64(q.Waiting) / q.PerSecond * float64(time.Second))
+// wait returns the expected wait of a call that arrives now, behind the calls that
+// wait at hosts and a number of others that wait at servers.
+func (q ServiceQueue) wait(atServers int) time.Duration {
+	return time.Duration(float64(q.Waiting+atServers) / q.PerSecond * float64(time.Second))
 }
 
 // SetQueues sets the queues of all entry hosts, by model or service. Those that are
@@ -67,15 +69,18 @@
 // that still get a server are late. The first calls of programs are refused
 // earlier, so that programs under way can end in time. Hosts know the queues and
 // the completions of all hosts, since their own are few.
+//
+// With many hosts, the queue is at the servers: each host may have a few runs on
+// any server, so that hardly a call waits at a host.
 func (s *Scheduler) refuseIfHopeless(c *call) bool {
-	if c.Deadline == 0 || len(c.pool.eligible) > 0 || s.now-s.queuesAt > queuesMaxAge {
+	if c.Deadline == 0 || c.pool.hasFreeSlot() || s.now-s.queuesAt > queuesMaxAge {
 		return false
 	}
 	q := s.queues[c.pool.key.name()]
 	if q.PerSecond < minCompletions {
 		return false
 	}
-	expected := q.wait()
+	expected := q.wait(c.pool.waitingAtServers())
 	acceptable := c.Deadline - s.now
 	if c.First {
 		acceptable = time.Duration(firstCallShare * float64(acceptable))
@@ -89,3 +94,23 @@
 	s.refuse(c, string(verdict.Overloaded), min(maxHopelessRetry, max(minHopelessRetry, retryAfter)))
 	return true
 }
+
+// hasFreeSlot reports whether a server may take a run of this host at once, as far
+// as the runs of all hosts are known.
+func (p *pool) hasFreeSlot() bool {
+	return slices.ContainsFunc(p.eligible, func(v *server) bool { return v.surplus() < 0 })
+}
+
+// waitingAtServers returns the number of runs of all hosts that wait for a slot of
+// their server.
+func (p *pool) waitingAtServers() int {
+	n := 0
+	for _, v := range p.members {
+		n += max(0, v.surplus())
+	}
+	return n
+}
+
+// surplus returns the number of runs of all hosts beyond the slots of the server,
+// which is negative if slots are free.
+func (v *server) surplus() int { return v.inFlight + v.remoteInFlight - v.slots() }
