replica: detect a leader whose disk was rolled back

What callers would see: an acknowledged command lost, or replicas that stop because "entry 4 of term 3 conflicts with a committed entry", after the disk of a leader was restored from a backup.

Cause: a replica learns that its disk was rolled back from the others' records of its acknowledgements and votes. A leader sends neither, but counts the entries on its own disk towards the quorum. After a roll-back it could vote for a replica without these entries. Found while tracing TestRolledBackFolder, which waited for ever when the chosen replica had become the leader meanwhile.

Change: an append tells the index of the last entry on the leader's disk (stable), and the receiver records it as acknowledged in the leader's term. A message without the field, from an older release, records only the term.

Not cured: entries that a leader has counted since its last append are in no record, and a roll-back that loses only these is not detected.

--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sycamoreline/sycamoreline/disk"
+	"github.com/sycamoreline/sycamoreline/faults"
 )
 
 // formedSim returns a simulated group with a leader and some committed entries.
@@ -212,6 +213,44 @@
 	})
 }
 
+// Guards against a leader whose disk was rolled back and whose vote elects a
+// leader without the entries that it had counted. The follower that is the only
+// other replica with these entries is frozen for half an election timeout
+// meanwhile. The backup is older than the leadership, or of the same term.
+func TestRolledBackLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, l := formedSim(t)
+		images := map[*simHost]faults.Image{}
+		for _, h := range s.hosts {
+			images[h] = h.disk.Image()
+		}
+		if rapid.Bool().Draw(t, "elected after the backup") {
+			out, ok := l.node.TransferLeadership(l.localTime())
+			assert.Assert(t, ok)
+			l.handle(out)
+		}
+		s.run(simTiming.Heartbeat + drawTime(t, "backup age", 2*time.Second))
+		l = s.leader()
+		behind := s.follower(l)
+		current := s.others(l)[0]
+		if current == behind {
+			current = s.others(l)[1]
+		}
+		s.net.Isolate(behind.id, testIDs...)
+		for range rapid.IntRange(1, 12).Draw(t, "proposals") {
+			l.propose()
+			s.run(20 * time.Millisecond)
+		}
+		s.run(simTiming.Heartbeat) // until the follower knows what the leader has counted
+		l.crash(drawTime(t, "down", 100*time.Millisecond))
+		l.disk.Restore(images[l])
+		current.frozenUntil = s.now + simTiming.Election/2
+		s.net.Heal()
+		s.run(5 * time.Second)
+		s.checkRecovery()
+	})
+}
+
 // Guards against a leadership transfer that loses proposals or waits for an
 // election timeout.
 func TestHandOver(t *testing.T) {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -117,7 +117,7 @@
 // were lost.
 func (n *Node) sendAppend(to Ref, p *progress) {
 	m := n.message(appendEntries, to)
-	m.Commit, m.Round = n.commit, n.leaderState.round
+	m.Commit, m.Stable, m.Round = n.commit, n.log.stable, n.leaderState.round
 	prev, ok := n.log.term(p.next - 1)
 	if !ok {
 		n.startSnapshotTransfer(to, p)
--- a/replica/message.go
+++ b/replica/message.go
@@ -43,6 +43,7 @@
 	Index   uint64 `json:"index,omitempty"`
 	LogTerm uint64 `json:"log-term,omitempty"`
 	Commit  uint64 `json:"commit,omitempty"`
+	Stable  uint64 `json:"stable,omitempty"` // in an append: index of the last entry on the leader's disk
 	// Round is echoed in replies. In messages of a leader it is the number of a
 	// heartbeat round, which confirms leadership for reads; in join and form
 	// messages and promise queries it is a nonce.
--- a/replica/promises.go
+++ b/replica/promises.go
@@ -12,7 +12,9 @@
 
 // Promises is a record of the promises made by a replica: the last entry that
 // it acknowledged, the term of the leader to which it acknowledged that entry,
-// and the last term in which it granted a vote. Each replica records the
+// and the last term in which it granted a vote. A leader acknowledges the
+// entries on its own disk with its appends; those that it has counted towards a
+// quorum since its last append are in no record. Each replica records the
 // promises of the others; a replica whose state lacks a promise in such a record
 // detects that its disk was rolled back.
 type Promises struct {
@@ -60,6 +62,8 @@
 		p = p.withAck(m.Term, m.Index)
 	case m.Kind == voteReply:
 		p = p.withVote(m.Term)
+	case m.Kind == appendEntries:
+		p = p.withAck(m.Term, m.Stable)
 	default:
 		return
 	}
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -30,7 +30,7 @@
 // current chunk if it is presumed lost.
 func (n *Node) sendTransferHeartbeat(now Now, to Ref, p *progress) {
 	m := n.message(appendEntries, to)
-	m.Round = n.leaderState.round
+	m.Stable, m.Round = n.log.stable, n.leaderState.round
 	n.sendNow(m)
 	if now.Elapsed >= p.resendAt {
 		p.resendAt = now.Elapsed + n.Timing.Election/2
