replica: ask for records of promises before voting, also after a stall

Cause: a restarted replica does not vote until the other voters have returned their records of its promises, or an election timeout after its start. If its process was stalled for that long right after the start, it voted without having asked, so that a roll-back of its disk was not detected.

Change: the wait is counted in rounds of queries, one per heartbeat for an election timeout, instead of time.

A process that is stalled between two rounds may still vote before it has read the replies, and a replica that first acknowledges entries to a new leader is not found out by older records.

--- a/replica/node.go
+++ b/replica/node.go
@@ -177,11 +177,13 @@
 	writes            []int         // sizes in bytes of the outstanding disk writes, oldest first
 
 	// A restarted replica does not vote until the other voters have returned
-	// their record of its promises, or until checkDeadline.
-	unverified    map[Ref]bool // voters that have not replied
-	queryNonce    uint64       // nonce echoed in the replies
-	checkDeadline time.Duration
-	nextQueryAt   time.Duration // time of the next query
+	// their record of its promises, or until it has sent queries for an election
+	// timeout. Rounds are counted instead of time, which also passes while the
+	// process is stalled and sends and receives nothing.
+	unverified  map[Ref]bool  // voters that have not replied
+	queryNonce  uint64        // nonce echoed in the replies
+	queryRounds int           // rounds of queries that are still to be sent
+	nextQueryAt time.Duration // time of the next query or, after the last, of the end of the wait
 
 	leaderState leaderState
 	formation   formation
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -82,6 +82,28 @@
 	assert.Equal(t, len(testNode(t, 2).Step(Now{}, vote).AfterPersist), 1)
 }
 
+// Guards against a replica that votes without having asked for the records of
+// its promises, because it was stalled for an election timeout after its start.
+func TestNoVoteBeforePromisesAreQueried(t *testing.T) {
+	n := testNode(t, 2)
+	n.startPromiseCheck(Now{})
+	request := Message{Kind: vote, From: testMembers[1].Ref, To: n.Self, Term: 9, Index: 99, LogTerm: 8}
+	stalled := Now{Elapsed: 2 * simTiming.Election}
+	assert.Equal(t, len(n.Step(stalled, request).AfterPersist), 0)
+	queries := 0
+	for at := stalled; at.Elapsed < stalled.Elapsed+simTiming.Election; at.Elapsed += simTiming.Heartbeat {
+		for _, m := range n.Tick(at).Immediate {
+			if m.Kind == promiseQuery {
+				queries++
+			}
+		}
+		assert.Equal(t, len(n.Step(at, request).AfterPersist), 0)
+	}
+	assert.Equal(t, queries, 2*int(simTiming.Election/simTiming.Heartbeat))
+	later := Now{Elapsed: stalled.Elapsed + simTiming.Election}
+	assert.Equal(t, len(n.Step(later, request).AfterPersist), 1)
+}
+
 // Guards against a membership that stays in effect after its log entry was
 // replaced.
 func TestMembersRevertWithReplacedEntry(t *testing.T) {
--- a/replica/promises.go
+++ b/replica/promises.go
@@ -97,7 +97,8 @@
 			n.unverified[x.Ref] = true
 		}
 	}
-	n.checkDeadline = now.Elapsed + n.Timing.Election
+	n.nextQueryAt = now.Elapsed
+	n.queryRounds = max(1, int(n.Timing.Election/n.Timing.Heartbeat))
 	n.queryNonce = n.Random.Uint64()
 }
 
@@ -123,10 +124,11 @@
 }
 
 func (n *Node) tickPromiseCheck(now Now) {
-	if len(n.unverified) == 0 || now.Elapsed < n.nextQueryAt || now.Elapsed >= n.checkDeadline {
+	if len(n.unverified) == 0 || now.Elapsed < n.nextQueryAt || n.queryRounds == 0 {
 		return
 	}
 	n.nextQueryAt = now.Elapsed + n.Timing.Heartbeat
+	n.queryRounds--
 	for _, r := range n.others() {
 		if n.unverified[r] {
 			m := n.message(promiseQuery, r)
@@ -137,8 +139,8 @@
 }
 
 // canVote returns whether the replica may take part in elections: it has a log,
-// and no voter is left whose record may exceed its state. It waits at most one
-// election timeout for voters that are down.
+// and no voter is left whose record may exceed its state. It waits for voters that
+// are down only until it has sent all queries.
 func (n *Node) canVote(now Now) bool {
-	return n.formed() && (len(n.unverified) == 0 || now.Elapsed >= n.checkDeadline)
+	return n.formed() && (len(n.unverified) == 0 || n.queryRounds == 0 && now.Elapsed >= n.nextQueryAt)
 }
