replica: bound the wait of TestRolledBackFolder

Cause: the test waited without a limit for the replica to stop, so that a rolled-back disk that was not detected showed only as the time limit of the whole package.

No check changed.

Measured: go test -race -count=3 -run TestRolledBackFolder ./replica passes.

--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -158,7 +158,12 @@
 	c.kill(id)
 	c.disks[id].Restore(image)
 	c.start(id)
-	<-c.groups[id].Done()
+	select {
+	case <-c.groups[id].Done():
+	case <-ctx.Done():
+		c.logStatus()
+		t.Fatalf("%s did not detect before the deadline that its disk was rolled back", id)
+	}
 	assert.ErrorIs(t, c.groups[id].Err(), ErrRolledBack)
 	c.stop(id)
 	c.start(id)
