replica: kill the replica of TestDamagedFolder only with a full log

Cause: the test damaged the log of a replica without waiting until that had the ten commands. Beside load it could have only its first write, the initial membership. Damage to the last write is taken for a torn write, so that Open succeeds, as intended, where the test expects ErrDamaged.

Evidence: once beside load (-race, -cpu 1, 12 busy processes on 8 processors): "error is nil, not "data folder is damaged"".

Change: the test first waits until the replica has applied the commands and checks them. No check is removed.

--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -127,6 +127,7 @@
 		c.propose(ctx, fmt.Sprint(i))
 	}
 	id := testIDs[2]
+	c.waitForCommands(ctx, id) // damage to the only write in a log would be taken for a torn write
 	c.kill(id)
 	c.disks[id].Corrupt("data/log", 30)
 	config := Config{ID: id, Peers: testIDs, Dir: "data"}
