--- a/replica/promises.go
+++ b/replica/promises.go
@@ -12,7 +12,9 @@
 
 // Promises is a record of the promises made by a replica: the last entry that
 // it acknowledged, the term of the leader to which it acknowledged that entry,
-// and the last term in which it granted a vote. Each replica records the
+// and the last term in which it granted a vote. A leader acknowledges the
+// entries on its own disk with its appends; those that it has counted towards a
+// quorum since its last append are in no record. Each replica records the
 // promises of the others; a replica whose state lacks a promise in such a record
 // detects that its disk was rolled back.
 type Promises struct {
@@ -60,6 +62,8 @@
 		p = p.withAck(m.Term, m.Index)
 	case m.Kind == voteReply:
 		p = p.withVote(m.Term)
+	case m.Kind == appendEntries:
+		p = p.withAck(m.Term, m.Stable)
 	default:
 		return
 	}
@@ -93,7 +97,8 @@
 			n.unverified[x.Ref] = true
 		}
 	}
-	n.checkDeadline = now.Elapsed + n.Timing.Election
+	n.nextQueryAt = now.Elapsed
+	n.queryRounds = max(1, int(n.Timing.Election/n.Timing.Heartbeat))
 	n.queryNonce = n.Random.Uint64()
 }
 
@@ -119,10 +124,11 @@
 }
 
 func (n *Node) tickPromiseCheck(now Now) {
-	if len(n.unverified) == 0 || now.Elapsed < n.nextQueryAt || now.Elapsed >= n.checkDeadline {
+	if len(n.unverified) == 0 || now.Elapsed < n.nextQueryAt || n.queryRounds == 0 {
 		return
 	}
 	n.nextQueryAt = now.Elapsed + n.Timing.Heartbeat
+	n.queryRounds--
 	for _, r := range n.others() {
 		if n.unverified[r] {
 			m := n.message(promiseQuery, r)
@@ -133,8 +139,8 @@
 }
 
 // canVote returns whether the replica may take part in elections: it has a log,
-// and no voter is left whose record may exceed its state. It waits at most one
-// election timeout for voters that are down.
+// and no voter is left whose record may exceed its state. It waits for voters that
+// are down only until it has sent all queries.
 func (n *Node) canVote(now Now) bool {
-	return n.formed() && (len(n.unverified) == 0 || now.Elapsed >= n.checkDeadline)
+	return n.formed() && (len(n.unverified) == 0 || n.queryRounds == 0 && now.Elapsed >= n.nextQueryAt)
 }
