cluster: measure polls only once there is a leader

Cause: TestPollCost failed once beside load (112 bytes against 93 + 16). The answer to a poll names the leader of the control hosts, which takes 16 bytes; if the leader was elected between the first measurement and a later one, the bytes grew by that. Change: the test waits for the leader first. The bounds are the same.

--- a/cluster/poll_test.go
+++ b/cluster/poll_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/registry"
@@ -88,6 +89,14 @@
 		idleBytes, loadBytes int
 		idleAllocs           float64
 	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // a poll without a leader is smaller
+		out, err := h.sync(ctx, "", syncRequest{Host: "e1"})
+		assert.NilError(t, err)
+		if out.Leader == "" {
+			return poll.Continue("no leader")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	var first cost
 	for i, hosts := range pollSizes {
 		servers := serversPerHost * hosts
@@ -112,7 +121,7 @@
 				break
 			}
 		}
-		poll := func(wantLoad bool) int {
+		measure := func(wantLoad bool) int {
 			r.WantInFlight, r.AcceptsTotals = wantLoad, wantLoad
 			h.mu.Lock()
 			h.loads.aggregate = nil
@@ -124,7 +133,7 @@
 			return len(cborwire.MustMarshal(out))
 		}
 		r.WantInFlight = false
-		c := cost{idleBytes: poll(false), loadBytes: poll(true), idleAllocs: testing.AllocsPerRun(200, func() { _, _ = h.sync(ctx, "", r) })}
+		c := cost{idleBytes: measure(false), loadBytes: measure(true), idleAllocs: testing.AllocsPerRun(200, func() { _, _ = h.sync(ctx, "", r) })}
 		t.Logf("%d hosts, %d servers: %d bytes without load, %d with load, %.0f allocations", hosts, servers, c.idleBytes, c.loadBytes, c.idleAllocs)
 		if i == 0 {
 			first = c
