forward: resume a stream after the last event that was passed on

Cause: the id of an event was taken before memory was reserved to keep it. If none was left, the attempt failed without passing the event on, and the next attempt resumed after it, so that the caller missed one event of a stream that ended as complete. It takes a route that keeps history and allows resuming. Change: the event counts once it can be kept. Measured: TestStreamResumesBeforeEventThatWasNotKept failed before (the second attempt resumed after event 2 instead of 1). TestServe* pass.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -259,16 +259,17 @@
 		}
 		idle.reset()
 		r.silence.heard()
-		r.events++
-		if f.ID != "" {
-			r.lastEvent = f.ID
-		}
 		if r.call.Route.KeepsHistory && r.call.Turn != nil {
 			if err := r.holdAnswer(len(f.Data) + 1); err != nil {
 				return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "stream of server "+t.server+" is too large", verdict.WithCause(err))
 			}
 			r.output = append(append(r.output, f.Data...), '\n')
 		}
+		// Another attempt resumes after this event, so it must be passed on.
+		r.events++
+		if f.ID != "" {
+			r.lastEvent = f.ID
+		}
 		if r.events == 1 {
 			r.timing.firstEvent = time.Since(r.call.Arrived)
 		}
