forward: record the origin of a stream again after a lost answer

Cause: an attempt that could not record its version left the earlier record as the known one, although the ledger may have replaced it if only the answer was lost. A later attempt at the earlier version then began the stream without a record, and a caller that resumed it was sent to the other version. Change: after an answer that may have been lost, the next attempt records its version, whatever the earlier record was.

--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -52,6 +52,9 @@
 	// recorded is the origin that is recorded or being recorded. Its version is ""
 	// if there is none.
 	recorded origin
+	// uncertain is set if the ledger may hold another origin than recorded, since
+	// the answer to a later record was lost.
+	uncertain bool
 	// recording is the record in progress, or nil.
 	recording *recording
 }
@@ -183,7 +186,7 @@
 // replaced first.
 func (r *execution) recordOrigin(ctx context.Context, o origin) error {
 	s := &r.stream
-	if !r.recordsVersion() || s.fixed || o == s.recorded || o.version == "" && s.recorded.version == "" {
+	if !r.recordsVersion() || s.fixed || !s.uncertain && (o == s.recorded || o.version == "" && s.recorded.version == "") {
 		return nil
 	}
 	if s.recorded.version == "" {
@@ -199,10 +202,11 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	if err := r.turns.RecordStream(ctx, r.streamKey(r.call.ID), o.service, o.version, r.attempts, r.streamRetention()); err != nil {
+		s.uncertain = s.uncertain || verdict.Of(err) != verdict.NotRun
 		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the software version of the stream could not be recorded",
 			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
 	}
-	s.recorded = o
+	s.recorded, s.uncertain = o, false
 	return nil
 }
 
