forward: don't record the version of a server that has left

Cause: a server that leaves between its assignment and the attempt has no entry, and its empty version was recorded as that of the stream, in place of the one recorded before. An empty version does not restrict a stream, so that its caller could resume it at any version until a later attempt had replaced the record, which it does in the background. Change: the check for a server that has left comes before the record. Measured: TestVersionOfServerThatHasLeftIsNotRecorded failed before (a record with an empty version).

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -79,6 +79,9 @@
 
 // attemptBuffered makes one attempt of serveBuffered.
 func (r *execution) attemptBuffered(ctx context.Context, t target, a schedule.Assignment) (bufferedAnswer, error) {
+	if err := t.checkPresent(); err != nil {
+		return bufferedAnswer{}, err
+	}
 	resp, err := r.send(ctx, t, a)
 	if err != nil {
 		return bufferedAnswer{}, err
@@ -172,6 +175,10 @@
 
 // attemptStream makes one attempt of serveStream.
 func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) (err error) {
+	// Also keeps the version of a server that is not known from being recorded.
+	if err := t.checkPresent(); err != nil {
+		return err
+	}
 	if fixed := r.stream.fixedVersion(); fixed != "" && t.softwareVersion != fixed {
 		return verdict.Newf(verdict.NotRun, verdict.NoServer, "server %s now has software version %q: want %q", t.server, t.softwareVersion, fixed)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,14 @@
 	softwareVersion string
 }
 
+// checkPresent returns an error if the server has left since it was assigned.
+func (t target) checkPresent() error {
+	if t.address == "" {
+		return verdict.New(verdict.NotRun, verdict.NoServer, "server "+t.server+" has left")
+	}
+	return nil
+}
+
 // placement is the assignment of a server to an attempt that has not been sent.
 type placement struct {
 	assignment schedule.Assignment
@@ -211,9 +219,6 @@
 // send sends the request of one attempt and returns the server's response. The
 // error carries the verdict on this attempt.
 func (r *execution) send(ctx context.Context, t target, a schedule.Assignment) (*http.Response, error) {
-	if t.address == "" {
-		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "server "+t.server+" has left")
-	}
 	r.silence = r.watchSilence(t)
 	resp, err := r.pool.Do(ctx, t.address, r.serverRequest(a), func(h *http.Response) bool { return r.protocol.Reply(r.call, h).Matches })
 	if err != nil {
