forward: answer an unrecorded turn without events with an error

Cause: the end of a stream without events began the response before the turn was recorded, so that a record that failed closed the connection without a byte of a response. Change: the response to such a stream begins after the record. Measured: TestUnrecordedTurnWithoutEventsGetsErrorResponse failed before (aborted). TestServe*, TestStreamWithoutEventsIsComplete pass.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -212,11 +212,15 @@
 	if r.call.Turn != nil && r.call.Route.KeepsHistory {
 		if err := r.recordTurn(); err != nil {
 			r.logger.Warn("turn not recorded", zap.String("request", r.call.ID), zap.Error(err))
+			if !r.progress.started {
+				return verdict.New(verdict.MayHaveRun, verdict.From(err).Reason(), "the turn could not be recorded", verdict.WithCause(err))
+			}
 			r.aborted(ctx, r.call, r.events, err)
 			r.settle()
 			panic(http.ErrAbortHandler)
 		}
 	}
+	r.beginResponse(w, t, resp) // of a stream without events
 	return nil
 }
 
@@ -258,7 +262,6 @@
 	for {
 		f, err := frames.Next()
 		if errors.Is(err, io.EOF) {
-			r.beginResponse(w, t, resp)
 			return nil
 		}
 		if err != nil {
