forward: keep trying to complete a stream that servers reject

Cause: a call ends after 12 attempts that did not run, which takes 0.4 to 1.2 s. For a call that has sent nothing this is a rejection, which its caller may act on; a stream that has begun was aborted instead, with most of its time left. So ended streams that had been moved from a silent server, or had lost theirs, if the other servers were full. Change: the number of rejections does not limit a stream whose response has begun. From the 12th on, each one is followed by the backoff, whatever its reason.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -276,7 +276,7 @@
 	r.metrics.failedAttempt(v)
 	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.attempts),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", serverDown), zap.Bool("retry", step == Retry), zap.Error(err))
-	if step == Retry && notRun && v.Reason() == verdict.Overloaded {
+	if step == Retry && notRun && (v.Reason() == verdict.Overloaded || r.progress.notRun >= maxNotRun) {
 		pause.For(ctx, r.progress.backoff(rand.Float64()))
 	}
 	if step == Retry && ctx.Err() == nil {
--- a/forward/call.go
+++ b/forward/call.go
@@ -123,7 +123,8 @@
 // Limits of retries.
 const (
 	// maxNotRun is the maximum number of attempts of one call that did not run,
-	// because they reached no server or were rejected.
+	// because they reached no server or were rejected. It does not limit a stream
+	// whose response has begun: its caller can't be told that it was rejected.
 	maxNotRun = 12
 	// initialBackoff and maxBackoff are the initial and the maximum backoff, before
 	// jitter, after a full server has rejected a call. The servers of a plain
@@ -152,7 +153,7 @@
 	}
 	if notRun {
 		p.notRun++
-		if p.notRun >= maxNotRun {
+		if p.notRun >= maxNotRun && !p.started {
 			return Fail
 		}
 		return Retry
--- a/forward/call_test.go
+++ b/forward/call_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"not run, non-idempotent", route.Route{Kind: route.NonIdempotent, MaxAttempts: 1}, progress{}, true, false, Retry},
 		{"not run, too many attempts", route.Route{Kind: route.Idempotent, MaxAttempts: 3}, progress{notRun: maxNotRun - 1}, true, false, Fail},
+		{"not run, response begun", route.Route{Kind: route.Stream, MaxAttempts: 1}, progress{notRun: maxNotRun - 1, started: true}, true, false, Retry},
 		{"non-idempotent may have run", route.Route{Kind: route.NonIdempotent, MaxAttempts: 5}, progress{}, false, false, Fail},
 		{"non-idempotent, server down", route.Route{Kind: route.NonIdempotent, MaxAttempts: 5}, progress{}, false, true, Fail},
 		{"idempotent with attempts left", route.Route{Kind: route.Idempotent, MaxAttempts: 2}, progress{}, false, false, Retry},
