schedule: prefer the server that has failed a call least often

Cause: all servers that had failed attempts of a call were avoided alike, and the choice among them went by their speed. A stream that was moved from a silent server, which counts as slow, to a full one was sent to the full one again and again, and ended at its deadline although the first one had gone on. Change: the penalty counts the failed attempts. The tests of schedule and dispatch pass.

--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -92,9 +92,7 @@
 	if l.call.Service != "" && !v.connections.open(l.now) {
 		cost += connectSeconds
 	}
-	if l.call.avoids(v) {
-		cost += avoidPenaltySeconds
-	}
+	cost += avoidPenaltySeconds * float64(l.call.failuresOn(v))
 	if l.best.server == nil || cost < l.cost {
 		l.best, l.cost = choice{server: v, reason: reason}, cost
 	}
@@ -128,16 +126,21 @@
 	return max(0, c.PromptTokens-cached)
 }
 
-// avoidPenaltySeconds is the penalty in seconds for a server that failed an
-// earlier attempt of the call. Such a server is chosen last, but not excluded,
-// since it may be the only one.
+// avoidPenaltySeconds is the penalty in seconds for each earlier attempt of the
+// call that a server has failed. Such a server is chosen last, but not excluded,
+// since it may be the only one. Of several, the one that has failed least often
+// is chosen: a server that was silent may go on while a full one stays full.
 const avoidPenaltySeconds = 1000
 
-func (c *call) avoids(v *server) bool {
+func (c *call) avoids(v *server) bool { return slices.Contains(c.Avoid, v.ID) }
+
+// failuresOn returns the number of attempts of the call that a server has failed.
+func (c *call) failuresOn(v *server) int {
+	n := 0
 	for _, id := range c.Avoid {
 		if id == v.ID {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -79,7 +79,8 @@
 	// Session identifies the session of the request: a sequence of calls in
 	// which each prompt is a prefix of the next one. It is 0 for none.
 	Session uint64
-	// Avoid lists the servers that failed an earlier attempt of this call.
+	// Avoid lists the servers that failed earlier attempts of this call, once for
+	// each attempt.
 	Avoid []string
 }
 
