forward, backend: bound the wait for the body of a rejection

Cause: the body of a rejection is read before the next attempt, so that its connection can be reused. A server that fell silent between head and body held the call until its deadline, although another server was free. Change: after 50 ms the connection is closed and the call goes on.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -472,3 +472,13 @@
 		b.closeAfter = true
 	}
 }
+
+// CloseIn closes the connection of a response after d, which ends a read of its
+// body. The returned function stops that, and returns false if it is too late.
+func CloseIn(r *http.Response, d time.Duration) (stop func() bool) {
+	b, ok := r.Body.(*pooledBody)
+	if !ok {
+		return func() bool { return true }
+	}
+	return time.AfterFunc(d, func() { b.conn.nc.Close() }).Stop
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/sse"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -20,12 +21,16 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// discard reads up to maxDiscard bytes of an answer, so that the connection of a
-// short one can be reused. It does not wait for the end of an answer whose
-// connection cannot be reused.
+// discard reads up to maxDiscard bytes of an answer, for up to discardTimeout, so
+// that the connection of a short one can be reused. It does not wait for the end
+// of an answer whose connection cannot be reused.
 func discard(resp *http.Response) {
 	if !resp.Close {
+		stop := backend.CloseIn(resp, discardTimeout)
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+		if !stop() {
+			backend.CloseAfter(resp)
+		}
 	}
 	resp.Body.Close()
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -47,6 +47,9 @@
 	defaultBodyBytes = 64 << 20
 	// maxDiscard is the maximum number of bytes read of a discarded answer.
 	maxDiscard = 64 << 10
+	// discardTimeout bounds the wait for a discarded answer, which delays the next
+	// attempt. Servers send the head and the body of a rejection together.
+	discardTimeout = 50 * time.Millisecond
 	// minRecoveryRetryAfter is the minimum retry-after of calls that are rejected
 	// because the ledger is unavailable, as during a leader election, or because
 	// the bodies of calls exceed their memory limit. recoveryRetryAfterSpread is
