--- a/forward/answer.go
+++ b/forward/answer.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/sse"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -20,12 +21,16 @@
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// discard reads up to maxDiscard bytes of an answer, so that the connection of a
-// short one can be reused. It does not wait for the end of an answer whose
-// connection cannot be reused.
+// discard reads up to maxDiscard bytes of an answer, for up to discardTimeout, so
+// that the connection of a short one can be reused. It does not wait for the end
+// of an answer whose connection cannot be reused.
 func discard(resp *http.Response) {
 	if !resp.Close {
+		stop := backend.CloseIn(resp, discardTimeout)
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+		if !stop() {
+			backend.CloseAfter(resp)
+		}
 	}
 	resp.Body.Close()
 }
@@ -79,6 +84,9 @@
 
 // attemptBuffered makes one attempt of serveBuffered.
 func (r *execution) attemptBuffered(ctx context.Context, t target, a schedule.Assignment) (bufferedAnswer, error) {
+	if err := t.checkPresent(); err != nil {
+		return bufferedAnswer{}, err
+	}
 	resp, err := r.send(ctx, t, a)
 	if err != nil {
 		return bufferedAnswer{}, err
@@ -172,6 +180,10 @@
 
 // attemptStream makes one attempt of serveStream.
 func (r *execution) attemptStream(ctx context.Context, w http.ResponseWriter, t target, a schedule.Assignment) (err error) {
+	// Also keeps the version of a server that is not known from being recorded.
+	if err := t.checkPresent(); err != nil {
+		return err
+	}
 	if fixed := r.stream.fixedVersion(); fixed != "" && t.softwareVersion != fixed {
 		return verdict.Newf(verdict.NotRun, verdict.NoServer, "server %s now has software version %q: want %q", t.server, t.softwareVersion, fixed)
 	}
@@ -205,11 +217,15 @@
 	if r.call.Turn != nil && r.call.Route.KeepsHistory {
 		if err := r.recordTurn(); err != nil {
 			r.logger.Warn("turn not recorded", zap.String("request", r.call.ID), zap.Error(err))
+			if !r.progress.started {
+				return verdict.New(verdict.MayHaveRun, verdict.From(err).Reason(), "the turn could not be recorded", verdict.WithCause(err))
+			}
 			r.aborted(ctx, r.call, r.events, err)
 			r.settle()
 			panic(http.ErrAbortHandler)
 		}
 	}
+	r.beginResponse(w, t, resp) // of a stream without events
 	return nil
 }
 
@@ -251,7 +267,6 @@
 	for {
 		f, err := frames.Next()
 		if errors.Is(err, io.EOF) {
-			r.beginResponse(w, t, resp)
 			return nil
 		}
 		if err != nil {
@@ -259,16 +274,17 @@
 		}
 		idle.reset()
 		r.silence.heard()
-		r.events++
-		if f.ID != "" {
-			r.lastEvent = f.ID
-		}
 		if r.call.Route.KeepsHistory && r.call.Turn != nil {
 			if err := r.holdAnswer(len(f.Data) + 1); err != nil {
 				return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "stream of server "+t.server+" is too large", verdict.WithCause(err))
 			}
 			r.output = append(append(r.output, f.Data...), '\n')
 		}
+		// Another attempt resumes after this event, so it must be passed on.
+		r.events++
+		if f.ID != "" {
+			r.lastEvent = f.ID
+		}
 		if r.events == 1 {
 			r.timing.firstEvent = time.Since(r.call.Arrived)
 		}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -29,6 +29,14 @@
 	softwareVersion string
 }
 
+// checkPresent returns an error if the server has left since it was assigned.
+func (t target) checkPresent() error {
+	if t.address == "" {
+		return verdict.New(verdict.NotRun, verdict.NoServer, "server "+t.server+" has left")
+	}
+	return nil
+}
+
 // placement is the assignment of a server to an attempt that has not been sent.
 type placement struct {
 	assignment schedule.Assignment
@@ -211,9 +219,6 @@
 // send sends the request of one attempt and returns the server's response. The
 // error carries the verdict on this attempt.
 func (r *execution) send(ctx context.Context, t target, a schedule.Assignment) (*http.Response, error) {
-	if t.address == "" {
-		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "server "+t.server+" has left")
-	}
 	r.silence = r.watchSilence(t)
 	resp, err := r.pool.Do(ctx, t.address, r.serverRequest(a), func(h *http.Response) bool { return r.protocol.Reply(r.call, h).Matches })
 	if err != nil {
@@ -271,7 +276,7 @@
 	r.metrics.failedAttempt(v)
 	r.logger.Warn("attempt failed", zap.String("request", r.call.ID), zap.String("server", t.server), zap.Int("attempt", r.attempts),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", serverDown), zap.Bool("retry", step == Retry), zap.Error(err))
-	if step == Retry && notRun && v.Reason() == verdict.Overloaded {
+	if step == Retry && notRun && (v.Reason() == verdict.Overloaded || r.progress.notRun >= maxNotRun) {
 		r.backOff(ctx, t.service)
 	}
 	if step == Retry && ctx.Err() == nil {
