cmd: report connections that are closed with an unanswered request

Cause: when the process closes a connection on which a request has arrived, nothing tells so. A request that net/http reads and drops during Shutdown, one that is cut at the end of the drain and one whose handler panics leave no line; panics are logged by net/http at the level info, where lines may be dropped.

Change: accepted connections record the stage of their latest request. Closing one with an unanswered request writes a warning with the cause, the phase of the shutdown, the bytes read and the time since the last read, and counts connections-closed-unanswered by cause and phase. The error log of the servers is at the level error.

Measured: the tests of the package pass, also with -race. No behaviour of the servers changes.

--- a/cmd/sycamoreline-platform/process_test.go
+++ b/cmd/sycamoreline-platform/process_test.go
@@ -88,10 +88,11 @@
 			var line struct {
 				Message string `json:"msg"`
 				Phase   string `json:"phase"`
+				Cause   string `json:"cause"`
 				Error   string `json:"error"`
 			}
 			if json.Unmarshal(l.Bytes(), &line) == nil {
-				p.messages <- strings.TrimSpace(strings.Join([]string{line.Message, line.Phase, line.Error}, " "))
+				p.messages <- strings.TrimSpace(strings.Join([]string{line.Message, line.Phase, line.Cause, line.Error}, " "))
 			}
 		}
 	}()
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -80,7 +80,7 @@
 				}
 				go watchSeeds(ctx, p, host.SetSeeds)
 				go stopOnFailure(ctx, host, shutdown, logger)
-				api, err = serve(s.Listen.Control, platform.NewControlAPI(host, s, logger), logger)
+				api, err = serve(s.Listen.Control, platform.NewControlAPI(host, s, logger), logger, withMetrics(p.metrics))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
@@ -125,7 +125,7 @@
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger)
+				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -9,9 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/platform"
 )
 
@@ -31,25 +33,45 @@
 // server is an HTTP server on one address.
 type server struct {
 	http.Server
-	done sync.WaitGroup
+	logger  *zap.Logger
+	metrics tally.Scope
+	phase   func() balancer.Phase // of the host's shutdown, nil if it has none
+	done    sync.WaitGroup
 
 	mu     sync.Mutex
 	unused map[net.Conn]struct{} // connections before their first request
 }
 
+// serverOption configures a server.
+type serverOption func(*server)
+
+// withMetrics sets the scope of a server's metrics. By default, there are none.
+func withMetrics(m tally.Scope) serverOption { return func(s *server) { s.metrics = m } }
+
+// withPhase sets the phase of the host's shutdown, for logs and metrics.
+func withPhase(f func() balancer.Phase) serverOption { return func(s *server) { s.phase = f } }
+
 // serve listens on an address and starts an HTTP server there.
-func serve(address string, h http.Handler, logger *zap.Logger) (*server, error) {
+func serve(address string, h http.Handler, logger *zap.Logger, opts ...serverOption) (*server, error) {
+	// Among the errors of the server are panics of handlers, which lose a request.
+	errorLog, err := zap.NewStdLogAt(logger, zap.ErrorLevel)
+	if err != nil {
+		return nil, fmt.Errorf("create the server's error log: %w", err)
+	}
 	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
 	s := &server{Server: http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(logger),
-	}, unused: map[net.Conn]struct{}{}}
+		Handler: recordStages(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: errorLog, ConnContext: withConnection,
+	}, logger: logger, metrics: tally.NoopScope, unused: map[net.Conn]struct{}{}}
+	for _, o := range opts {
+		o(s)
+	}
 	s.ConnState = s.connectionChanged
 	s.done.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(connectionListener{l, s}); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server stopped", zap.String("address", address), zap.Error(err))
 		}
 	})
@@ -66,6 +88,15 @@
 }
 
 func (s *server) connectionChanged(c net.Conn, state http.ConnState) {
+	if accepted, ok := c.(*connection); ok {
+		switch state {
+		case http.StateActive:
+			accepted.setStage(parsed)
+		case http.StateIdle:
+			accepted.setStage(awaited)
+		default:
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
@@ -75,6 +106,23 @@
 	}
 }
 
+// closedUnanswered reports a connection that is closed with an unanswered request.
+func (s *server) closedUnanswered(c *connection, cause unansweredCause, received int, receivedAt time.Time) {
+	phase := "none"
+	if s.phase != nil {
+		phase = s.phase().String()
+	}
+	fields := []zap.Field{
+		zap.String("cause", string(cause)), zap.String("phase", phase), zap.Int("bytes-read", received),
+		zap.Stringer("address", c.LocalAddr()), zap.Stringer("client", c.RemoteAddr()),
+	}
+	if received > 0 {
+		fields = append(fields, zap.Duration("since-last-read", time.Since(receivedAt)))
+	}
+	s.logger.Warn("connection closed with an unanswered request", fields...)
+	s.metrics.Tagged(map[string]string{"cause": string(cause), "phase": phase}).Counter("connections-closed-unanswered").Inc(1)
+}
+
 func (s *server) closeUnused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
