cmd: a server that stops answers the requests that have arrived

Cause: http.Server.Shutdown closes kept connections at once, also those on which a request has arrived and is unread because the host is busy. The HTTP server handles no request whose header it has read after Shutdown began: it closes the connection without an answer. So the 200 ms in which the first request on a new connection may arrive saved none.

Change: stop closes the listener and leaves the connections to the HTTP server until none is open. Connections that are silent expire: their next read returns what has arrived without waiting, so that a request that is there gets its answer, a refusal, and any other connection is closed. Kept connections expire at once, new ones and those with part of a request after 200 ms. Answers close their connection. Shutdown follows when all connections are closed.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -41,27 +42,52 @@
 	bodyUnread unansweredCause = "body-unread"
 )
 
+// progress is what is known of the latest request on a connection.
+type progress struct {
+	stage      stage
+	received   int       // bytes read since the last answer
+	receivedAt time.Time // of the latest bytes
+	used       bool      // a request has been answered
+}
+
+// isSilent reports whether no request is in progress or on its way, on a server
+// that has been stopping for a time. A request on a new connection, and the rest
+// of one, get unusedTimeout to arrive.
+func (p progress) isSilent(now time.Time, stopping time.Duration) bool {
+	switch {
+	case p.stage != awaited:
+		return false
+	case p.received > 0:
+		return now.Sub(p.receivedAt) >= unusedTimeout
+	default:
+		return p.used || stopping >= unusedTimeout
+	}
+}
+
 // connection is an accepted connection. It reports to its server when the process
 // closes it although a request is unanswered.
 type connection struct {
 	*net.TCPConn
 	server *server
 
-	mu         sync.Mutex
-	stage      stage
-	received   int       // bytes read since the last answer
-	receivedAt time.Time // of the latest bytes
-	ended      bool      // the client has closed or reset the connection
-	closed     bool
+	mu sync.Mutex
+	progress
+	expired bool // reads return what has arrived, and don't wait
+	ended   bool // the client has closed or reset the connection
+	closed  bool
 }
 
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
+		n, err = c.readArrived(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
 		c.received += n
 		c.receivedAt = time.Now()
+		c.renew()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = true
@@ -69,6 +95,64 @@
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, unless the connection has expired.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// expireIfSilent makes reads of a silent connection return what has arrived instead
+// of waiting. The HTTP server then handles the request that has arrived, or closes
+// the connection.
+func (c *connection) expireIfSilent(now time.Time, stopping time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired || !c.isSilent(now, stopping) {
+		return
+	}
+	c.expired = true
+	_ = c.TCPConn.SetReadDeadline(now) // fails if the connection is closed
+}
+
+// renew makes reads of an expired connection wait again.
+func (c *connection) renew() {
+	if c.expired {
+		c.expired = false
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails if the connection is closed
+	}
+}
+
+func (c *connection) isExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
+}
+
+// readArrived reads what has arrived. net.TCPConn reads nothing after a deadline.
+func (c *connection) readArrived(p []byte) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if controlErr := raw.Control(func(fd uintptr) { n, err = syscall.Read(int(fd), p) }); controlErr != nil {
+		return 0, controlErr
+	}
+	switch {
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		return 0, os.ErrDeadlineExceeded
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
+	}
+}
+
 func (c *connection) Close() error {
 	c.mu.Lock()
 	first := !c.closed
@@ -122,8 +206,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stage = s
-	if s == awaited {
-		c.received = 0
+	switch s {
+	case awaited:
+		c.received, c.used = 0, true
+	case parsed:
+		c.renew()
+	default:
 	}
 }
 
@@ -135,9 +223,12 @@
 }
 
 // recordStages records on each request's connection whether its handler has
-// returned.
-func recordStages(h http.Handler) http.Handler {
+// returned. While the server stops, connections are closed after the answer.
+func (s *server) recordStages(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		c, ok := r.Context().Value(connectionKey{}).(*connection)
 		if !ok {
 			h.ServeHTTP(w, r)
@@ -153,18 +244,19 @@
 
 // connectionListener wraps accepted connections.
 type connectionListener struct {
-	net.Listener
+	*net.TCPListener
 	server *server
 }
 
+// Accept returns a *connection, or http.ErrServerClosed once the server stops.
 func (l connectionListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
+	c, err := l.AcceptTCP()
+	switch {
+	case err == nil:
+		return &connection{TCPConn: c, server: l.server}, nil
+	case l.server.stopping.Load():
+		return nil, http.ErrServerClosed
+	default:
 		return nil, err
 	}
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
-	return &connection{TCPConn: t, server: l.server}, nil
 }
--- a/cmd/sycamoreline-platform/connection_test.go
+++ b/cmd/sycamoreline-platform/connection_test.go
@@ -69,6 +69,7 @@
 	var err error
 	w.server, err = serve(address, h, zap.New(core), withMetrics(w.metrics), withPhase(func() balancer.Phase { return balancer.Refusing }))
 	assert.NilError(t, err)
+	t.Cleanup(func() { w.Close() })
 	return w
 }
 
@@ -93,8 +94,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		for c := range w.unused {
-			c := c.(*connection)
+		for c := range w.open {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.received >= want {
@@ -129,7 +129,7 @@
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				if len(s.unused) == 0 {
+				if len(s.open) == 0 {
 					return poll.Success()
 				}
 				return poll.Continue("connection not closed yet")
@@ -191,11 +191,10 @@
 			assert.NilError(t, err)
 			defer l.Close()
 			client := dialRaw(t, l.Addr().String())
-			accepted, err := connectionListener{l, nil}.Accept()
+			accepted, err := connectionListener{l.(*net.TCPListener), &server{logger: zap.NewNop(), metrics: tally.NoopScope}}.Accept()
 			assert.NilError(t, err)
 			defer accepted.Close()
 			c := accepted.(*connection)
-			c.server = &server{logger: zap.NewNop(), metrics: tally.NoopScope}
 			c.setStage(test.stage)
 			client.send(test.send)
 			if test.send != "" {
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -25,9 +26,12 @@
 	// maxHeaderBytes is above the limit of any configuration.
 	maxHeaderBytes = 64 << 10
 	// unusedTimeout is the time for which stop waits for the first request on an
-	// open connection. The request may be on its way. http.Server.Shutdown waits
-	// 5 s, most of the time until the process is killed.
+	// open connection, and for the rest of a request's header. They may be on their
+	// way. http.Server.Shutdown waits 5 s, most of the time until the process is
+	// killed.
 	unusedTimeout = 200 * time.Millisecond
+	// stopInterval is the interval at which stop looks at the open connections.
+	stopInterval = 5 * time.Millisecond
 )
 
 // server is an HTTP server on one address.
@@ -38,8 +42,11 @@
 	phase   func() balancer.Phase // of the host's shutdown, nil if it has none
 	done    sync.WaitGroup
 
-	mu     sync.Mutex
-	unused map[net.Conn]struct{} // connections before their first request
+	listener net.Listener
+	stopping atomic.Bool
+
+	mu   sync.Mutex
+	open map[*connection]struct{}
 }
 
 // serverOption configures a server.
@@ -62,16 +69,21 @@
 	if err != nil {
 		return nil, err
 	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("listen on %q: got a %T", address, l), l.Close())
+	}
 	s := &server{Server: http.Server{
-		Handler: recordStages(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: errorLog, ConnContext: withConnection,
-	}, logger: logger, metrics: tally.NoopScope, unused: map[net.Conn]struct{}{}}
+	}, logger: logger, metrics: tally.NoopScope, listener: l, open: map[*connection]struct{}{}}
+	s.Handler = s.recordStages(h)
 	for _, o := range opts {
 		o(s)
 	}
 	s.ConnState = s.connectionChanged
 	s.done.Go(func() {
-		if err := s.Serve(connectionListener{l, s}); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(connectionListener{tcp, s}); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server stopped", zap.String("address", address), zap.Error(err))
 		}
 	})
@@ -87,22 +99,24 @@
 	return l, nil
 }
 
-func (s *server) connectionChanged(c net.Conn, state http.ConnState) {
-	if accepted, ok := c.(*connection); ok {
-		switch state {
-		case http.StateActive:
-			accepted.setStage(parsed)
-		case http.StateIdle:
-			accepted.setStage(awaited)
-		default:
-		}
+func (s *server) connectionChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateNew {
-		s.unused[c] = struct{}{}
-	} else {
-		delete(s.unused, c)
+	switch state {
+	case http.StateNew:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open[c] = struct{}{}
+	case http.StateActive:
+		c.setStage(parsed)
+	case http.StateIdle:
+		c.setStage(awaited)
+	case http.StateHijacked, http.StateClosed:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
 	}
 }
 
@@ -123,29 +137,41 @@
 	s.metrics.Tagged(map[string]string{"cause": string(cause), "phase": phase}).Counter("connections-closed-unanswered").Inc(1)
 }
 
-func (s *server) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.unused {
-		c.Close()
+// stop answers the requests that have arrived and waits for those in progress until
+// the context ends, and then closes their connections. http.Server.Shutdown alone
+// drops requests: it closes connections on which a request has arrived unread, and
+// the HTTP server handles none that it has read since.
+func (s *server) stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	err := s.listener.Close()
+	s.done.Wait()
+	start := time.Now()
+	t := time.NewTicker(stopInterval)
+	defer t.Stop()
+	for s.expireSilent(start) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err(), s.Close())
+		}
 	}
+	return errors.Join(err, s.Shutdown(ctx))
 }
 
-// stop waits for in-flight requests until the context ends, and then closes their
-// connections.
-func (s *server) stop(ctx context.Context) error {
-	timer := time.AfterFunc(unusedTimeout, s.closeUnused)
-	defer timer.Stop()
-	err := s.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, s.Close())
+// expireSilent expires silent connections and returns the number of open ones.
+func (s *server) expireSilent(start time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.open {
+		c.expireIfSilent(now, now.Sub(start))
 	}
-	s.done.Wait()
-	return err
+	return len(s.open)
 }
 
 // stopNow closes all connections. Requests in progress get no answer.
 func (s *server) stopNow() error {
+	s.stopping.Store(true)
 	err := s.Close()
 	s.done.Wait()
 	return err
--- a/cmd/sycamoreline-platform/server_test.go
+++ b/cmd/sycamoreline-platform/server_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // Guards against a shutdown that is delayed by a connection on which no request
@@ -60,3 +61,94 @@
 	assert.NilError(t, s.stop(t.Context()))
 	assert.NilError(t, <-done)
 }
+
+// Guards against a request that is read while the server stops, and dropped.
+func TestStopAnswersRequestsOnTheirWay(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		kept bool
+	}{
+		{"first request", false},
+		{"later request", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := serveWatched(t, "127.48.1.8:17443", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+			c := dialRaw(t, s.address)
+			if test.kept {
+				c.send(getRequest)
+				_, err := c.answer()
+				assert.NilError(t, err)
+			}
+			c.send(getRequest[:20])
+			s.awaitReceived(t, 20)
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.stop(t.Context()) }()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.address)
+				if err != nil {
+					return poll.Success()
+				}
+				conn.Close()
+				return poll.Continue("not stopping yet")
+			}, poll.WithDelay(time.Millisecond), poll.WithTimeout(answerWait))
+			c.send(getRequest[20:])
+			status, err := c.answer()
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.NilError(t, <-stopped)
+		})
+	}
+}
+
+// Guards against a stop that waits for connections on which nothing arrives, or
+// for the rest of a request that does not come.
+func TestStopEndsBesideSilentConnections(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		send string
+		want time.Duration
+	}{
+		{"kept", "", unusedTimeout / 2},
+		{"part of a request", getRequest[:20], 2 * unusedTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := serveWatched(t, "127.48.1.8:17443", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+			for range 50 {
+				c := dialRaw(t, s.address)
+				c.send(getRequest)
+				_, err := c.answer()
+				assert.NilError(t, err)
+				c.send(test.send)
+			}
+			s.awaitReceived(t, len(test.send))
+			start := time.Now()
+			assert.NilError(t, s.stop(t.Context()))
+			assert.Check(t, time.Since(start) < test.want+startTimeout/10, "stopped after %v", time.Since(start))
+			t.Logf("stopped after %v", time.Since(start))
+		})
+	}
+}
+
+// Guards against connections that expire with a request in progress, or never.
+func TestIsSilent(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name     string
+		p        progress
+		stopping time.Duration
+		want     bool
+	}{
+		{"new", progress{}, 0, false},
+		{"new for long", progress{}, unusedTimeout, true},
+		{"kept", progress{used: true}, 0, true},
+		{"part of a request", progress{used: true, received: 1, receivedAt: now.Add(-unusedTimeout + 1)}, time.Hour, false},
+		{"part of a request for long", progress{received: 1, receivedAt: now.Add(-unusedTimeout)}, 0, true},
+		{"header read", progress{stage: parsed, received: 1}, time.Hour, false},
+		{"in progress", progress{stage: handled}, time.Hour, false},
+		{"answered", progress{stage: answered}, time.Hour, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, test.p.isSilent(now, test.stopping), test.want)
+		})
+	}
+}
