cmd: a server that stops accepts the connections that wait

Cause: closing a listener resets the connections in its listen queue. Each may carry a whole request, as after a pause of the process.

Change: stop ends Accept by a deadline. The listener then accepts what is in the queue, until none has come for 5 ms, at most for 100 ms, and closes. The requests get their answer, a refusal.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -242,15 +242,22 @@
 	})
 }
 
-// connectionListener wraps accepted connections.
+// connectionListener wraps accepted connections. Once a deadline has ended Accept,
+// it accepts the connections that are in the listen queue, which closing the
+// listener would reset, and then returns http.ErrServerClosed.
 type connectionListener struct {
 	*net.TCPListener
 	server *server
+	limit  time.Time // zero before the deadline
 }
 
-// Accept returns a *connection, or http.ErrServerClosed once the server stops.
-func (l connectionListener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
+// Accept returns a *connection. It is not safe for concurrent use.
+func (l *connectionListener) Accept() (net.Conn, error) {
+	c, err := l.accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) && l.limit.IsZero() {
+		l.limit = time.Now().Add(queueLimit)
+		c, err = l.accept()
+	}
 	switch {
 	case err == nil:
 		return &connection{TCPConn: c, server: l.server}, nil
@@ -260,3 +267,16 @@
 		return nil, err
 	}
 }
+
+func (l *connectionListener) accept() (*net.TCPConn, error) {
+	if !l.limit.IsZero() {
+		deadline := time.Now().Add(queueTimeout)
+		if l.limit.Before(deadline) {
+			deadline = l.limit
+		}
+		if err := l.SetDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	return l.AcceptTCP()
+}
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -30,6 +30,10 @@
 	// way. http.Server.Shutdown waits 5 s, most of the time until the process is
 	// killed.
 	unusedTimeout = 200 * time.Millisecond
+	// queueTimeout is the time for which stop waits for a further connection of the
+	// listen queue, queueLimit the time in which it accepts any.
+	queueTimeout = 5 * time.Millisecond
+	queueLimit   = 100 * time.Millisecond
 	// stopInterval is the interval at which stop looks at the open connections.
 	stopInterval = 5 * time.Millisecond
 )
@@ -42,7 +46,7 @@
 	phase   func() balancer.Phase // of the host's shutdown, nil if it has none
 	done    sync.WaitGroup
 
-	listener net.Listener
+	listener *net.TCPListener
 	stopping atomic.Bool
 
 	mu   sync.Mutex
@@ -76,14 +80,14 @@
 	s := &server{Server: http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: errorLog, ConnContext: withConnection,
-	}, logger: logger, metrics: tally.NoopScope, listener: l, open: map[*connection]struct{}{}}
+	}, logger: logger, metrics: tally.NoopScope, listener: tcp, open: map[*connection]struct{}{}}
 	s.Handler = s.recordStages(h)
 	for _, o := range opts {
 		o(s)
 	}
 	s.ConnState = s.connectionChanged
 	s.done.Go(func() {
-		if err := s.Serve(connectionListener{tcp, s}); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(&connectionListener{TCPListener: tcp, server: s}); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server stopped", zap.String("address", address), zap.Error(err))
 		}
 	})
@@ -139,11 +143,12 @@
 
 // stop answers the requests that have arrived and waits for those in progress until
 // the context ends, and then closes their connections. http.Server.Shutdown alone
-// drops requests: it closes connections on which a request has arrived unread, and
-// the HTTP server handles none that it has read since.
+// drops requests: it resets connections in the listen queue and those on which a
+// request has arrived unread, and the HTTP server handles none that it has read
+// since.
 func (s *server) stop(ctx context.Context) error {
 	s.stopping.Store(true)
-	err := s.listener.Close()
+	err := s.listener.SetDeadline(time.Now()) // ends Accept
 	s.done.Wait()
 	start := time.Now()
 	t := time.NewTicker(stopInterval)
