cmd: a refusal reaches a caller that still sends a long body

Cause: http.Server reads at most 256 KiB of a body that the handler has not read. For a longer one it sends the answer, waits for 500 ms and closes the connection, which resets it while the caller sends. A caller that sends its body before it reads may lose the refusal, and sees a broken connection instead.

Change: after the answer to such a request, the server reads the rest of the body, at most 8 MiB and for 2 s. The answer no longer waits for a body that does not come.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -237,11 +237,50 @@
 		result := aborted
 		defer func() { c.setStage(result) }()
 		c.setStage(handled)
-		h.ServeHTTP(w, r)
+		if mayBeLong(r) {
+			serveLong(h, w, r)
+		} else {
+			h.ServeHTTP(w, r)
+		}
 		result = answered
 	})
 }
 
+// longBody is a request body of which http.Server may not read the rest.
+type longBody struct {
+	io.ReadCloser
+	ended bool // nothing more can be read
+}
+
+func (b *longBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err != nil
+	return n, err
+}
+
+// mayBeLong reports whether http.Server may close the connection of a request
+// without reading the rest of its body.
+func mayBeLong(r *http.Request) bool {
+	return (r.ContentLength < 0 || r.ContentLength > serverDiscardBytes) && r.Header.Get("Expect") == ""
+}
+
+// serveLong calls a handler. If the handler has not read the whole body, as after a
+// refusal, serveLong sends the answer and reads the rest. The HTTP server would
+// reset the connection while the client sends, and so lose the answer.
+func serveLong(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	b := &longBody{ReadCloser: r.Body}
+	r = r.WithContext(r.Context()) // the HTTP server keeps the original body
+	r.Body = b
+	h.ServeHTTP(w, r)
+	if b.ended {
+		return
+	}
+	c := http.NewResponseController(w)
+	if errors.Join(c.SetReadDeadline(time.Now().Add(discardTimeout)), c.Flush()) == nil {
+		_, _ = io.CopyN(io.Discard, b, maxDiscardBytes) // after an error, the HTTP server closes the connection
+	}
+}
+
 // connectionListener wraps accepted connections. Once a deadline has ended Accept,
 // it accepts the connections that are in the listen queue, which closing the
 // listener would reset, and then returns http.ErrServerClosed.
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -25,6 +25,13 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeaderBytes is above the limit of any configuration.
 	maxHeaderBytes = 64 << 10
+	// serverDiscardBytes is the part of a body that http.Server reads and discards
+	// after the handler has returned.
+	serverDiscardBytes = 256 << 10
+	// maxDiscardBytes and discardTimeout limit what is read of a body after its
+	// answer. The default limit of bodies is half as long.
+	maxDiscardBytes = 8 << 20
+	discardTimeout  = 2 * time.Second
 	// unusedTimeout is the time for which stop waits for the first request on an
 	// open connection, and for the rest of a request's header. They may be on their
 	// way. http.Server.Shutdown waits 5 s, most of the time until the process is
