cmd: a request whose handler panics before its answer begins is answered

Cause: net/http closes the connection of a handler that panics, without an answer. So ends a stream that is aborted between the server's head and its first event: the head is written to a buffer that is sent with the first event, so that the caller receives nothing at all.

Change: the head of an answer is held until its body or a flush. If the handler panics before, the answer is 502, which leaves open whether the request has run. A panic with a value other than http.ErrAbortHandler is logged as an error with its stack. Once a byte may have been sent, the connection is closed as before.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -238,9 +238,9 @@
 		defer func() { c.setStage(result) }()
 		c.setStage(handled)
 		if mayBeLong(r) {
-			serveLong(h, w, r)
+			s.serveLong(h, w, r)
 		} else {
-			h.ServeHTTP(w, r)
+			s.answerPanics(h, w, r)
 		}
 		result = answered
 	})
@@ -267,11 +267,11 @@
 // serveLong calls a handler. If the handler has not read the whole body, as after a
 // refusal, serveLong sends the answer and reads the rest. The HTTP server would
 // reset the connection while the client sends, and so lose the answer.
-func serveLong(h http.Handler, w http.ResponseWriter, r *http.Request) {
+func (s *server) serveLong(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	b := &longBody{ReadCloser: r.Body}
 	r = r.WithContext(r.Context()) // the HTTP server keeps the original body
 	r.Body = b
-	h.ServeHTTP(w, r)
+	s.answerPanics(h, w, r)
 	if b.ended {
 		return
 	}
