cmd: the listen queue is accepted also by a process that is not running

Cause: stop concluded from a wait of 5 ms without a connection that the queue was empty, also if the process had not run meanwhile, as under a quota of processor time. The limit of 100 ms for all of them is little more than one such gap.

Change: a wait that took twice as long as asked is repeated. The limit is 500 ms. A new test gives the process a fifth of a processor in slices of 20 ms and sends 200 requests from 400 ms before the end of the drain on.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -307,15 +307,20 @@
 	}
 }
 
+// accept waits for queueTimeout at most once there is a limit. A wait that took
+// longer than that says nothing about the queue: the process was not running.
 func (l *connectionListener) accept() (*net.TCPConn, error) {
-	if !l.limit.IsZero() {
-		deadline := time.Now().Add(queueTimeout)
-		if l.limit.Before(deadline) {
-			deadline = l.limit
-		}
-		if err := l.SetDeadline(deadline); err != nil {
+	if l.limit.IsZero() {
+		return l.AcceptTCP()
+	}
+	for start := time.Now(); start.Before(l.limit); start = time.Now() {
+		if err := l.SetDeadline(start.Add(queueTimeout)); err != nil {
 			return nil, err
 		}
+		c, err := l.AcceptTCP()
+		if err == nil || time.Since(start) < 2*queueTimeout {
+			return c, err
+		}
 	}
-	return l.AcceptTCP()
+	return nil, os.ErrDeadlineExceeded
 }
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -40,7 +40,7 @@
 	// queueTimeout is the time for which stop waits for a further connection of the
 	// listen queue, queueLimit the time in which it accepts any.
 	queueTimeout = 5 * time.Millisecond
-	queueLimit   = 100 * time.Millisecond
+	queueLimit   = 500 * time.Millisecond
 	// stopInterval is the interval at which stop looks at the open connections.
 	stopInterval = 5 * time.Millisecond
 )
--- a/cmd/sycamoreline-platform/unanswered_test.go
+++ b/cmd/sycamoreline-platform/unanswered_test.go
@@ -1,8 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"context"
 	"errors"
+	"math/rand/v2"
+	"net"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -72,3 +78,96 @@
 	t.Logf("log of the process: %v", reported)
 	assert.NilError(t, p.Wait())
 }
+
+// slowDown gives the process a fifth of the processor, in slices of 20 ms, until
+// the returned function is called.
+func (p *process) slowDown(t *testing.T) (end func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() {
+		for ctx.Err() == nil {
+			_ = p.Process.Signal(syscall.SIGSTOP) // fails if the process has ended
+			pause.For(ctx, 80*time.Millisecond)
+			_ = p.Process.Signal(syscall.SIGCONT)
+			pause.For(ctx, 20*time.Millisecond)
+		}
+	})
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+// Guards against requests without an answer beside the stop of a process that has
+// a fifth of a processor. Requests that cross the close are excused.
+func TestRequestsBesideStopOfSlowProcessAreAnswered(t *testing.T) {
+	const connections = 200 // half of them kept, half opened for their request
+	p := newProcess(t, "entry", "127.48.1.9")
+	p.Env = append(p.Env, "GOMAXPROCS=1")
+	assert.NilError(t, os.WriteFile(p.settingsPath, p.settings(t), 0o600))
+	p.start(t)
+	p.awaitStart(t)
+	address := p.address(testCallersPort)
+	var kept []*rawConnection
+	for range connections / 2 {
+		c := dialRaw(t, address)
+		c.send(getRequest)
+		_, err := c.answer()
+		assert.NilError(t, err)
+		kept = append(kept, c)
+	}
+	assert.NilError(t, p.Process.Signal(syscall.SIGTERM))
+	p.awaitMessage(t, "shutdown leaving")
+	end := p.slowDown(t)
+	defer end()
+	random := rand.New(rand.NewPCG(1, 2))
+	var requests sync.WaitGroup
+	var mu sync.Mutex
+	results := map[string]int{}
+	for n := range connections {
+		after := drainDelay - 400*time.Millisecond + time.Duration(random.Int64N(int64(800*time.Millisecond)))
+		requests.Go(func() {
+			pause.For(t.Context(), after)
+			var c *rawConnection
+			if n < len(kept) {
+				c = kept[n]
+			} else {
+				conn, err := (&net.Dialer{Timeout: answerWait}).DialContext(t.Context(), "tcp", address)
+				if err != nil {
+					return // the listener is closed
+				}
+				defer conn.Close()
+				c = &rawConnection{conn, bufio.NewReader(conn)}
+			}
+			_, err := c.Write([]byte(getRequest))
+			sent := time.Now()
+			if err != nil {
+				return // the connection is closed
+			}
+			_, err = c.answer()
+			waited := time.Since(sent)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				results["answered"]++
+			case waited <= 200*time.Millisecond:
+				results["crossed the close"]++
+			default:
+				results["lost"]++
+				t.Logf("request %d of %d got no answer: %v after %v", n, connections, err, waited)
+			}
+		})
+	}
+	requests.Wait()
+	end()
+	t.Logf("requests: %v", results)
+	assert.Check(t, results["lost"] == 0)
+	reported := map[string]int{}
+	for m := range p.messages {
+		reported[m]++
+		assert.Check(t, !strings.HasSuffix(m, string(requestDropped)), "%s", m)
+	}
+	t.Logf("log of the process: %v", reported)
+	assert.NilError(t, p.Wait())
+}
