cmd: a test of requests beside reloads of the settings

Guards against a SIGHUP, or a settings file that is incomplete at that time, that ends a connection or a request.

--- a/cmd/sycamoreline-platform/unanswered_test.go
+++ b/cmd/sycamoreline-platform/unanswered_test.go
@@ -171,3 +171,47 @@
 	t.Logf("log of the process: %v", reported)
 	assert.NilError(t, p.Wait())
 }
+
+// Guards against a reload of the settings that ends connections or requests.
+func TestRequestsBesideSIGHUPAreAnswered(t *testing.T) {
+	const connections, requestsEach = 20, 100
+	p := newProcess(t, "entry", "127.48.1.10")
+	settings := p.settings(t)
+	assert.NilError(t, os.WriteFile(p.settingsPath, settings, 0o600))
+	p.start(t)
+	p.awaitStart(t)
+	var requests sync.WaitGroup
+	for n := range connections {
+		c := dialRaw(t, p.address(testCallersPort))
+		requests.Go(func() {
+			for k := range requestsEach {
+				c.send(getRequest[:20])
+				pause.For(t.Context(), time.Millisecond) // the signal may come amid a request
+				c.send(getRequest[20:])
+				if _, err := c.answer(); !assert.Check(t, err, "request %d of connection %d", k, n) {
+					return
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		requests.Wait()
+		close(done)
+	}()
+	for n, running := 0, true; running; n++ {
+		// Every other time, the file is incomplete.
+		assert.NilError(t, os.WriteFile(p.settingsPath, settings[:len(settings)/(1+n%2)], 0o600))
+		assert.NilError(t, p.Process.Signal(syscall.SIGHUP))
+		select {
+		case <-done:
+			running = false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	assert.NilError(t, p.Process.Signal(syscall.SIGTERM))
+	for m := range p.messages {
+		assert.Check(t, !strings.HasPrefix(m, "connection closed"), "%s", m)
+	}
+	assert.NilError(t, p.Wait())
+}
