--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/platform"
 )
 
@@ -22,34 +25,76 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeaderBytes is above the limit of any configuration.
 	maxHeaderBytes = 64 << 10
+	// serverDiscardBytes is the part of a body that http.Server reads and discards
+	// after the handler has returned.
+	serverDiscardBytes = 256 << 10
+	// maxDiscardBytes and discardTimeout limit what is read of a body after its
+	// answer. The default limit of bodies is half as long.
+	maxDiscardBytes = 8 << 20
+	discardTimeout  = 2 * time.Second
 	// unusedTimeout is the time for which stop waits for the first request on an
-	// open connection. The request may be on its way. http.Server.Shutdown waits
-	// 5 s, most of the time until the process is killed.
+	// open connection, and for the rest of a request's header. They may be on their
+	// way. http.Server.Shutdown waits 5 s, most of the time until the process is
+	// killed.
 	unusedTimeout = 200 * time.Millisecond
+	// queueTimeout is the time for which stop waits for a further connection of the
+	// listen queue, queueLimit the time in which it accepts any.
+	queueTimeout = 5 * time.Millisecond
+	queueLimit   = 500 * time.Millisecond
+	// stopInterval is the interval at which stop looks at the open connections.
+	stopInterval = 5 * time.Millisecond
 )
 
 // server is an HTTP server on one address.
 type server struct {
 	http.Server
-	done sync.WaitGroup
+	logger  *zap.Logger
+	metrics tally.Scope
+	phase   func() balancer.Phase // of the host's shutdown, nil if it has none
+	done    sync.WaitGroup
 
-	mu     sync.Mutex
-	unused map[net.Conn]struct{} // connections before their first request
+	listener *net.TCPListener
+	stopping atomic.Bool
+
+	mu   sync.Mutex
+	open map[*connection]struct{}
 }
 
+// serverOption configures a server.
+type serverOption func(*server)
+
+// withMetrics sets the scope of a server's metrics. By default, there are none.
+func withMetrics(m tally.Scope) serverOption { return func(s *server) { s.metrics = m } }
+
+// withPhase sets the phase of the host's shutdown, for logs and metrics.
+func withPhase(f func() balancer.Phase) serverOption { return func(s *server) { s.phase = f } }
+
 // serve listens on an address and starts an HTTP server there.
-func serve(address string, h http.Handler, logger *zap.Logger) (*server, error) {
+func serve(address string, h http.Handler, logger *zap.Logger, opts ...serverOption) (*server, error) {
+	// Among the errors of the server are panics of handlers, which lose a request.
+	errorLog, err := zap.NewStdLogAt(logger, zap.ErrorLevel)
+	if err != nil {
+		return nil, fmt.Errorf("create the server's error log: %w", err)
+	}
 	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("listen on %q: got a %T", address, l), l.Close())
+	}
 	s := &server{Server: http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(logger),
-	}, unused: map[net.Conn]struct{}{}}
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: errorLog, ConnContext: withConnection,
+	}, logger: logger, metrics: tally.NoopScope, listener: tcp, open: map[*connection]struct{}{}}
+	s.Handler = s.recordStages(h)
+	for _, o := range opts {
+		o(s)
+	}
 	s.ConnState = s.connectionChanged
 	s.done.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(&connectionListener{TCPListener: tcp, server: s}); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("HTTP server stopped", zap.String("address", address), zap.Error(err))
 		}
 	})
@@ -65,39 +110,80 @@
 	return l, nil
 }
 
-func (s *server) connectionChanged(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateNew {
-		s.unused[c] = struct{}{}
-	} else {
-		delete(s.unused, c)
+func (s *server) connectionChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open[c] = struct{}{}
+	case http.StateActive:
+		c.setStage(parsed)
+	case http.StateIdle:
+		c.setStage(awaited)
+	case http.StateHijacked, http.StateClosed:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
 	}
 }
 
-func (s *server) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.unused {
-		c.Close()
+// closedUnanswered reports a connection that is closed with an unanswered request.
+func (s *server) closedUnanswered(c *connection, cause unansweredCause, received int, receivedAt time.Time) {
+	phase := "none"
+	if s.phase != nil {
+		phase = s.phase().String()
 	}
+	fields := []zap.Field{
+		zap.String("cause", string(cause)), zap.String("phase", phase), zap.Int("bytes-read", received),
+		zap.Stringer("address", c.LocalAddr()), zap.Stringer("client", c.RemoteAddr()),
+	}
+	if received > 0 {
+		fields = append(fields, zap.Duration("since-last-read", time.Since(receivedAt)))
+	}
+	s.logger.Warn("connection closed with an unanswered request", fields...)
+	s.metrics.Tagged(map[string]string{"cause": string(cause), "phase": phase}).Counter("connections-closed-unanswered").Inc(1)
 }
 
-// stop waits for in-flight requests until the context ends, and then closes their
-// connections.
+// stop answers the requests that have arrived and waits for those in progress until
+// the context ends, and then closes their connections. http.Server.Shutdown alone
+// drops requests: it resets connections in the listen queue and those on which a
+// request has arrived unread, and the HTTP server handles none that it has read
+// since.
 func (s *server) stop(ctx context.Context) error {
-	timer := time.AfterFunc(unusedTimeout, s.closeUnused)
-	defer timer.Stop()
-	err := s.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, s.Close())
-	}
+	s.stopping.Store(true)
+	err := s.listener.SetDeadline(time.Now()) // ends Accept
 	s.done.Wait()
-	return err
+	start := time.Now()
+	t := time.NewTicker(stopInterval)
+	defer t.Stop()
+	for s.expireSilent(start) > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err(), s.Close())
+		}
+	}
+	return errors.Join(err, s.Shutdown(ctx))
+}
+
+// expireSilent expires silent connections and returns the number of open ones.
+func (s *server) expireSilent(start time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.open {
+		c.expireIfSilent(now, now.Sub(start))
+	}
+	return len(s.open)
 }
 
 // stopNow closes all connections. Requests in progress get no answer.
 func (s *server) stopNow() error {
+	s.stopping.Store(true)
 	err := s.Close()
 	s.done.Wait()
 	return err
