schedule, forward: requeue calls whose service changes its kind

Callers waited until their deadline and were refused then, if a change of the table made the service of a queued call plain or one with engines; so did calls that were queued between the new table at the ingress and at the scheduler. Cause: such a call waits in a pool that has lost its servers for good. Change: the scheduler refuses calls of a model or service of whose name it has only servers of the other kind; the forwarder queues them again as the table in force says.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -82,6 +82,14 @@
 		return nil, err
 	}
 	a, e, err := r.submit(ctx, &request)
+	for err != nil && verdict.From(err).Reason() == schedule.ServiceChanged {
+		again := r.scheduleRequest(service, r.avoid, r.stream.fixedVersion())
+		if again.Model == request.Model {
+			break
+		}
+		request = again
+		a, e, err = r.submit(ctx, &request)
+	}
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, placementReason(err), "no backend server of service "+service+" was available in time",
 			verdict.WithCause(err), verdict.WithRetryAfter(max(defaultRetryAfter, verdict.From(err).RetryAfter())))
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -153,9 +153,11 @@
 	}
 	c.pool.queue.push(c)
 	s.updateWaiting(c.pool)
-	if !s.refuseIfHopeless(c) {
-		s.scheduleExpiry(c)
+	if s.refuseIfHopeless(c) {
+		return
 	}
+	s.scheduleExpiry(c)
+	s.refuseMisplaced(c.pool)
 }
 
 func (s *Scheduler) newCall() *call {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -176,6 +176,9 @@
 	for _, v := range list {
 		s.SetServer(now, v)
 	}
+	for _, p := range slices.Clone(s.poolOrder) { // refused calls may leave pools unused
+		s.refuseMisplaced(p)
+	}
 }
 
 // addServer adds a server without a description, or again the removed one of the
