forward, backend: move a stream only to a server that accepts a connection

Callers of a route with two attempts got a broken stream, although the server that was silent went on, if the server that was to take over accepted no connection. Cause: a stream left its silent server once a place on another one was held, before it was known that the other one can be reached. A held place is the scheduler's belief. Change: the move opens the connection first, within 0.25 s. If that fails, the stream stays, and the other server counts as unreachable.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -294,6 +294,19 @@
 	return c, nil
 }
 
+// Open opens a connection to a server for a later request. The timeout bounds it.
+func (p *Pool) Open(ctx context.Context, address string, timeout time.Duration) error {
+	c, err := p.connect(ctx, address, timeout)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c)
+	if c.isBroken() { // its reader may have ended before it was added
+		p.removeIdle(c)
+	}
+	return nil
+}
+
 // putIdle adds a connection to the idle ones, for the next request.
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
@@ -337,6 +350,12 @@
 	return true
 }
 
+func (c *conn) isBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
 // release ends the current exchange and returns the connection to the pool.
 func (c *conn) release() {
 	c.mu.Lock()
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -340,3 +341,39 @@
 		assert.Equal(t, time.Since(started), 250*time.Millisecond)
 	})
 }
+
+// Guards against a connection that is opened for a later request and not used by
+// it, and against one that the server has closed meanwhile and that is kept.
+func TestPoolOpen(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, r *http.Request, _ []byte, w net.Conn) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Id"))
+		return true
+	})
+	p := NewPool(nil)
+	defer p.Close()
+	assert.NilError(t, p.Open(t.Context(), s.address(), time.Second))
+	body, err := roundTrip(t, p, s.address(), "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, s.conns.Load(), int64(1))
+
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := l.Addr().String()
+	l.Close()
+	assert.ErrorContains(t, p.Open(t.Context(), closed, time.Second), "refused")
+
+	client, server := net.Pipe()
+	server.Close()
+	broken := NewPool(func(context.Context, string, string) (net.Conn, error) { return client, nil })
+	defer broken.Close()
+	assert.NilError(t, broken.Open(t.Context(), "x", time.Second))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		broken.mu.Lock()
+		defer broken.mu.Unlock()
+		if len(broken.idle) == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("a closed connection is kept")
+	}, poll.WithDelay(time.Millisecond))
+}
--- a/forward/evidence.go
+++ b/forward/evidence.go
@@ -13,7 +13,7 @@
 )
 
 // trialDialTimeout bounds the opening of a connection to a server in doubt, which
-// may have lost its power.
+// may have lost its power, and to one that is to take over a stream.
 const trialDialTimeout = 250 * time.Millisecond
 
 // recordFailure records that a server has failed an attempt, or is silent.
--- a/forward/move.go
+++ b/forward/move.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sycamoreline/sycamoreline/schedule"
 )
 
@@ -17,7 +19,8 @@
 	moveWait = 50 * time.Millisecond
 )
 
-// streamMover finds places for the next attempt of a stream. It implements mover.
+// streamMover finds places for the next attempt of a stream, on servers that accept
+// a connection. It implements mover.
 type streamMover struct {
 	execution *execution
 	request   schedule.Request
@@ -50,15 +53,22 @@
 	if !found {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, moveWait)
+	submitCtx, cancel := context.WithTimeout(ctx, moveWait)
 	defer cancel()
 	request := m.request
 	request.ID.Call = int(r.requestSerial.Add(1))
-	a, e, err := r.submit(ctx, &request)
+	a, e, err := r.submit(submitCtx, &request)
 	if err != nil {
 		return nil // no place in time; the timer asks again
 	}
-	return &placement{a, e, m.current.service}
+	p := &placement{a, e, m.current.service}
+	if err := r.pool.Open(ctx, e.Address, trialDialTimeout); err != nil {
+		// The server does not take over, and the silent one may go on.
+		r.logger.Info("stream not moved", zap.String("request", r.call.ID), zap.String("server", a.Server), zap.Error(err))
+		r.queue.Finished(a.ID, a.Server, schedule.Usage{}, schedule.Unreachable)
+		return nil
+	}
+	return p
 }
 
 func (m *streamMover) release(p *placement) { m.execution.release(p) }
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -200,3 +200,27 @@
 	assert.Assert(t, !aborted)
 	assert.Equal(t, second.requests(), 0)
 }
+
+// Guards against a stream that leaves a silent server, which goes on, for one that
+// accepts no connections.
+func TestServeStreamMovesOnlyToServerThatAccepts(t *testing.T) {
+	t.Parallel()
+	silent := startServer(t, silentStream(3))
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	other := &server{listener: l} // accepts nothing
+	f := newFixture(t)
+	f.setEntries(silent.entry("a", "engine", "", 4))
+	var stopped atomic.Bool
+	time.AfterFunc(minIdleTimeout/2, func() {
+		stopAccepting(t, other, &stopped)
+		f.setEntries(silent.entry("a", "engine", "", 4), other.entry("b", "engine", "", 4))
+	})
+	failed, messages := serveMany(f, 3, func(i int) *Call {
+		c := f.call(fmt.Sprint("s", i), &route.Route{Name: "s", Kind: route.Stream, MaxAttempts: 2, Resumable: true})
+		c.Route.Timeout = silence + 2*time.Second
+		return c
+	})
+	assert.Equal(t, failed, 0, "%s", strings.Join(messages, "\n"))
+}
