forward: never refuse a stream that has begun for its expected wait

Callers of a stream that lost its server in the middle got a broken response at once, where it could have gone on, if the waits at all servers were expected to outlast its time. Cause: the scheduler refuses calls that it expects to miss their deadlines, so that their callers can return later. A stream that has begun can't be refused, only broken off. Change: the next attempt of such a stream has no deadline for the scheduler; it waits until the call's own.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -116,6 +116,11 @@
 	} else {
 		request.Service, request.Idempotent = service, c.Route.Kind == route.Idempotent
 	}
+	if r.progress.started {
+		// The scheduler refuses calls that it expects to miss their deadlines. The
+		// caller of a stream that has begun would get a broken response.
+		request.Deadline = 0
+	}
 	if r.crashes > 0 {
 		// Without affinity, the suspects of a crash are spread over servers, so that
 		// the request that caused it is separated from the others.
--- a/forward/takeup_test.go
+++ b/forward/takeup_test.go
@@ -3,11 +3,14 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamoreline/sycamoreline/cluster"
 	"github.com/sycamoreline/sycamoreline/route"
+	"github.com/sycamoreline/sycamoreline/schedule"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -76,3 +79,24 @@
 		})
 	}
 }
+
+// Guards against a stream that is broken off in the middle, because the expected
+// wait for another server is longer than its time.
+func TestStartedStreamIsNotRefusedForItsExpectedWait(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, startServer(t, func(n int, r *http.Request, w io.Writer) bool {
+		if n > 1 {
+			streamEvents(w, r.Header.Get("Id"), 2, 4, true)
+			return true
+		}
+		f.forwarder.View().Load(cluster.SharedLoad{
+			Hosts: 2, InFlight: map[string]int{"engine0": 4}, Queues: map[string]schedule.ServiceQueue{"engine": {Waiting: 1000, PerSecond: 10}},
+		})
+		streamEvents(w, r.Header.Get("Id"), 1, 1, false)
+		return false
+	}))
+	rec, aborted, err := f.serve(f.call("1", &route.Route{Kind: route.Stream, MaxAttempts: 2, Resumable: true}))
+	assert.NilError(t, err)
+	assert.Assert(t, !aborted)
+	assert.Equal(t, strings.Count(rec.Body.String(), "data:"), 4)
+}
