replica: abandon a leadership transfer that does not complete

Callers of a third of all programs were refused until the end of a soak run, for 15 s and more: no leader of ledger partition 3 answered. Cause: a leader with a slow disk hands over, and accepts no proposals meanwhile. Its target was lost before it had taken over; nothing ended the transfer, and the leader kept its leadership. That a transfer was in progress is a conclusion; the log does not tell. Change: a transfer ends after an election timeout. The leader then waits as a new one does before it hands over for its disk again. Measured: TestOpenGroupOutlivesTargetOfTransfer failed before (no commit within 2 s, with two of three replicas up). go test -race ./replica passes.

--- a/replica/leader.go
+++ b/replica/leader.go
@@ -16,7 +16,8 @@
 	reads         []pendingRead
 	joining       map[string]joiner // latest join request by replica id
 	transferTo    Ref               // target of a leadership transfer in progress
-	since         time.Duration     // when this replica became leader
+	transferAt    time.Duration     // when the transfer began
+	since         time.Duration     // when this replica became leader, or abandoned a transfer
 }
 
 // progress is a leader's view of one other replica.
@@ -157,6 +158,7 @@
 		n.becomeFollower(now, n.hardState.Term)
 		return
 	}
+	n.abandonTransfer(now)
 	n.transferIfDiskSlow(now)
 	n.reconfigure(now)
 	if now.Elapsed >= n.leaderState.nextHeartbeat {
@@ -175,8 +177,7 @@
 	if !slow || n.leaderState.transferTo != (Ref{}) || now.Elapsed-n.leaderState.since < transferCooldown*n.Timing.Election {
 		return
 	}
-	n.leaderState.transferTo = n.transferTarget(now)
-	n.completeTransfer(now)
+	n.startTransfer(now, n.transferTarget(now))
 }
 
 // diskStalled returns whether the current disk write is late by an election
--- a/replica/open_test.go
+++ b/replica/open_test.go
@@ -304,3 +304,23 @@
 		assert.Equal(t, s.leader() != leader, tt.transfer, tt.name)
 	}
 }
+
+// Guards against a leader that accepts no proposals for ever, because the replica
+// to which it was to transfer its leadership has been lost.
+func TestOpenGroupOutlivesTargetOfTransfer(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		s := newOpenGroupSim(t, "a", "b", "c")
+		s.commit(time.Second)
+		leader := s.leader()
+		out, ok := s.nodes[leader].TransferLeadership(Now{Elapsed: s.now})
+		assert.Assert(t, ok)
+		target := s.nodes[leader].leaderState.transferTo.ID
+		s.nodes[target].down = true
+		s.handle(leader, out)
+		s.advance(time.Second)
+		if wiped {
+			s.start(target, nil)
+		}
+		s.commit(2 * time.Second)
+	}
+}
--- a/replica/reconfigure.go
+++ b/replica/reconfigure.go
@@ -142,8 +142,7 @@
 			return n.members.without(x.Ref)
 		}
 		if target := n.leaderState.transferTo; target == (Ref{}) || !n.active(now, target) {
-			n.leaderState.transferTo = n.transferTarget(now)
-			n.completeTransfer(now)
+			n.startTransfer(now, n.transferTarget(now))
 		}
 	}
 	return nil
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -16,11 +16,27 @@
 	if best == (Ref{}) {
 		return n.takeOutput(now), false
 	}
-	n.leaderState.transferTo = best
-	n.completeTransfer(now)
+	n.startTransfer(now, best)
 	return n.takeOutput(now), true
 }
 
+// startTransfer starts a leadership transfer to a replica, if it is not the zero
+// Ref.
+func (n *Node) startTransfer(now Now, target Ref) {
+	n.leaderState.transferTo, n.leaderState.transferAt = target, now.Elapsed
+	n.completeTransfer(now)
+}
+
+// abandonTransfer ends a transfer that has not completed within an election
+// timeout, as when its target is lost. Otherwise this replica would lead for ever
+// and accept no proposals.
+func (n *Node) abandonTransfer(now Now) {
+	if n.leaderState.transferTo == (Ref{}) || now.Elapsed-n.leaderState.transferAt < n.Timing.Election {
+		return
+	}
+	n.leaderState.transferTo, n.leaderState.since = Ref{}, now.Elapsed
+}
+
 // transferTarget returns the voter with the longest matching log of those that
 // are not leaving the group and have replied within two heartbeat intervals plus
 // 100 ms. It returns the zero Ref if there is none.
