--- a/cmd/sycamoreline-platform/answer_test.go
+++ b/cmd/sycamoreline-platform/answer_test.go
@@ -9,6 +9,8 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/platform"
 )
 
 // Guards against a request that gets neither an answer nor a refusal, because its
@@ -41,7 +43,7 @@
 			body, err := io.ReadAll(resp.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
-			assert.Equal(t, resp.Header.Get("X-Sycamoreline-Request-Id"), "r")
+			assert.Equal(t, resp.Header.Get(platform.HeaderRequestID), "r")
 			assert.Equal(t, resp.Header.Get("Content-Type"), "application/json")
 			assert.Equal(t, string(body), `{"error":"internal: the request was aborted before its answer began"}`+"\n")
 			assert.NilError(t, s.stop(t.Context()))
--- a/cmd/sycamoreline-platform/connection_test.go
+++ b/cmd/sycamoreline-platform/connection_test.go
@@ -18,12 +18,13 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/sycamoreline/sycamoreline/balancer"
+	"github.com/sycamoreline/sycamoreline/platform"
 )
 
 const (
 	// answerWait bounds the wait for an answer that does not come.
 	answerWait = 10 * time.Second
-	getRequest = "GET / HTTP/1.1\r\nHost: test\r\nX-Sycamoreline-Request-Id: r\r\n\r\n"
+	getRequest = "GET / HTTP/1.1\r\nHost: test\r\n" + platform.HeaderRequestID + ": r\r\n\r\n"
 )
 
 // rawConnection is a client's connection on which a test writes requests byte by
