--- a/backend/silence_test.go
+++ b/backend/silence_test.go
@@ -14,25 +14,33 @@
 	"gotest.tools/v3/assert"
 )
 
+// listenWithSmallWindow returns a listener whose connections have a receive buffer
+// that a body of some 10 kB fills.
+func listenWithSmallWindow(t *testing.T) net.Listener {
+	t.Helper()
+	const receiveBuffer = 8 << 10
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
 // Guards against a request that fails because its server reads nothing for a
 // while, although the server goes on. The body does not fit into the buffers of
 // the connection.
 func TestPoolOutlastsServerThatReadsNothing(t *testing.T) {
 	const (
-		silence       = 2600 * time.Millisecond // much longer than a sound server's
-		receiveBuffer = 8 << 10
+		silence = 2600 * time.Millisecond // much longer than a sound server's
 	)
 	for _, size := range []int{17 << 10, 300 << 10} {
 		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
 			t.Parallel()
-			lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-				return c.Control(func(fd uintptr) {
-					_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-				})
-			}}
-			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer l.Close()
+			l := listenWithSmallWindow(t)
 			go func() {
 				c, err := l.Accept()
 				if err != nil {
@@ -63,19 +71,11 @@
 func TestPoolOutlastsPausesOnOneConnection(t *testing.T) {
 	t.Parallel()
 	const (
-		pause         = time.Second
-		idle          = 2500 * time.Millisecond // probes of the first pause are then old
-		receiveBuffer = 8 << 10
-		requests      = 2
+		pause    = time.Second
+		idle     = 2500 * time.Millisecond // probes of the first pause are then old
+		requests = 2
 	)
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-		})
-	}}
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
+	l := listenWithSmallWindow(t)
 	go func() {
 		c, err := l.Accept() // the pool reuses the connection
 		if err != nil {
--- a/schedule/hopeless_test.go
+++ b/schedule/hopeless_test.go
@@ -71,14 +71,41 @@
 	}
 }
 
-// crestReplay replays in virtual time programs of three calls that arrive at many
-// hosts, for some seconds at more than the servers can run.
-type crestReplay struct {
+// crestLoad is a load of programs of three calls that arrive at many hosts, for some
+// seconds at more than the servers can run.
+type crestLoad struct {
 	hosts, servers, slots int
 	meanRun               time.Duration
-	calm, crest           float64 // offered load in capacities
-	crestLength           time.Duration
-	refuse                bool // hosts exchange their queues
+	calm, peak            float64 // offered load in capacities
+	length                time.Duration
+}
+
+const (
+	crestWarmUp       = 3 * time.Second // before the crest
+	crestReplayLength = 20 * time.Second
+)
+
+// arrivals adds the arrivals of programs to a timeline.
+func (c crestLoad) arrivals(timeline *faults.Timeline, random *rand.Rand, arrived func(now time.Duration)) {
+	capacity := float64(c.servers*c.slots) / c.meanRun.Seconds() / crestCalls // programs per second
+	var arrive func(now time.Duration)
+	arrive = func(now time.Duration) {
+		arrived(now)
+		load := c.calm
+		if now >= crestWarmUp && now < crestWarmUp+c.length {
+			load = c.peak
+		}
+		if next := now + time.Duration(random.ExpFloat64()/(load*capacity)*float64(time.Second)); next < crestReplayLength-5*time.Second {
+			timeline.At(next, arrive)
+		}
+	}
+	timeline.At(0, arrive)
+}
+
+// crestReplay replays a crest in virtual time. Full servers run each call slower.
+type crestReplay struct {
+	crestLoad
+	refuse bool // hosts exchange their queues
 }
 
 // crestResult counts what became of the programs that arrived.
@@ -94,7 +121,6 @@
 )
 
 func (p crestReplay) run(seed uint64) crestResult {
-	const warmUp, length = 3 * time.Second, 20 * time.Second
 	random := rand.New(rand.NewPCG(seed, 0))
 	aim := time.Duration(1.6*crestCalls*float64(p.meanRun)) + 250*time.Millisecond
 	var timeline faults.Timeline
@@ -186,21 +212,11 @@
 		}
 		timeline.At(time.Duration(random.Int64N(int64(100*time.Millisecond))), sync)
 	}
-	capacity := float64(p.servers*p.slots) / p.meanRun.Seconds() / crestCalls // programs per second
-	var arrive func(now time.Duration)
-	arrive = func(now time.Duration) {
+	p.arrivals(&timeline, random, func(now time.Duration) {
 		result.programs++
 		arriveCall(now, &program{id: fmt.Sprint(result.programs), started: now})
-		load := p.calm
-		if now >= warmUp && now < warmUp+p.crestLength {
-			load = p.crest
-		}
-		if next := now + time.Duration(random.ExpFloat64()/(load*capacity)*float64(time.Second)); next < length-5*time.Second {
-			timeline.At(next, arrive)
-		}
-	}
-	timeline.At(0, arrive)
-	timeline.Run(length)
+	})
+	timeline.Run(crestReplayLength)
 	return result
 }
 
@@ -211,9 +227,9 @@
 		name string
 		crestReplay
 	}{
-		{"short crest", crestReplay{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.5, crest: 1.5, crestLength: 2 * time.Second}},
-		{"long crest", crestReplay{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.5, crest: 2, crestLength: 8 * time.Second}},
-		{"no crest", crestReplay{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.7, crest: 0.7, crestLength: 8 * time.Second}},
+		{"short crest", crestReplay{crestLoad: crestLoad{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.5, peak: 1.5, length: 2 * time.Second}}},
+		{"long crest", crestReplay{crestLoad: crestLoad{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.5, peak: 2, length: 8 * time.Second}}},
+		{"no crest", crestReplay{crestLoad: crestLoad{hosts: 40, servers: 12, slots: 8, meanRun: 250 * time.Millisecond, calm: 0.7, peak: 0.7, length: 8 * time.Second}}},
 	}
 	for _, tt := range tests {
 		held := tt.run(1)
--- a/schedule/overcommit_test.go
+++ b/schedule/overcommit_test.go
@@ -11,15 +11,14 @@
 	"github.com/sycamoreline/sycamoreline/faults"
 )
 
-// queueReplay replays in virtual time programs of three calls that arrive at many
-// hosts. Servers run some calls, queue some more and reject the others, which
-// their hosts send again after a backoff. Hosts learn the load of the others late.
+// queueReplay replays a crest in virtual time. Servers run some calls, queue some
+// more and reject the others, which their hosts send again after a backoff. Hosts
+// learn the load of the others late.
 type queueReplay struct {
-	hosts, servers, slots, queue int
-	meanRun, delay               time.Duration // delay of what hosts know of each other
-	calm, crest                  float64       // offered load in capacities
-	crestLength                  time.Duration
-	refuse                       bool // hosts exchange their queues
+	crestLoad
+	queue  int           // of each server
+	delay  time.Duration // of what hosts know of each other
+	refuse bool          // hosts exchange their queues
 }
 
 // crestAttempts is the number of times that a call is sent to servers that reject
@@ -57,7 +56,6 @@
 }
 
 func (p queueReplay) run(seed uint64) queueResult {
-	const warmUp, length = 3 * time.Second, 20 * time.Second
 	random := rand.New(rand.NewPCG(seed, 0))
 	aim := time.Duration(1.7*crestCalls*float64(p.meanRun)) + 250*time.Millisecond
 	var timeline faults.Timeline
@@ -196,21 +194,11 @@
 		}
 		timeline.At(time.Duration(random.Int64N(int64(250*time.Millisecond))), sync)
 	}
-	capacity := float64(p.servers*p.slots) / p.meanRun.Seconds() / crestCalls // programs per second
-	var arrive func(now time.Duration)
-	arrive = func(now time.Duration) {
+	p.arrivals(&timeline, random, func(now time.Duration) {
 		result.programs++
 		enqueue(now, random.IntN(p.hosts), &replayProgram{id: fmt.Sprint(result.programs), started: now}, now+crestDeadline, 0)
-		load := p.calm
-		if now >= warmUp && now < warmUp+p.crestLength {
-			load = p.crest
-		}
-		if next := now + time.Duration(random.ExpFloat64()/(load*capacity)*float64(time.Second)); next < length-5*time.Second {
-			timeline.At(next, arrive)
-		}
-	}
-	timeline.At(0, arrive)
-	timeline.Run(length)
+	})
+	timeline.Run(crestReplayLength)
 	return result
 }
 
@@ -219,8 +207,8 @@
 func TestHopelessCallsAreRefusedIfTheyWaitAtServers(t *testing.T) {
 	for _, hosts := range []int{20, 120} {
 		p := queueReplay{
-			hosts: hosts, servers: 24, slots: 8, queue: 24, meanRun: 300 * time.Millisecond, delay: 100 * time.Millisecond,
-			calm: 0.6, crest: 2, crestLength: 6 * time.Second,
+			crestLoad: crestLoad{hosts: hosts, servers: 24, slots: 8, meanRun: 300 * time.Millisecond, calm: 0.6, peak: 2, length: 6 * time.Second},
+			queue:     24, delay: 100 * time.Millisecond,
 		}
 		var held, refused queueResult
 		for seed := range uint64(2) {
