--- a/review/harness/beginning.go
+++ b/review/harness/beginning.go
@@ -17,7 +17,7 @@
 // next turn names the one that was answered whole. Rule UNASKED.
 func lostBeginning(r *run) int {
 	const events = 8
-	r.deploy(3, map[string]any{
+	r.deploy(7, map[string]any{
 		"version": 1, "limits": limits,
 		"routes": []any{map[string]any{
 			"name": "r-consult", "host": host, "path_prefix": "/consult/", "kind": "stream", "timeout_ms": 4000, "target_latency_ms": 200,
@@ -76,7 +76,7 @@
 	wrong, right := 0, 0
 	for k := range 5 {
 		program := fmt.Sprintf("p-%d", k)
-		victim, other, third := r.entries[k%3], r.entries[(k+1)%3], r.entries[(k+2)%3]
+		victim, other, third := r.entries[k], r.entries[k+1], r.entries[k+2]
 		first := fmt.Sprintf("first-%d", k)
 		input := fmt.Sprintf("question %d\n", k)
 		// The first client attempt.
