route, platform, forward: workspaces with keys in the routing table

A configuration that has workspaces was decoded without them: no key was checked, keys were passed on to backend servers, and turns of all callers shared one space of ids.

The routing table, its differences and its check now have workspaces with hashes of their keys, a quota and a priority. Requests need a known key unless their route is public; the key is not passed on, the name of the workspace is. Ids in the ledger and in the cache of conversations contain the workspace. Nothing changes for tables without workspaces.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -105,7 +105,7 @@
 		ID:    schedule.CallID{Program: r.program(), Call: int(r.requestSerial.Add(1)), Attempt: r.attempts},
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: avoid, LastServer: r.lastServer,
-		Session: xxhash.Sum64String(c.Session), SoftwareVersion: softwareVersion,
+		Session: xxhash.Sum64String(c.ledgerID(c.Session)), SoftwareVersion: softwareVersion,
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
@@ -199,9 +199,9 @@
 // call: that of the call itself if it belongs to no program.
 func (r *execution) program() string {
 	if r.call.Program == "" {
-		return r.call.ID
+		return r.call.ledgerID(r.call.ID)
 	}
-	return r.call.Program
+	return r.call.ledgerID(r.call.Program)
 }
 
 func placementReason(err error) verdict.Reason {
--- a/forward/call.go
+++ b/forward/call.go
@@ -46,10 +46,22 @@
 	// Resumes is the id of the request whose answer began the stream that this
 	// call takes up, or empty.
 	Resumes string
+	// Workspace is the workspace of the caller, or nil if requests need no key.
+	Workspace *route.Workspace
 
 	callerTime time.Duration // from Arrived to the caller's own deadline
 }
 
+// ledgerID returns the id under which the ledger and this host remember a program,
+// a session or a request of the caller: callers of different workspaces may use the
+// same ids. Names of workspaces contain no line feed.
+func (c *Call) ledgerID(id string) string {
+	if c.Workspace == nil || id == "" {
+		return id
+	}
+	return c.Workspace.Name + "\n" + id
+}
+
 // limitDeadline limits the deadline to the end of the route's timeout.
 func (c *Call) limitDeadline() {
 	limit := c.Arrived.Add(c.Route.Timeout)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -321,6 +321,9 @@
 // fingerprint hashes the parts of a request that are the same in a resend.
 func fingerprint(c *Call) uint64 {
 	d := xxhash.New()
+	if c.Workspace != nil {
+		writeField(d, c.Workspace.Name)
+	}
 	writeField(d, c.Method)
 	writeField(d, c.Host)
 	writeField(d, c.Target)
--- a/forward/output.go
+++ b/forward/output.go
@@ -41,12 +41,12 @@
 	return c.LastEvent
 }
 
-// outputStream returns the id of the request that began the recorded output.
+// outputStream returns the ledger id of the request that began the recorded output.
 func (c *Call) outputStream() string {
 	if c.takenUpAfter() != "" {
-		return c.Resumes
+		return c.ledgerID(c.Resumes)
 	}
-	return c.ID
+	return c.ledgerID(c.ID)
 }
 
 // takeUpOutput makes the output before the last event that the caller has received
@@ -66,13 +66,13 @@
 	ctx, cancel := context.WithTimeout(r.ctx, min(outputTimeout, time.Until(r.call.Deadline)))
 	defer cancel()
 	c := ledger.RecordOutput{
-		Stream: r.call.outputStream(), Turn: r.call.ID, Offset: r.outputEvents, Retention: r.streamRetention().Milliseconds(),
+		Stream: r.call.outputStream(), Turn: r.call.ledgerID(r.call.ID), Offset: r.outputEvents, Retention: r.streamRetention().Milliseconds(),
 	}
 	for _, f := range frames {
 		c.Events = append(c.Events, ledger.OutputEvent{ID: f.ID, Data: f.Data})
 	}
 	started := time.Now()
-	if err := r.turns.RecordOutput(ctx, r.call.Program, c); err != nil {
+	if err := r.turns.RecordOutput(ctx, r.call.ledgerID(r.call.Program), c); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.From(err).Reason(), "events could not be recorded", verdict.WithCause(errors.Join(errOutputNotRecorded, err)))
 	}
 	r.metrics.outputRecorded(time.Since(started))
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -76,9 +76,9 @@
 
 // streamKey returns the key of a stream that the call begins or takes up.
 func (r *execution) streamKey(stream string) cluster.StreamKey {
-	k := cluster.StreamKey{Stream: stream}
+	k := cluster.StreamKey{Stream: r.call.ledgerID(stream)}
 	if r.call.Turn != nil {
-		k.Program = r.call.Program
+		k.Program = r.call.ledgerID(r.call.Program)
 	}
 	return k
 }
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -27,12 +27,13 @@
 	expected := r.expectedOrigin()
 	cached := false
 	if t.Previous != "" {
-		r.conversation, cached = r.chains.get(t.Previous)
+		r.conversation, cached = r.chains.get(r.call.ledgerID(t.Previous))
 	}
 	reservation, err := r.turns.Reserve(ctx, cluster.TurnRequest{
 		ReserveTurn: ledger.ReserveTurn{
-			Program: r.call.Program, Turn: r.call.ID, Budget: t.Budget, MaxTokens: t.MaxTokens, Previous: t.Previous, Session: r.call.Session,
-			StreamService: expected.service, StreamVersion: expected.version, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.Resumes,
+			Program: r.call.ledgerID(r.call.Program), Turn: r.call.ledgerID(r.call.ID), Budget: t.Budget, MaxTokens: t.MaxTokens,
+			Previous: r.call.ledgerID(t.Previous), Session: r.call.Session,
+			StreamService: expected.service, StreamVersion: expected.version, StreamRetention: r.streamRetention().Milliseconds(), Resumes: r.call.ledgerID(r.call.Resumes),
 			Continues: r.call.continues(), TokensPerEvent: r.uniformTokensPerEvent(), Retention: r.call.retention().Milliseconds(),
 			LastEvent: r.call.takenUpAfter(),
 		},
@@ -55,7 +56,7 @@
 	r.timing.reserved = time.Since(r.call.Arrived)
 	r.otherPartition = reservation.OtherPartition
 	if t.Previous != "" && !cached {
-		r.conversation = r.chains.put(t.Previous, nil, reservation.Chain)
+		r.conversation = r.chains.put(r.call.ledgerID(t.Previous), nil, reservation.Chain)
 	}
 	r.body = r.conversation.body(r.body)
 	if err := r.takeUpOutput(reservation); err != nil {
@@ -104,7 +105,7 @@
 	}
 	r.reserved = false
 	t := ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.tokensPerEvent, Session: r.call.Session, Server: r.completedBy,
+		Program: r.call.ledgerID(r.call.Program), Turn: r.call.ledgerID(r.call.ID), Tokens: r.events * r.tokensPerEvent, Session: r.call.Session, Server: r.completedBy,
 	}
 	r.background.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
@@ -124,18 +125,19 @@
 	retention := r.call.retention()
 	r.keptUntil = time.Now().Add(retention)
 	kept := ledger.KeptTurn{
-		Previous: r.call.Turn.Previous, Input: r.call.Body, Output: r.output, Retention: retention.Milliseconds(),
+		Previous: r.call.ledgerID(r.call.Turn.Previous), Input: r.call.Body, Output: r.output, Retention: retention.Milliseconds(),
 	}
 	if r.otherPartition {
 		// The partition of this program doesn't have the previous turns.
 		kept.Previous, kept.Input = "", r.body
 	}
 	err := r.turns.Settle(ctx, ledger.SettleTurn{
-		Program: r.call.Program, Turn: r.call.ID, Tokens: r.events * r.tokensPerEvent, Session: r.call.Session, Server: r.completedBy, Keep: &kept,
+		Program: r.call.ledgerID(r.call.Program), Turn: r.call.ledgerID(r.call.ID), Tokens: r.events * r.tokensPerEvent, Session: r.call.Session,
+		Server: r.completedBy, Keep: &kept,
 	})
 	if err == nil {
 		r.recorded = true
-		r.chains.put(r.call.ID, r.conversation, slices.Concat(r.call.Body, r.output))
+		r.chains.put(r.call.ledgerID(r.call.ID), r.conversation, slices.Concat(r.call.Body, r.output))
 	}
 	return err
 }
@@ -161,7 +163,7 @@
 	r.background.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
 		defer cancel()
-		err := r.turns.Extend(ctx, r.call.Program, r.call.ID, retention)
+		err := r.turns.Extend(ctx, r.call.ledgerID(r.call.Program), r.call.ledgerID(r.call.ID), retention)
 		r.logger.Info("retention of turn extended", zap.String("request", r.call.ID), zap.String("program", r.call.Program),
 			zap.Duration("after", time.Since(r.call.Arrived)), zap.Error(err))
 	})
--- a/route/delta_test.go
+++ b/route/delta_test.go
@@ -21,6 +21,11 @@
 			Targets: []Target{{rapid.SampledFrom([]string{"s", "t"}).Draw(rt, "service"), 1}},
 		})
 	}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 6, rapid.ID[int]).Draw(rt, "workspaces") {
+		t.Workspaces = append(t.Workspaces, Workspace{
+			Name: fmt.Sprint("w", i), KeyHashes: []string{HashKey(fmt.Sprint(i, rapid.IntRange(1, 2).Draw(rt, "key")))},
+		})
+	}
 	return t
 }
 
@@ -36,6 +41,9 @@
 		want := *next
 		want.Routes = slices.SortedFunc(slices.Values(next.Routes), byLocation)
 		got.Routes = slices.SortedFunc(slices.Values(got.Routes), byLocation)
+		byName := func(a, b Workspace) int { return strings.Compare(a.Name, b.Name) }
+		want.Workspaces = slices.SortedFunc(slices.Values(next.Workspaces), byName)
+		got.Workspaces = slices.SortedFunc(slices.Values(got.Workspaces), byName)
 		assert.DeepEqual(rt, got, &want)
 		for _, r := range d.Routes {
 			assert.Assert(rt, !slices.ContainsFunc(base.Routes, func(o Route) bool { return reflect.DeepEqual(r, o) }))
@@ -56,6 +64,8 @@
 	other.Version = 7
 	fewer := testTable()
 	fewer.Routes = fewer.Routes[1:]
+	more := testTable()
+	more.Workspaces = append(more.Workspaces, Workspace{Name: "w"})
 	d := Diff(base, next)
 	tests := []struct {
 		name string
@@ -65,6 +75,7 @@
 		{"no table", nil, "delta from version 1 does not apply"},
 		{"another version", other, "delta from version 1 does not apply"},
 		{"another table of the version", fewer, "results in 1 routes: want 2"},
+		{"other workspaces in the version", more, "results in 3 workspaces: want 2"},
 	}
 	for _, tt := range tests {
 		_, err := Patch(tt.base, d)
--- a/route/table.go
+++ b/route/table.go
@@ -55,6 +55,8 @@
 	// for Retention after its last turn.
 	KeepsHistory bool          `json:"keeps-history,omitempty"`
 	Retention    time.Duration `json:"retention,omitempty"`
+	// Public routes serve requests without a key of a workspace.
+	Public bool `json:"public,omitempty"`
 }
 
 // Service is a group of interchangeable backend servers.
@@ -87,6 +89,9 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Workspaces are the customers of the deployment. Without any, requests need no
+	// key.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 }
 
 // Check returns an error if the table is not valid.
@@ -113,7 +118,7 @@
 		}
 		prefixes[prefix] = true
 	}
-	return nil
+	return checkWorkspaces(t.Workspaces)
 }
 
 func (r *Route) check(services map[string]bool) error {
@@ -161,16 +166,17 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
-// Index is a lookup structure for the routes and services of a Table.
+// Index is a lookup structure for the routes, services and workspaces of a Table.
 type Index struct {
-	table    *Table
-	routes   map[string][]*Route // by host, longest prefix first
-	services map[string]*Service
+	table      *Table
+	routes     map[string][]*Route // by host, longest prefix first
+	services   map[string]*Service
+	workspaces map[string]*Workspace // by hash of a key
 }
 
 // NewIndex returns the index of a table, which must be valid.
 func NewIndex(t *Table) *Index {
-	x := &Index{table: t, routes: map[string][]*Route{}, services: map[string]*Service{}}
+	x := &Index{table: t, routes: map[string][]*Route{}, services: map[string]*Service{}, workspaces: map[string]*Workspace{}}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		x.routes[r.Host] = append(x.routes[r.Host], r)
@@ -181,6 +187,11 @@
 	for i := range t.Services {
 		x.services[t.Services[i].Name] = &t.Services[i]
 	}
+	for i := range t.Workspaces {
+		for _, hash := range t.Workspaces[i].KeyHashes {
+			x.workspaces[hash] = &t.Workspaces[i]
+		}
+	}
 	return x
 }
 
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -16,7 +16,8 @@
 			{Name: "cut", Host: "a.example", Prefix: "/cut/", Kind: NonIdempotent, Timeout: time.Second, Targets: []Target{{"s", 90}, {"t", 10}}},
 			{Name: "deep", Host: "a.example", Prefix: "/cut/deep/", Kind: Stream, Timeout: time.Second, Targets: []Target{{"t", 1}}},
 		},
-		Services: []Service{{Name: "s"}, {Name: "t"}},
+		Services:   []Service{{Name: "s"}, {Name: "t"}},
+		Workspaces: []Workspace{{Name: "co-op", KeyHashes: []string{HashKey("k1"), HashKey("k2")}}, {Name: "desk", KeyHashes: []string{HashKey("k3")}}},
 	}
 }
 
@@ -66,6 +67,12 @@
 		{"negative weight", func(t *Table) { t.Routes[2].Targets[0].Weight = -1 }, `route "deep": weight -1 of service "t": want 0 or more`},
 		{"no timeout", func(t *Table) { t.Routes[0].Timeout = 0 }, `route "all": timeout 0s: want more than 0`},
 		{"prefix without final slash", func(t *Table) { t.Routes[1].Prefix = "/cut" }, `route "cut": host "a.example" and prefix "/cut": want a host, and a prefix that begins and ends with a slash`},
+		{"nameless workspace", func(t *Table) { t.Workspaces[1].Name = "" }, `workspace "": name of 0 bytes: want 1 to 128 printable ASCII characters without spaces`},
+		{"workspace name with a line feed", func(t *Table) { t.Workspaces[1].Name = "a\nb" }, `workspace "a\nb": name of 3 bytes: want 1 to 128 printable ASCII characters without spaces`},
+		{"workspace twice", func(t *Table) { t.Workspaces[1].Name = "co-op" }, `workspace "co-op": want a unique name`},
+		{"shared key", func(t *Table) { t.Workspaces[1].KeyHashes = []string{HashKey("k1")} }, `workspaces "co-op" and "desk" have the same key`},
+		{"empty key", func(t *Table) { t.Workspaces[1].KeyHashes = []string{HashKey("")} }, `workspace "desk": key 1 is empty`},
+		{"negative quota", func(t *Table) { t.Workspaces[1].PerSecond = -1 }, `workspace "desk": quota of -1 requests/s and a burst of 0: want 0 or more`},
 		{"unknown kind", func(t *Table) { t.Routes[1].Kind = "often" }, `route "cut": kind "often": want idempotent, non-idempotent or stream`},
 	}
 	for _, tt := range tests {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -64,6 +64,7 @@
 	CallInProgress       Reason = "call-in-progress"
 	KeyReused            Reason = "idempotency-key-reused"
 	BudgetExceeded       Reason = "budget-exceeded"
+	QuotaExceeded        Reason = "quota-exceeded"
 	DeadlineExceeded     Reason = "deadline-exceeded"
 	Overloaded           Reason = "overloaded"
 	NoServer             Reason = "no-server"
