--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -14,15 +12,6 @@
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
-const (
-	// attemptTimeout bounds one request to a leader, so that a host that became
-	// unreachable without a TCP reset does not use up the caller's time.
-	attemptTimeout = 1200 * time.Millisecond
-	// leaderRetryDelay is the delay between two attempts to reach a leader. A
-	// redirect to the leader is followed without delay.
-	leaderRetryDelay = 30 * time.Millisecond
-)
-
 // TurnRequest requests the reservation of a turn.
 type TurnRequest struct {
 	ledger.ReserveTurn
@@ -275,56 +264,6 @@
 	}
 }
 
-// callLeader tries the hosts of a partition until the leader answers or the
-// context ends. The command may be applied twice.
-func (l *Link) callLeader(ctx context.Context, partition int, method string, params, result any) error {
-	maybeSent := false
-	hint := l.leader(partition)
-	tried := map[string]bool{}
-	var lastErr error
-	for {
-		id, peer := l.nextHost(partition, hint, tried)
-		if peer == nil {
-			clear(tried)
-		} else {
-			tried[id] = true
-			err := l.callHost(ctx, peer, method, params, result)
-			if err == nil {
-				l.setLeader(partition, id)
-				return nil
-			}
-			lastErr = err
-			var notLeader *control.NotLeaderError
-			if errors.As(err, &notLeader) {
-				hint = notLeader.Leader()
-				if hint != "" && !tried[hint] {
-					continue
-				}
-			} else {
-				maybeSent = maybeSent || !control.Unsent(err) && verdict.Of(err) != verdict.NotRun
-				hint = ""
-			}
-		}
-		if !pause.For(ctx, leaderRetryDelay) {
-			v := verdict.NotRun
-			if maybeSent {
-				v = verdict.MayHaveRun
-			}
-			return verdict.New(v, verdict.ControlUnavailable, fmt.Sprintf("no leader of ledger partition %d answered in time", partition), verdict.WithCause(lastErr))
-		}
-	}
-}
-
-func (l *Link) callHost(ctx context.Context, p *control.Peer, method string, params, result any) error {
-	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	err := p.Call(attempt, method, params, result)
-	if err != nil && attempt.Err() != nil && ctx.Err() == nil {
-		p.Reset()
-	}
-	return err
-}
-
 func (l *Link) leader(partition int) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -339,23 +278,6 @@
 	l.leaders[partition] = p
 }
 
-// nextHost returns an untried host: the hinted one, or else one that is assigned
-// to the partition. The peer is nil if there is none.
-func (l *Link) nextHost(partition int, hint string, tried map[string]bool) (string, *control.Peer) {
-	members := l.members(partition)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p := l.ledgerHosts[hint]; p != nil && !tried[hint] {
-		return hint, p
-	}
-	for _, id := range members {
-		if p := l.ledgerHosts[id]; p != nil && !tried[id] {
-			return id, p
-		}
-	}
-	return "", nil
-}
-
 func (l *Link) members(partition int) []string {
 	v := l.ledger.Load()
 	if v == nil || v.Plan == nil || partition > len(v.Plan.Partitions) {
