--- a/cluster/host.go
+++ b/cluster/host.go
@@ -81,6 +81,8 @@
 	Address         func(id string) string // returns the address of a host's peer port
 	Dial            control.DialFunc       // nil for TCP
 	Metrics         tally.Scope            // nil for no metrics
+	// Quota bounds the requests of workspaces that have a limit.
+	Quota QuotaBound
 }
 
 func (c HostConfig) withDefaults() HostConfig {
@@ -129,6 +131,8 @@
 	departures    map[string]observedDeparture // in the log, by path
 	seeds         []string
 
+	quota quotaOwner
+
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 }
@@ -226,6 +230,7 @@
 	clear(h.pendingGossip)
 	to := h.otherHosts()
 	h.mu.Unlock()
+	h.quota.expire()
 	h.group.SetJoinPeers(to)
 	if len(entries) > 0 || gossipDue {
 		h.sendGossip(to, entries)
@@ -383,15 +388,19 @@
 	}
 }
 
-// permit handles the request of an entry host to send to a limited server.
-func (h *Host) permit(_ context.Context, _ string, r permitRequest) (permitResponse, error) {
+// permit handles the request of an entry host to send to a limited server, or to
+// send requests of workspaces.
+func (h *Host) permit(ctx context.Context, _ string, r permitRequest) (permitResponse, error) {
+	if r.ServerLimit == nil {
+		return h.workspacePermits(ctx, r)
+	}
 	if err := h.requireLeader(); err != nil {
 		return permitResponse{}, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	h.observeLimits(now, []ServerLimit{r.ServerLimit})
+	h.observeLimits(now, []ServerLimit{*r.ServerLimit})
 	perSecond := h.limits.Get(now, r.Server, r.StartedAt).PerSecond
 	if perSecond == 0 {
 		return permitResponse{}, nil
--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -92,6 +92,21 @@
 	maps.DeleteFunc(l.byServer, func(_ string, o observedLimit) bool { return now-o.observedAt > limitTTL })
 }
 
+// credit is the level of a token bucket.
+type credit struct {
+	tokens    float64
+	updatedAt time.Duration
+}
+
+// fill adds the tokens of the time since the last call.
+func (c *credit) fill(now time.Duration, rate, capacity float64) {
+	if now > c.updatedAt {
+		c.tokens += rate * (now - c.updatedAt).Seconds()
+		c.updatedAt = now
+	}
+	c.tokens = min(c.tokens, capacity)
+}
+
 // permits hands out permits to send one request to a limited server. All
 // permits come from the leader of the control hosts' log, so that the hosts
 // together keep to the limit. It is not safe for concurrent use.
@@ -104,9 +119,8 @@
 // empty, since an earlier leader may have handed out permits just before.
 type permitBucket struct {
 	startedAt int64
-	tokens    float64
-	updatedAt time.Duration
-	waiting   map[string]time.Duration // time of the last refusal, by host
+	credit
+	waiting map[string]time.Duration // time of the last refusal, by host
 }
 
 func newPermits(source rand.Source) *permits {
@@ -119,11 +133,10 @@
 	rate := max(perSecond, minLimit)
 	b := p.buckets[server]
 	if b == nil || b.startedAt != startedAt {
-		b = &permitBucket{startedAt: startedAt, updatedAt: now, waiting: map[string]time.Duration{}}
+		b = &permitBucket{startedAt: startedAt, credit: credit{updatedAt: now}, waiting: map[string]time.Duration{}}
 		p.buckets[server] = b
 	}
-	b.tokens = min(b.tokens+rate*(now-b.updatedAt).Seconds(), max(1, rate*permitBurst.Seconds()))
-	b.updatedAt = now
+	b.fill(now, rate, max(1, rate*permitBurst.Seconds()))
 	maps.DeleteFunc(b.waiting, func(_ string, at time.Duration) bool { return now-at > permitInterval })
 	if b.tokens >= 1 {
 		b.tokens--
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -136,6 +136,8 @@
 	loadSource     string                   // id of the control host that supplies the aggregated load
 	tableFetch     *tableFetch
 	controlLeader  partitionLeader // of the control hosts' log
+
+	permits permitQueue
 }
 
 // controlHost is the state of one control host.
@@ -159,6 +161,7 @@
 		config: c, logger: logger, ctx: ctx, cancel: cancel,
 		hosts: map[string]*controlHost{}, ledgerHosts: map[string]*control.Peer{}, leaders: map[int]partitionLeader{}, seeds: c.Seeds, view: registry.NewView(),
 		tableFetch: newTableFetch(c.ID), tableOffered: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		permits: permitQueue{ready: make(chan struct{}, 1)},
 	}
 }
 
@@ -172,6 +175,7 @@
 	l.wait.Go(l.expireHosts)
 	if l.config.LedgerHostReport == nil {
 		l.wait.Go(l.fetchTables)
+		l.wait.Go(l.requestPermits)
 	}
 }
 
@@ -569,13 +573,8 @@
 	attempt, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	var out permitResponse
-	if err := h.Call(attempt, methodPermit, permitRequest{Host: l.config.ID, ServerLimit: o}, &out); err != nil {
-		var notLeader *control.NotLeaderError
-		if errors.As(err, &notLeader) && notLeader.Leader() != "" {
-			l.mu.Lock()
-			l.controlLeader.id = notLeader.Leader()
-			l.mu.Unlock()
-		}
+	if err := h.Call(attempt, methodPermit, permitRequest{Host: l.config.ID, ServerLimit: &o}, &out); err != nil {
+		l.followRedirect(h.id, err)
 		if ctx.Err() == nil {
 			l.logger.Warn("permit request failed", zap.String("server", o.Server), zap.String("control-host", h.id), zap.Error(err))
 		}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -152,16 +152,64 @@
 	Limits []ServerLimit `json:"limits,omitempty"`
 }
 
-// permitRequest requests a permit to send one request to a limited server.
+// permitRequest requests a permit to send one request to a limited server, or
+// permits for requests of workspaces.
 type permitRequest struct {
-	Host string `json:"host"`
-	ServerLimit
+	Host         string `json:"host"`
+	*ServerLimit        // nil in a request for workspaces
+	// Workspaces are the requests that wait at the host, by workspace.
+	Workspaces []workspaceRequest `json:"workspaces,omitempty"`
+}
+
+// workspaceRequest requests permits for requests of a workspace.
+type workspaceRequest struct {
+	Workspace string `json:"name"`
+	// Table is the version of the routing table of the host, and the limit is the one
+	// in that table.
+	Table int64 `json:"table"`
+	QuotaLimit
+	// Continuations is the number of permits requested, without those for requests
+	// that begin a program, which are Beginnings.
+	Continuations int `json:"continue,omitempty"`
+	Beginnings    int `json:"begin,omitempty"`
+	// Repeated is the number of them that have been requested before.
+	Repeated int            `json:"again,omitempty"`
+	Refunds  []permitRefund `json:"refunds,omitempty"`
+}
+
+// permitRefund returns permits of one response that have not been used.
+type permitRefund struct {
+	Term  uint64        `json:"term"`
+	At    time.Duration `json:"at"`
+	Count int           `json:"count"`
 }
 
 type permitResponse struct {
 	// Wait is 0 if the request may be sent now, or else the time after which to
 	// ask again.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Term and At identify the permits for workspaces that this response grants: the
+	// term of the leader and its time.
+	Term       uint64           `json:"term,omitempty"`
+	At         time.Duration    `json:"at,omitempty"`
+	Workspaces []workspaceGrant `json:"workspaces,omitempty"` // in the order of the request
+}
+
+// workspaceGrant is the number of permits that are granted to a host.
+type workspaceGrant struct {
+	Continuations int `json:"continue,omitempty"`
+	Beginnings    int `json:"begin,omitempty"`
+	// Exceeded is set if more is requested than the limit allows.
+	Exceeded bool `json:"exceeded,omitempty"`
+	// Wait and BeginWait are the times after which the other requests may get a
+	// permit, or after which to ask again if the limit is not exceeded. They are to be
+	// spread over Spread and BeginSpread.
+	Wait        time.Duration `json:"wait,omitempty"`
+	Spread      time.Duration `json:"spread,omitempty"`
+	BeginWait   time.Duration `json:"begin-wait,omitempty"`
+	BeginSpread time.Duration `json:"begin-spread,omitempty"`
+	// QuotaLimit is the limit that the leader applies; zero if all is granted.
+	QuotaLimit
 }
 
 // LedgerHostReport is the state that a ledger host reports to control hosts.
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -71,6 +71,7 @@
 				c := cluster.HostConfig{
 					ID: s.IP, DataCentre: s.DataCentre, DataFolder: s.DataFolder, Seeds: s.SeedHosts(), Key: key,
 					Address: s.PeerAddress, ToleratedLosses: s.ToleratedLosses, Metrics: p.metrics,
+					Quota: s.Quota(),
 				}
 				if s.FirstStart {
 					c.Founders = cluster.Founders(c.Seeds)
@@ -105,7 +106,7 @@
 		link := cluster.NewLink(cluster.LinkConfig{
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
 		}, logger)
-		f := forward.New(platform.Protocol{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithPermits(link), forward.WithReporter(link),
+		f := forward.New(platform.Protocol{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithPermits(link), forward.WithQuotas(link), forward.WithReporter(link),
 			forward.WithChainBytes((s.MemoryMB<<20)/chainMemoryDivisor),
 			forward.WithBodyBytes(int64(s.MemoryMB<<20)/bodyMemoryDivisor),
 			forward.WithDataCentre(s.DataCentre), forward.WithScheduler(schedule.WithPrefixAffinity(s.DataCentre), schedule.WithSlowThresholds(slowBelow, recoveredAbove), schedule.WithFloors(engineFloor, serviceFloor)))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -47,10 +47,17 @@
 // place returns the server for the next attempt: the one that is held for it, or
 // else the one that is assigned to the call after queueing.
 func (r *execution) place(ctx context.Context) (target, schedule.Assignment, error) {
+	if err := r.renewPermit(ctx); err != nil {
+		return target{}, schedule.Assignment{}, err
+	}
 	p, err := r.nextPlacement(ctx)
 	if err != nil {
 		return target{}, schedule.Assignment{}, err
 	}
+	if err := r.renewPermit(ctx); err != nil {
+		r.release(p)
+		return target{}, schedule.Assignment{}, err
+	}
 	c, a, e := r.call, p.assignment, p.entry
 	if x := r.view.service(p.service); x != nil && x.Engine != nil {
 		r.tokensPerEvent = x.Engine.TokensPerEvent
@@ -233,6 +240,7 @@
 // error carries the verdict on this attempt.
 func (r *execution) send(ctx context.Context, t target, a schedule.Assignment) (*http.Response, error) {
 	r.silence = r.watchSilence(t)
+	r.permitUsed = true
 	resp, err := r.pool.Do(ctx, t.address, r.serverRequest(a), func(h *http.Response, alone bool) bool {
 		reply := r.protocol.Reply(r.call, h)
 		return reply.Matches && (alone || !reply.Unnamed)
@@ -273,6 +281,11 @@
 func (r *execution) attemptFailed(ctx context.Context, t target, err error) error {
 	v := verdict.From(err)
 	notRun := v.Verdict() == verdict.NotRun
+	if notRun {
+		r.permitUsed = false
+	} else {
+		r.mayHaveRun = true
+	}
 	r.silence.failed(ctx.Err() == nil && v.Reason() == verdict.ServerFailed)
 	r.queue.Finished(t.id, t.server, schedule.Usage{}, classifyFailure(v))
 	r.avoid = append(r.avoid, t.server)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -93,6 +93,15 @@
 	Permit(ctx context.Context, limit cluster.ServerLimit) time.Duration
 }
 
+// Quotas hands out permits for requests of workspaces that have a limit.
+type Quotas interface {
+	// WorkspacePermit returns a permit for one request, which begins a program or
+	// not. The error is a *verdict.Error.
+	WorkspacePermit(ctx context.Context, w *route.Workspace, begins bool) (cluster.WorkspacePermit, error)
+	// RefundPermit returns a permit for a request that no server has run.
+	RefundPermit(p cluster.WorkspacePermit)
+}
+
 // Reporter sends the report of this host.
 type Reporter interface {
 	// ReportSoon sends the next report earlier than usual.
@@ -104,7 +113,9 @@
 	protocol   Protocol
 	turns      Turns
 	permits    Permits  // nil to ignore limits
+	quotas     Quotas   // nil to ignore the limits of workspaces
 	reporter   Reporter // nil without one
+	programs   *programSet
 	logger     *zap.Logger
 	clock      dispatch.Clock
 	queue      *dispatch.Queue
@@ -135,6 +146,7 @@
 	metrics    tally.Scope
 	logger     *zap.Logger
 	permits    Permits
+	quotas     Quotas
 	reporter   Reporter
 	scheduler  []schedule.Option
 	dataCentre string
@@ -155,6 +167,10 @@
 // are ignored.
 func WithPermits(p Permits) Option { return func(o *options) { o.permits = p } }
 
+// WithQuotas sets the source of permits for requests of workspaces. By default,
+// their limits are ignored.
+func WithQuotas(q Quotas) Option { return func(o *options) { o.quotas = q } }
+
 // WithReporter sets what sends the report of this host. Without one, failures of
 // servers are reported with the regular reports.
 func WithReporter(r Reporter) Option { return func(o *options) { o.reporter = r } }
@@ -186,7 +202,7 @@
 	scheduler := schedule.New(rand.NewPCG(rand.Uint64(), rand.Uint64()), o.scheduler...)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Forwarder{
-		protocol: p, turns: t, permits: o.permits, reporter: o.reporter, logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
+		protocol: p, turns: t, permits: o.permits, quotas: o.quotas, reporter: o.reporter, programs: newProgramSet(clock), logger: o.logger, clock: clock, ctx: ctx, cancel: cancel,
 		queue: dispatch.NewQueue(scheduler, clock), pool: backend.NewPool(o.dial),
 		chains: newChainCache(o.chainBytes), metrics: newCallMetrics(o.metrics), bodies: semaphore.NewWeighted(o.bodyBytes), answers: semaphore.NewWeighted(o.bodyBytes),
 		responses: newResponseTimes(), dataCentre: o.dataCentre,
@@ -249,6 +265,10 @@
 	if r.crashes >= maxCrashes {
 		return f.failed(c, verdict.New(verdict.NotRun, verdict.CrashedServers, "the request was in flight on several servers when they crashed", verdict.WithRetryAfter(suspectRetryAfter)))
 	}
+	if err := r.acquirePermit(ctx); err != nil {
+		return f.failed(c, err)
+	}
+	defer r.refundPermit()
 	if c.Turn != nil {
 		if err := r.reserve(ctx); err != nil {
 			return f.failed(c, err)
@@ -348,6 +368,9 @@
 	fingerprint  uint64
 	crashes      int // number of servers that have crashed while the request was in flight on them
 	progress     progress
+	permit       cluster.WorkspacePermit // of the last or the next attempt
+	permitUsed   bool                    // the attempt has been sent and may have run
+	mayHaveRun   bool                    // an attempt may have run
 	stream       streamVersion
 	silence      *silenceWatch // of the current attempt, or nil if it has not been sent
 	next         *placement    // held for the next attempt, or nil
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/sycamoreline/sycamoreline/metrics"
+	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -69,6 +70,12 @@
 // permitRefused counts an assignment to a limited server that is not used.
 func (m *callMetrics) permitRefused() { m.scope.Counter("permits-refused").Inc(1) }
 
+// quota counts a request of a workspace with a limit by what became of its permit:
+// granted, refused or refunded.
+func (m *callMetrics) quota(w *route.Workspace, event string) {
+	m.scope.Tagged(map[string]string{"workspace": w.Name}).Counter("quota-" + event).Inc(1)
+}
+
 // doubted counts a server that is not used because of the failures that hosts have
 // seen.
 func (m *callMetrics) doubted() { m.scope.Counter("servers-doubted").Inc(1) }
--- a/replica/group.go
+++ b/replica/group.go
@@ -93,7 +93,8 @@
 	proposals      pendingProposals
 
 	leader          atomic.Pointer[Ref]
-	leaderTerm      atomic.Uint64 // term in which this replica leads; 0 if it does not
+	leaderTerm      atomic.Uint64             // term in which this replica leads; 0 if it does not
+	leaderSince     atomic.Pointer[time.Time] // of the last change of leaderTerm
 	status          atomic.Pointer[Status]
 	sendingSnapshot atomic.Bool   // a snapshot is being sent
 	closing         chan struct{} // closed by Close
