--- a/cluster/quota.go
+++ b/cluster/quota.go
@@ -92,10 +92,10 @@
 		b.peaks[n%peakCount] = max(b.peaks[n%peakCount], b.tokens)
 	}
 	b.demand.fill(now, b.limit.PerSecond, max(1, b.limit.Burst))
-	b.begin.advance(now, b.rate)
+	b.begin.advance(now)
 }
 
-// setLimit changes the limit. Refunds of earlier permits are void.
+// setLimit changes the limit.
 func (b *quotaBucket) setLimit(q QuotaBound, l QuotaLimit, table int64) {
 	b.table = table
 	if b.limit == l {
@@ -104,9 +104,6 @@
 	b.limit = l
 	b.rate, b.capacity = q.bucket(l)
 	b.tokens = min(b.tokens, b.capacity)
-	for i := range b.peaks {
-		b.peaks[i] = b.capacity
-	}
 	b.demand.tokens = min(b.demand.tokens, max(1, l.Burst))
 }
 
@@ -136,39 +133,31 @@
 	b.demand.tokens -= float64(max(0, r.Continuations+r.Beginnings-r.Repeated))
 	b.demand.tokens = max(b.demand.tokens, -max(1, b.limit.PerSecond*exceededMemory.Seconds()))
 	g := workspaceGrant{Exceeded: b.demand.tokens < -tokenTolerance}
-	for g.Continuations < r.Continuations && b.take(1) {
+	for g.Continuations < r.Continuations && b.take() {
 		g.Continuations++
 		b.begin.continued++
 	}
-	reserve := 1.0
-	if g.Exceeded {
-		reserve += b.begin.reserve(b.capacity)
-	}
-	for g.Beginnings < r.Beginnings && (!g.Exceeded || b.begin.allowed()) && b.take(reserve) {
+	missing := b.begin.missing(b.tokens, b.capacity, b.rate, g.Exceeded)
+	for g.Beginnings < r.Beginnings && missing <= tokenTolerance && b.take() {
 		g.Beginnings++
-		b.begin.begun++
-		b.begin.share.tokens = max(0, b.begin.share.tokens-1)
+		b.begin.recent++
+		missing = b.begin.missing(b.tokens, b.capacity, b.rate, g.Exceeded)
 	}
 	if n := r.Continuations - g.Continuations; n > 0 {
 		g.Wait, g.Spread = assignRetries(now, &b.nextContinuation, 1-b.tokens, b.rate, n, random)
 		g.QuotaLimit = b.limit
 	}
 	if n := r.Beginnings - g.Beginnings; n > 0 {
-		if g.Exceeded {
-			rate := b.begin.rate(b.rate)
-			missing := max(1-b.begin.share.tokens, (reserve-b.tokens)/b.rate*rate)
-			g.BeginWait, g.BeginSpread = assignRetries(now, &b.nextBeginning, missing, rate, n, random)
-		} else {
-			g.BeginWait, g.BeginSpread = assignRetries(now, &b.nextContinuation, 1-b.tokens, b.rate, n, random)
-		}
+		rate := b.begin.rate(b.rate)
+		g.BeginWait, g.BeginSpread = assignRetries(now, &b.nextBeginning, missing*rate/b.rate, rate, n, random)
 		g.QuotaLimit = b.limit
 	}
 	return g
 }
 
-// take takes a token if the bucket has at least a number of them.
-func (b *quotaBucket) take(atLeast float64) bool {
-	if b.tokens < atLeast-tokenTolerance {
+// take takes a token if there is one.
+func (b *quotaBucket) take() bool {
+	if b.tokens < 1-tokenTolerance {
 		return false
 	}
 	b.tokens--
@@ -234,11 +223,11 @@
 	case b == nil && l.PerSecond <= 0:
 		return nil
 	case b == nil:
-		b = &quotaBucket{credit: credit{updatedAt: now}, begin: beginnings{share: credit{updatedAt: now}}}
+		b = &quotaBucket{credit: credit{updatedAt: now}, begin: beginnings{updatedAt: now}}
 		b.demand = credit{max(1, l.Burst), now}
-		b.tokens = math.Inf(1)
 		b.setLimit(q.bound, l, table)
 		b.tokens = min(b.capacity, b.rate*(now-q.since-leaseDuration).Seconds())
+		b.peaks[peakSlot(now)%peakCount] = b.tokens
 		q.buckets[r.Workspace] = b
 	default:
 		b.advance(now)
--- a/cluster/quotalink.go
+++ b/cluster/quotalink.go
@@ -46,7 +46,9 @@
 func (p *WorkspacePermit) Limited() bool { return p.term != 0 }
 
 // Valid reports whether the permit may be used now.
-func (p *WorkspacePermit) Valid() bool { return !p.Limited() || bootclock.Now() < p.validity }
+func (p *WorkspacePermit) Valid() bool { return p.validAt(bootclock.Now()) }
+
+func (p *WorkspacePermit) validAt(now time.Duration) bool { return !p.Limited() || now < p.validity }
 
 // permitCall is a request that waits for a permit.
 type permitCall struct {
