--- a/cluster/quota_test.go
+++ b/cluster/quota_test.go
@@ -259,6 +259,26 @@
 	assert.NilError(rt, w.check())
 }
 
+// Guards against a leader that grants permits while the one before may still do so.
+func TestNextLeaderStartsAfterLease(t *testing.T) {
+	bound, l := QuotaBound{Window: time.Second}, QuotaLimit{100, 10}
+	old, next := newQuotas(bound, 1, -time.Minute, rand.NewPCG(1, 1)), newQuotas(bound, 2, 200*time.Millisecond, rand.NewPCG(1, 2))
+	var lease leadershipLease
+	lease.confirm(200*time.Millisecond-1, 1)
+	granted := 0
+	for now := time.Duration(0); now <= time.Second; now += time.Millisecond {
+		r := workspaceRequest{Workspace: "w", Table: 1, QuotaLimit: l, Continuations: 5}
+		if lease.valid(now, 1) {
+			granted += old.grant(now, &r).Continuations
+		}
+		if now >= next.since {
+			granted += next.grant(now, &r).Continuations
+		}
+	}
+	most := int(bound.requests(l))
+	assert.Assert(t, granted <= most && granted >= most-2, "%d permits: want %d", granted, most)
+}
+
 // Guards against refusals and waits of requests within the limit, refunds and
 // programs of many lengths included.
 func TestRequestsWithinQuota(t *testing.T) {
--- a/cluster/quotalink.go
+++ b/cluster/quotalink.go
@@ -42,6 +42,12 @@
 	validity time.Duration // end, by bootclock
 }
 
+// NewWorkspacePermit returns a permit that is valid for some time, for sources of
+// permits other than a Link.
+func NewWorkspacePermit(validFor time.Duration) WorkspacePermit {
+	return WorkspacePermit{term: 1, validity: bootclock.Now() + validFor}
+}
+
 // Limited reports whether the workspace has a limit.
 func (p *WorkspacePermit) Limited() bool { return p.term != 0 }
 
