--- a/cluster/host.go
+++ b/cluster/host.go
@@ -230,7 +230,8 @@
 	clear(h.pendingGossip)
 	to := h.otherHosts()
 	h.mu.Unlock()
-	h.quota.expire()
+	status := h.group.Status()
+	h.quota.tick(status.Term, status.Leader)
 	h.group.SetJoinPeers(to)
 	if len(entries) > 0 || gossipDue {
 		h.sendGossip(to, entries)
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -574,7 +574,11 @@
 	defer cancel()
 	var out permitResponse
 	if err := h.Call(attempt, methodPermit, permitRequest{Host: l.config.ID, ServerLimit: &o}, &out); err != nil {
-		l.followRedirect(h.id, err)
+		if leader := redirect(err); leader != "" {
+			l.mu.Lock()
+			l.controlLeader.id = leader
+			l.mu.Unlock()
+		}
 		if ctx.Err() == nil {
 			l.logger.Warn("permit request failed", zap.String("server", o.Server), zap.String("control-host", h.id), zap.Error(err))
 		}
--- a/cluster/quota.go
+++ b/cluster/quota.go
@@ -61,6 +61,14 @@
 	return max(rate, 0), capacity
 }
 
+// headStart returns what the bucket of a leader may have at its start if there was no
+// other change of the leader in the last window: what the bound leaves beyond that of
+// the bucket.
+func (q QuotaBound) headStart(l QuotaLimit) float64 {
+	rate, capacity := q.bucket(l)
+	return max(0, q.requests(l)-capacity-rate*q.Window.Seconds())
+}
+
 // quotaBucket counts the permits of a workspace. Its levels are at most the
 // capacity, and between two times they fall by the permits granted, without those
 // refunded later, and rise by at most the rate.
@@ -194,7 +202,9 @@
 	term  uint64
 	// since is the start of the term. Permits of the term before may have been granted
 	// until leaseDuration later.
-	since   time.Duration
+	since time.Duration
+	// calm is set if no other term has begun in the window before this one.
+	calm    bool
 	random  *rand.Rand
 	table   int64 // version of limits
 	limits  map[string]QuotaLimit
@@ -226,7 +236,11 @@
 		b = &quotaBucket{credit: credit{updatedAt: now}, begin: beginnings{updatedAt: now}}
 		b.demand = credit{max(1, l.Burst), now}
 		b.setLimit(q.bound, l, table)
-		b.tokens = min(b.capacity, b.rate*(now-q.since-leaseDuration).Seconds())
+		b.tokens = b.rate * (now - q.since - leaseDuration).Seconds()
+		if q.calm {
+			b.tokens += q.bound.headStart(l)
+		}
+		b.tokens = min(b.capacity, b.tokens)
 		b.peaks[peakSlot(now)%peakCount] = b.tokens
 		q.buckets[r.Workspace] = b
 	default:
@@ -286,3 +300,23 @@
 func (l *leadershipLease) valid(now time.Duration, term uint64) bool {
 	return term != 0 && term == l.term && now < l.until
 }
+
+// leaderHistory holds the last two terms in which this host has known a leader.
+type leaderHistory struct {
+	term, previous            uint64
+	knownSince, previousSince time.Duration
+}
+
+// observe records that a host leads in a term.
+func (h *leaderHistory) observe(now time.Duration, term uint64, leader string) {
+	if leader != "" && term > h.term {
+		h.previous, h.previousSince = h.term, h.knownSince
+		h.term, h.knownSince = term, now
+	}
+}
+
+// calm reports whether the last term is the only one that began less than a window
+// before its own start. Terms that this host has not seen may have had leaders.
+func (h *leaderHistory) calm(since, window time.Duration) bool {
+	return h.previous != 0 && h.term == h.previous+1 && since-h.previousSince > window
+}
--- a/cluster/quotalink.go
+++ b/cluster/quotalink.go
@@ -345,13 +345,18 @@
 	return nil
 }
 
+// redirect returns the leader that an error names, or "".
+func redirect(err error) string {
+	if e := (*control.NotLeaderError)(nil); errors.As(err, &e) {
+		return e.Leader()
+	}
+	return ""
+}
+
 // followRedirect records the leader that an error names, or that the host which was
 // asked is none. It reports whether there is another one to ask.
 func (l *Link) followRedirect(asked string, err error) bool {
-	leader := ""
-	if e := (*control.NotLeaderError)(nil); errors.As(err, &e) {
-		leader = e.Leader()
-	}
+	leader := redirect(err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if leader != "" || l.controlLeader.id == asked {
