cluster: test of a leader that is cut off from the other control hosts

It grants no permit once the next leader does. The lease matters for frozen leaders and forced elections, which TestQuotaBoundHolds draws.

--- a/cluster/quotalink_test.go
+++ b/cluster/quotalink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
+	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -99,6 +102,78 @@
 	l.RefundPermit(NewWorkspacePermit(time.Hour)) // lost
 }
 
+// cuttableNetwork connects control hosts, one of which may be cut off.
+type cuttableNetwork struct {
+	d     *deployment
+	mu    sync.Mutex
+	cut   string
+	conns []net.Conn
+}
+
+func (n *cuttableNetwork) dial(from string) control.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if err == nil && n.cut != "" && (n.cut == from || n.d.address(n.cut) == address) {
+			c.Close()
+			return nil, net.ErrClosed
+		}
+		n.conns = append(n.conns, c)
+		return c, err
+	}
+}
+
+func (n *cuttableNetwork) isolate(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = id
+	for _, c := range n.conns {
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
+// Guards against a leader that is cut off from the other control hosts and still
+// grants permits while the next one does.
+func TestCutLeaderGrantsNoPermits(t *testing.T) {
+	ids := []string{"c1", "c2", "c3"}
+	d := newDeployment(t, ids...)
+	n := &cuttableNetwork{d: d}
+	var hosts []*Host
+	for _, id := range ids {
+		h, err := StartHost(HostConfig{
+			ID: id, DataFolder: t.TempDir(), Founders: ids, Seeds: ids, Key: d.key, Address: d.address, Dial: n.dial(id), Quota: QuotaBound{Window: time.Second},
+		}, d.listeners[id], zap.NewNop())
+		assert.NilError(t, err)
+		d.onCleanup(func() { assert.Check(t, h.Close()) })
+		hosts = append(hosts, h)
+	}
+	grants := func(ctx context.Context, h *Host) bool {
+		_, err := h.permit(ctx, "e1", permitRequest{Workspaces: []workspaceRequest{{Workspace: "w", Table: 1, QuotaLimit: QuotaLimit{100, 10}, Continuations: 1}}})
+		return err == nil
+	}
+	var leader *Host
+	awaitLeader := func(what string) {
+		d.await(what, func(ctx context.Context) bool {
+			for _, h := range hosts {
+				if h != leader && grants(ctx, h) {
+					assert.Assert(t, leader == nil || !grants(ctx, leader))
+					leader = h
+					return true
+				}
+			}
+			return false
+		})
+	}
+	awaitLeader("first leader")
+	for range 2 {
+		n.isolate(leader.config.ID)
+		awaitLeader("next leader")
+	}
+}
+
 // Guards against a lease that is extended by a read which began before a freeze, and
 // against the lease of an earlier term.
 func TestLeadershipLease(t *testing.T) {
