--- a/cluster/host.go
+++ b/cluster/host.go
@@ -115,6 +115,7 @@
 	state   *controlState
 	started time.Time
 
+	read          sharedRead
 	files         stateFiles
 	saveRequested chan struct{}
 
@@ -320,11 +321,17 @@
 }
 
 // sync handles the poll of an entry host or a ledger host.
-func (h *Host) sync(_ context.Context, _ string, r syncRequest) (syncResponse, error) {
+func (h *Host) sync(ctx context.Context, _ string, r syncRequest) (syncResponse, error) {
 	if err := r.check(); err != nil {
 		h.logger.Warn("report rejected", zap.String("entry-host", r.Host), zap.Error(err))
 		return syncResponse{}, err
 	}
+	var confirmedAge *time.Duration
+	if r.Confirm {
+		if age, ok := h.confirmTable(ctx); ok {
+			confirmedAge = &age
+		}
+	}
 	status := h.group.Status()
 	leader, _ := h.group.Leader()
 	h.mu.Lock()
@@ -339,7 +346,7 @@
 	out := syncResponse{
 		ID: h.config.ID, DataCentre: h.config.DataCentre, Hosts: append(h.otherHosts(), h.config.ID),
 		Leader: leader, Term: status.Term,
-		EntryHosts: len(h.loads.hosts), Suspects: h.loads.suspectList(),
+		EntryHosts: len(h.loads.hosts), Suspects: h.loads.suspectList(), ConfirmedAge: confirmedAge,
 	}
 	if t := h.state.updates.table(); t != nil {
 		out.TableVersion = t.Version
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -108,6 +108,9 @@
 	// LedgerHostReport returns the report of a ledger host; nil for an entry
 	// host.
 	LedgerHostReport func() *LedgerHostReport
+	// StrictRevocation is the time for which keys of workspaces may be used after the
+	// table was confirmed as the newest; 0 for no such limit.
+	StrictRevocation time.Duration
 }
 
 // Link connects an entry host or a ledger host to all control hosts. On an
@@ -121,6 +124,7 @@
 
 	index        atomic.Pointer[route.Index] // routing table in force
 	confirmed    atomic.Bool                 // a table of the log has been in force
+	confirmation atomic.Pointer[tableConfirmation]
 	ledger       atomic.Pointer[LedgerView]
 	tableOffered chan struct{} // signals that a control host has a newer table
 	urgent       chan struct{} // signals that a report should not wait for loadInterval
@@ -316,7 +320,9 @@
 		timeout = syncTimeout
 	}
 	wantLoad := l.loadSource == h.id
-	r := syncRequest{Host: l.config.ID, WantInFlight: wantLoad, AcceptsTotals: wantLoad, LedgerDigest: h.ledgerDigest}
+	r := syncRequest{
+		Host: l.config.ID, WantInFlight: wantLoad, AcceptsTotals: wantLoad, LedgerDigest: h.ledgerDigest, Confirm: l.wantsConfirmation(),
+	}
 	if l.config.LedgerHostReport == nil {
 		r.serversRequest = l.serversRequest(h)
 	}
@@ -335,11 +341,12 @@
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
 	var out syncResponse
+	sentAt := pause.BootTime()
 	if err := h.Call(attempt, methodSync, r, &out); err != nil {
 		l.markUnreachable(h, err)
 		return false
 	}
-	l.applyResponse(h, out, wantLoad)
+	l.applyResponse(h, out, wantLoad, sentAt)
 	return true
 }
 
@@ -486,9 +493,9 @@
 	return nil
 }
 
-// applyResponse records the response of a control host and notifies the
-// observer of changes.
-func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool) {
+// applyResponse records the response of a control host to a poll that was sent at a
+// time of pause.BootTime, and notifies the observer of changes.
+func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool, sentAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hosts[h.id] != h {
@@ -517,6 +524,7 @@
 	if x := l.index.Load(); x != nil && !r.Provisional && r.TableVersion > 0 && x.Version() >= r.TableVersion {
 		l.confirmed.Store(true)
 	}
+	l.confirmTable(&r, sentAt)
 	if l.tableFetch.offer(h.id, r.TableVersion, h.dataCentre == l.config.DataCentre) {
 		select {
 		case l.tableOffered <- struct{}{}:
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -79,6 +79,8 @@
 	// LedgerDigest is that of the last view of the ledger hosts which this control
 	// host has sent; 0 if it is to be sent in any case.
 	LedgerDigest uint64 `json:"ledger-digest,omitempty"`
+	// Confirm asks the leader to confirm that its table is the newest.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // check returns an error if a count is negative or not finite: it would spoil the
@@ -130,9 +132,12 @@
 	TableVersion int64    `json:"table-version,omitempty"`
 	// Provisional is set while the table is one that the host has had before its
 	// restart: the log may have a newer one.
-	Provisional   bool `json:"provisional,omitempty"`
-	registry.Part      // not sent to ledger hosts
-	EntryHosts    int  `json:"entry-hosts"`
+	Provisional bool `json:"provisional,omitempty"`
+	// ConfirmedAge is the time since the table was confirmed as the newest. It is nil
+	// if that was not requested or is not known.
+	ConfirmedAge  *time.Duration `json:"confirmed-age,omitempty"`
+	registry.Part                // not sent to ledger hosts
+	EntryHosts    int            `json:"entry-hosts"`
 	// Ledger is nil if the sender of the request has it.
 	Ledger       *LedgerView `json:"ledger,omitempty"`
 	LedgerDigest uint64      `json:"ledger-digest,omitempty"` // without the plan
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -104,6 +104,7 @@
 		}
 		link := cluster.NewLink(cluster.LinkConfig{
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
+			StrictRevocation: s.RevocationTime(),
 		}, logger)
 		f := forward.New(platform.Protocol{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithPermits(link), forward.WithReporter(link),
 			forward.WithChainBytes((s.MemoryMB<<20)/chainMemoryDivisor),
--- a/forward/streamversion.go
+++ b/forward/streamversion.go
@@ -220,7 +220,7 @@
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
 		defer cancel()
 		if w.err = r.turns.RecordStream(ctx, key, o.service, o.version, attempt, retention); w.err != nil {
-			r.logger.Warn("software version of stream not recorded; its caller can't resume it", zap.String("request", key.Stream), zap.Error(w.err))
+			r.logger.Warn("software version of stream not recorded; its caller can't resume it", zap.String("request", r.call.ID), zap.Error(w.err))
 		}
 	})
 	return w
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,5 @@
-// Package pause provides a sleep that ends early when a context ends.
+// Package pause provides a sleep that ends early when a context ends, and a clock
+// that counts the suspension of the host.
 package pause
 
 import (
