--- a/cluster/confirmation.go
+++ b/cluster/confirmation.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/sycamoreline/sycamoreline/pause"
+	"github.com/sycamoreline/sycamoreline/bootclock"
 )
 
 const (
@@ -54,11 +54,11 @@
 	if h.requireLeader() != nil {
 		return 0, false
 	}
-	return h.read.age(ctx, pause.BootTime, h.group.Read)
+	return h.read.age(ctx, bootclock.Now, h.group.Read)
 }
 
 // tableConfirmation is the knowledge of an entry host about the newest routing
-// table: its version at a time of pause.BootTime.
+// table: its version at a time of bootclock.Now.
 type tableConfirmation struct {
 	version int64
 	at      time.Duration
@@ -77,7 +77,7 @@
 		return true
 	}
 	x := l.index.Load()
-	return x != nil && l.confirmation.Load().covers(x.Version(), pause.BootTime(), l.config.StrictRevocation)
+	return x != nil && l.confirmation.Load().covers(x.Version(), bootclock.Now(), l.config.StrictRevocation)
 }
 
 // wantsConfirmation reports whether polls ask if the table is the newest.
@@ -87,7 +87,7 @@
 }
 
 // confirmTable records the confirmation in the response to a poll that was sent at a
-// time of pause.BootTime. The caller holds l.mu.
+// time of bootclock.Now. The caller holds l.mu.
 func (l *Link) confirmTable(r *syncResponse, sentAt time.Duration) {
 	if r.ConfirmedAge == nil || *r.ConfirmedAge < 0 || r.Provisional {
 		return
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/bootclock"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
@@ -341,7 +342,7 @@
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
 	var out syncResponse
-	sentAt := pause.BootTime()
+	sentAt := bootclock.Now()
 	if err := h.Call(attempt, methodSync, r, &out); err != nil {
 		l.markUnreachable(h, err)
 		return false
@@ -494,7 +495,7 @@
 }
 
 // applyResponse records the response of a control host to a poll that was sent at a
-// time of pause.BootTime, and notifies the observer of changes.
+// time of bootclock.Now, and notifies the observer of changes.
 func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool, sentAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,5 +1,4 @@
-// Package pause provides a sleep that ends early when a context ends, and a clock
-// that counts the suspension of the host.
+// Package pause provides a sleep that ends early when a context ends.
 package pause
 
 import (
