schedule, cluster, forward: workspaces share the servers of all hosts

A workspace that sent five times its usual load made the calls of all others late: the platform's path passed no team to the scheduler, and each entry host sees a hundredth of the traffic.

If the table has workspaces, calls go by the priority of the workspace, then of the route. Among equals, calls of workspaces within their share go first. The share is of the work that servers have done lately for workspaces at all hosts, which entry hosts report and control hosts add up. Servers get this order as the priority of requests. The expected wait by which calls are refused counts only the calls that go before, and Retry-After is spread over the time in which there will be room. Without workspaces, the order, the reports and the responses are as before.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -371,7 +371,7 @@
 	case !r.WantInFlight:
 	case r.AcceptsTotals:
 		a := h.loads.aggregated(now, h.registry)
-		out.Totals, out.OwnInFlight, out.Evidence, out.Queues = a.encoded, a.byHost[r.Host], a.evidence, a.queues
+		out.Totals, out.OwnInFlight, out.Evidence, out.Queues, out.Service = a.encoded, a.byHost[r.Host], a.evidence, a.queues, a.work
 	default:
 		out.InFlight = h.loads.aggregated(now, h.registry).remoteInFlight(r.Host)
 	}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -81,6 +81,7 @@
 	// Evidence is what the entry hosts have seen of servers that fail requests.
 	Evidence []ServerEvidence
 	Queues   map[string]schedule.ServiceQueue // by service
+	Service  *schedule.Service                // for workspaces; nil without any
 }
 
 // HostReport is the state that an entry host reports to the control hosts.
@@ -96,6 +97,10 @@
 	Outcomes  []ServerOutcomes
 	Succeeded map[string]float64
 	Waiting   map[string]int // calls that wait for a server, by service
+	// Levels are the numbers of calls by level, by service, and Service is the work for
+	// workspaces; nil without any.
+	Levels  map[string][]int
+	Service *schedule.Service
 }
 
 // LinkConfig configures a Link.
@@ -338,6 +343,7 @@
 		r.DataCentre = l.config.DataCentre
 		r.InFlight, r.Suspects, r.Limits = report.InFlight, report.Suspects, report.Limits
 		r.Outcomes, r.Succeeded, r.Waiting = report.Outcomes, report.Succeeded, report.Waiting
+		r.Levels, r.Service = report.Levels, report.Service
 	}
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
@@ -550,11 +556,12 @@
 func (l *Link) applyLoad(h *controlHost, r *syncResponse) {
 	inFlight, err := r.inFlight()
 	evidence, evidenceErr := r.evidence()
-	if err = errors.Join(err, evidenceErr); err != nil {
+	service, serviceErr := r.service()
+	if err = errors.Join(err, evidenceErr, serviceErr); err != nil {
 		l.logger.Warn("aggregated load not readable", zap.String("control-host", h.id), zap.Error(err))
 		return
 	}
-	l.observer.Load(SharedLoad{InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues})
+	l.observer.Load(SharedLoad{InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues, Service: service})
 }
 
 const (
--- a/cluster/load.go
+++ b/cluster/load.go
@@ -28,6 +28,8 @@
 	outcomes   []ServerOutcomes
 	succeeded  map[string]float64 // by service
 	waiting    map[string]int     // by service
+	levels     map[string][]int   // calls by level, by service
+	work       *schedule.Service  // nil without workspaces
 	reportedAt time.Duration
 }
 
@@ -54,6 +56,7 @@
 	// evidence is the encoded list of ServerEvidence, or nil if it is empty.
 	evidence cborwire.Raw
 	queues   map[string]schedule.ServiceQueue // those with waiting calls, by service
+	work     cborwire.Raw                     // the encoded schedule.Service, or nil without workspaces
 }
 
 func newLoads() *loads {
@@ -61,7 +64,7 @@
 }
 
 func (l *loads) report(now time.Duration, r *syncRequest) {
-	l.hosts[r.Host] = hostLoad{dataCentre: r.DataCentre, inFlight: r.InFlight, outcomes: r.Outcomes, succeeded: r.Succeeded, waiting: r.Waiting, reportedAt: now}
+	l.hosts[r.Host] = hostLoad{dataCentre: r.DataCentre, inFlight: r.InFlight, outcomes: r.Outcomes, succeeded: r.Succeeded, waiting: r.Waiting, levels: r.Levels, work: r.Service, reportedAt: now}
 	for _, s := range r.Suspects {
 		record := l.suspects[s.Fingerprint]
 		if record == nil {
@@ -100,16 +103,23 @@
 		return a
 	}
 	a := &aggregatedLoad{at: now, total: map[string]int{}, byHost: map[string]map[string]int{}}
+	var work []*schedule.Service
 	for h, r := range l.hosts {
 		if now-r.reportedAt > loadMaxAge {
 			continue
 		}
 		a.byHost[h] = r.inFlight
+		if r.work != nil {
+			work = append(work, r.work)
+		}
 		for id, n := range r.inFlight {
 			a.total[id] += n
 		}
 	}
 	a.encoded = cborwire.MustMarshal(a.total)
+	if len(work) > 0 {
+		a.work = cborwire.MustMarshal(schedule.SumService(work))
+	}
 	if e := l.evidence(now, directory); len(e) > 0 {
 		a.evidence = cborwire.MustMarshal(e)
 	}
@@ -133,6 +143,14 @@
 			q.Waiting += n
 			out[service] = q
 		}
+		for service, counts := range r.levels {
+			if out == nil {
+				out = map[string]schedule.ServiceQueue{}
+			}
+			q := out[service]
+			q.AddLevels(counts)
+			out[service] = q
+		}
 	}
 	for service, q := range out {
 		for _, r := range l.hosts {
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
@@ -71,6 +72,10 @@
 	Succeeded map[string]float64 `json:"succeeded,omitempty"`
 	// Waiting is the number of calls that wait for a server, by service.
 	Waiting map[string]int `json:"waiting,omitempty"`
+	// Levels and Service are the numbers of calls by level, by service, and the work
+	// for workspaces. They are not set without workspaces.
+	Levels  map[string][]int  `json:"levels,omitempty"`
+	Service *schedule.Service `json:"work,omitempty"`
 	// WantInFlight requests the in-flight counts of all other entry hosts.
 	WantInFlight bool `json:"want-runs,omitempty"`
 	// AcceptsTotals is set by hosts that take the in-flight counts of all entry
@@ -107,6 +112,16 @@
 			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d calls wait for service %q: want 0 to %.0f", n, service, maxReportedCount)
 		}
 	}
+	for service, counts := range r.Levels {
+		if i := slices.IndexFunc(counts, func(n int) bool { return !valid(float64(n)) }); i >= 0 {
+			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d calls of level %d on service %q: want 0 to %.0f", counts[i], i, service, maxReportedCount)
+		}
+	}
+	if r.Service != nil {
+		if err := r.Service.Check(); err != nil {
+			return verdict.New(verdict.NotRun, verdict.BadRequest, err.Error())
+		}
+	}
 	return nil
 }
 
@@ -151,8 +166,11 @@
 	// Evidence is an encoded list of ServerEvidence, sent together with Totals.
 	Evidence cborwire.Raw `json:"evidence,omitempty"`
 	// Queues are the queues of all entry hosts together, by service.
-	Queues   map[string]schedule.ServiceQueue `json:"queues,omitempty"`
-	Suspects []Suspect                        `json:"suspects,omitempty"`
+	Queues map[string]schedule.ServiceQueue `json:"queues,omitempty"`
+	// Service is the encoded work of all entry hosts for workspaces, sent together with
+	// Totals.
+	Service  cborwire.Raw `json:"work,omitempty"`
+	Suspects []Suspect    `json:"suspects,omitempty"`
 	// Limits are the limits of backend servers that any host has observed.
 	Limits []ServerLimit `json:"limits,omitempty"`
 }
@@ -211,6 +229,15 @@
 	return list, nil
 }
 
+// service returns the work of all entry hosts for workspaces, or nil.
+func (r *syncResponse) service() (*schedule.Service, error) {
+	if len(r.Service) == 0 {
+		return nil, nil
+	}
+	v := new(schedule.Service)
+	return v, cborwire.Unmarshal(r.Service, v)
+}
+
 // LedgerView is the state of the ledger hosts, as last reported to a control
 // host.
 type LedgerView struct {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -106,6 +106,7 @@
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: avoid, LastServer: r.lastServer,
 		Session: xxhash.Sum64String(c.ledgerID(c.Session)), SoftwareVersion: softwareVersion,
+		Team: c.team(), Urgency: r.view.urgency(c),
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
@@ -214,10 +215,14 @@
 // serverRequest returns the request to send to the assigned server.
 func (r *execution) serverRequest(a schedule.Assignment) *backend.Request {
 	c := r.call
+	priority := c.Route.Priority
+	if c.Workspace != nil || r.view.hasWorkspaces() {
+		priority = a.Level
+	}
 	o := &backend.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: r.body, Connections: &r.connections,
 		Header: r.protocol.Header(c, Attempt{
-			Server: a.Server, Remaining: time.Until(c.Deadline), Priority: c.Route.Priority, LastEvent: r.lastEvent,
+			Server: a.Server, Remaining: time.Until(c.Deadline), Priority: priority, LastEvent: r.lastEvent,
 		}),
 	}
 	if c.Route.Kind != route.Idempotent {
--- a/forward/view.go
+++ b/forward/view.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	index    *route.Index
 	indexAt  time.Time // when index came into force
+	order    *urgencies
 	servers  map[string]registry.Entry
 	leaving  leavingServers
 	excluded map[string]exclusion // servers that are not used at present, by id
@@ -106,6 +107,19 @@
 	return view.index.Version(), time.Since(view.indexAt)
 }
 
+// hasWorkspaces reports whether the routing table in force has workspaces.
+func (view *View) hasWorkspaces() bool {
+	x := view.Index()
+	return x != nil && x.HasWorkspaces()
+}
+
+// urgency returns the urgency of a call; 0 without workspaces.
+func (view *View) urgency(c *Call) int {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.order.of(c)
+}
+
 // service returns a service of the routing table, or nil.
 func (view *View) service(name string) *route.Service {
 	if x := view.Index(); x != nil {
@@ -158,8 +172,10 @@
 // Routes implements cluster.Observer.
 func (view *View) Routes(x *route.Index) {
 	view.mu.Lock()
-	view.index, view.indexAt = x, time.Now()
+	order := newUrgencies(x)
+	view.index, view.indexAt, view.order = x, time.Now(), order
 	view.mu.Unlock()
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { s.SetShares(now, sharesOf(x, order)) })
 	view.syncServers()
 }
 
@@ -247,6 +263,9 @@
 		s.SetHosts(now, l.Hosts)
 		s.SetRemoteInFlight(now, l.InFlight)
 		s.SetQueues(now, l.Queues)
+		if l.Service != nil {
+			s.SetService(now, l.Service)
+		}
 	})
 	view.applyEvidence(l.Evidence)
 }
@@ -264,7 +283,11 @@
 // Report implements cluster.Observer.
 func (view *View) Report() cluster.HostReport {
 	var inFlight, waiting map[string]int
-	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight, waiting = s.InFlight(), s.Waiting() })
+	var levels map[string][]int
+	var service *schedule.Service
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		inFlight, waiting, levels, service = s.InFlight(), s.Waiting(), s.Levels(), s.Service(now)
+	})
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	var list []cluster.Suspect
@@ -283,6 +306,7 @@
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
 	return cluster.HostReport{
 		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
+		Levels: levels, Service: service,
 	}
 }
 
--- a/route/workspace.go
+++ b/route/workspace.go
@@ -85,5 +85,8 @@
 // Workspaces returns the workspaces of the table, which must not be changed.
 func (x *Index) Workspaces() []Workspace { return x.table.Workspaces }
 
+// Routes returns the routes of the table, which must not be changed.
+func (x *Index) Routes() []Route { return x.table.Routes }
+
 // Workspace returns the workspace that has a key with the given hash, or nil.
 func (x *Index) Workspace(hash string) *Workspace { return x.workspaces[hash] }
--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -83,6 +83,13 @@
 	retryBudget          tokenBucket
 	lastAdmissionRequest time.Duration
 	pending              map[string]time.Duration // first admission request of each waiting program, by program ID
+
+	key       TeamKey
+	service   float64       // at this host until serviceAt, in seconds of a slot
+	serviceAt time.Duration // of the last change of service
+	// excess is the service at all hosts, as a multiple of that from which the team is
+	// above its share.
+	excess float64
 }
 
 // addPrograms adds n to the number of programs.
@@ -123,7 +130,10 @@
 	if t == nil {
 		t = &team{
 			retryBudget: newTokenBucket(teamRetryRatio, teamRetryRate, teamRetryBurst),
-			pending:     map[string]time.Duration{},
+			pending:     map[string]time.Duration{}, key: KeyOf(name),
+		}
+		if s.shared {
+			t.limits.Weight = s.meanWeight
 		}
 		s.teams[name] = t
 		s.teamOrder = append(s.teamOrder, t)
--- a/schedule/hopeless.go
+++ b/schedule/hopeless.go
@@ -29,6 +29,19 @@
 type ServiceQueue struct {
 	Waiting   int     `json:"waiting"`    // calls that wait for a server, or to be sent again after a rejection
 	PerSecond float64 `json:"per-second"` // calls that its servers complete
+	// Levels are the numbers of calls by level if teams share the servers, waiting ones
+	// and those that run.
+	Levels []int `json:"levels,omitempty"`
+}
+
+// AddLevels adds the numbers of calls of a host by level.
+func (q *ServiceQueue) AddLevels(counts []int) {
+	for i, n := range counts[:min(len(counts), priorityLevels)] {
+		for len(q.Levels) <= i {
+			q.Levels = append(q.Levels, 0)
+		}
+		q.Levels[i] += n
+	}
 }
 
 // wait returns the expected wait of a call that arrives now, behind the calls that
@@ -86,9 +99,16 @@
 		acceptable = time.Duration(firstCallShare * float64(acceptable))
 	}
 	acceptable = max(acceptable, minHopelessWait)
+	if s.shared && len(q.Levels) > 0 {
+		expected = s.sharedWait(c, q)
+	}
 	if expected <= acceptable {
 		return false
 	}
+	if s.shared {
+		s.refuse(c, string(verdict.Overloaded), s.sharedRetry(c.pool, q, expected-acceptable))
+		return true
+	}
 	// The jitter spreads the return of the callers that are refused together.
 	retryAfter := time.Duration(float64(expected-acceptable) * (1 + s.random.Float64()))
 	s.refuse(c, string(verdict.Overloaded), min(maxHopelessRetry, max(minHopelessRetry, retryAfter)))
--- a/schedule/hopeless_test.go
+++ b/schedule/hopeless_test.go
@@ -43,7 +43,7 @@
 			_, ok := s.Next(0)
 			assert.Assert(t, ok)
 		}
-		if tt.queue != (ServiceQueue{}) {
+		if tt.queue.PerSecond > 0 {
 			s.SetQueues(0, map[string]ServiceQueue{"m": tt.queue})
 		}
 		var longest, shortest time.Duration
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -57,6 +57,10 @@
 	base         *pool
 	versionPools int
 	costs        *costs // shared with the base
+	// refusals is the number of calls refused lately until refusalsAt, if teams share
+	// the servers.
+	refusals   float64
+	refusalsAt time.Duration
 }
 
 // membership links a server to one of its pools.
@@ -72,7 +76,7 @@
 	if p := s.pools[k]; p != nil {
 		return p
 	}
-	p := &pool{key: k, waitingIndex: -1, queue: queue{teamShares: s.teamShares}}
+	p := &pool{key: k, waitingIndex: -1, queue: queue{teamShares: s.teamShares, shared: s.shared}}
 	if k.softwareVersion == "" {
 		p.costs = newCosts()
 	} else {
@@ -168,6 +172,7 @@
 	secondsPerToken  float64 // per output token, running median
 	meanOutputTokens float64 // per call
 	meanRunSeconds   float64
+	meanRunWork      float64 // per run, in output tokens; 0 if not known
 }
 
 // newCosts returns the initial estimates of a pool.
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -13,16 +13,42 @@
 	// teamShares is false if calls are ordered by rank alone, regardless of
 	// their teams.
 	teamShares bool
+	// shared is true if teams share the servers of all hosts, see SetShares.
+	shared bool
 }
 
 // teamQueue holds the waiting calls and the in-flight count of one team.
 type teamQueue struct {
 	weight       float64
+	shares       *team
 	calls        indexedHeap
 	inFlight     int
 	waitingIndex int // index in queue.waiting, or -1
 }
 
+// byUrgency is the order of the calls of one team.
+func byUrgency(a, b *call) bool {
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	return byRank(a, b)
+}
+
+// byShare is the order of the next calls of two teams that share the servers. The
+// teams within their share are equal, so that their calls go in order of arrival:
+// least service first would move calls with little time left behind those of teams
+// with less traffic.
+func byShare(a, b *call) bool {
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	x, y := max(1, a.team.shares.excess), max(1, b.team.shares.excess)
+	if x != y {
+		return x < y
+	}
+	return byRank(a, b)
+}
+
 func byRank(a, b *call) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
@@ -34,7 +60,7 @@
 	t := q.teams[name]
 	if t == nil {
 		t = &teamQueue{weight: weight, waitingIndex: -1}
-		t.calls.less = byRank
+		t.calls.less = byUrgency
 		t.calls.setIndex = func(c *call, i int) { c.queueIndex = i }
 		if q.teams == nil {
 			q.teams = map[string]*teamQueue{}
@@ -110,6 +136,9 @@
 }
 
 func (q *queue) before(a, b *teamQueue) bool {
+	if q.shared {
+		return byShare(a.calls.head(), b.calls.head())
+	}
 	if !q.teamShares {
 		return byRank(a.calls.head(), b.calls.head())
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -46,6 +46,10 @@
 	c.running++
 	s.running++
 	c.pool.queue.started(c)
+	s.chargeStart(c)
+	if s.shared {
+		a.Level = s.level(c)
+	}
 	v.runs = append(v.runs, c)
 	v.connections.take(now)
 	v.addInFlight(now, 1)
@@ -121,6 +125,7 @@
 		return
 	}
 	s.recordOutcome(now, c, r, u, o)
+	s.chargeEnd(c, u, o)
 	s.endRun(now, c, r)
 	if c.running == 0 {
 		s.removeCall(c)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -28,6 +28,14 @@
 	evidenceAt     time.Duration           // time of the last evidence
 	queues         map[string]ServiceQueue // of all hosts, by model or service
 	queuesAt       time.Duration
+	shared         bool    // teams share the servers, see SetShares
+	urgencies      int     // number of values of Request.Urgency
+	meanWeight     float64 // of the teams that share the servers
+	meanCharge     float64 // to teams for a call, in seconds of a slot; 0 before the first
+	// usedAbove is the part of the service that the teams of each grade or a higher one
+	// have got.
+	usedAbove      [priorityLevels]float64
+	serviceAt      time.Duration
 	slots          int // sum over the servers that run models and are not leaving
 	pools          map[poolKey]*pool
 	poolOrder      []*pool // in order of addition
@@ -73,8 +81,9 @@
 	expiryIndex int           // index in Scheduler.expiries, or -1
 	exclusive   bool          // suspect that must run alone
 	hedge       hedgeState
-	runs        [2]run // only runs[:running] is in use
-	running     int    // number of runs in progress
+	runs        [2]run  // only runs[:running] is in use
+	running     int     // number of runs in progress
+	charged     float64 // to the team for the runs in progress, in seconds of a slot
 }
 
 type hedgeState uint8
@@ -138,6 +147,7 @@
 	*c = call{Request: r, serial: s.serial, queueIndex: -1, expiryIndex: -1}
 	c.pool = s.poolFor(&c.Request)
 	c.team = c.pool.queue.team(r.Team, s.team(r.Team).weight())
+	c.team.shares = s.team(r.Team)
 	c.program = s.activateProgram(r.ID.Program, s.team(r.Team))
 	c.program.calls++
 	c.lastServer = s.servers[r.LastServer]
@@ -261,11 +271,15 @@
 func (s *Scheduler) nextPool() *pool {
 	var best *pool
 	var head *call
+	before := byRank
+	if s.shared {
+		before = byShare
+	}
 	for _, p := range s.waiting {
 		if len(p.eligible) == 0 {
 			continue
 		}
-		if c := p.queue.next().calls.head(); head == nil || byRank(c, head) {
+		if c := p.queue.next().calls.head(); head == nil || before(c, head) {
 			best, head = p, c
 		}
 	}
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -50,6 +50,9 @@
 	Team     string
 	Class    Class
 	Deadline time.Duration
+	// Urgency is the strict order of calls if teams share the servers, see SetShares.
+	// Lower values go first.
+	Urgency int
 	// Model is set for model calls, Service for tool calls. Exactly one of them
 	// is set.
 	Model   string
@@ -86,9 +89,11 @@
 
 // Assignment is the decision to send a call to a server now.
 type Assignment struct {
-	ID           CallID
-	Server       string
-	Priority     int    // for the engine; lower values run first
+	ID       CallID
+	Server   string
+	Priority int // for the engine; lower values run first
+	// Level is the priority from 0 to 9 if teams share the servers, see SetShares.
+	Level        int
 	Reason       string // kebab-case, for the decision log
 	Alternatives int    // number of eligible servers
 	// Hedge is true for a second run of a call that is already running. The
