--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -106,7 +106,7 @@
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: avoid, LastServer: r.lastServer,
 		Session: xxhash.Sum64String(c.ledgerID(c.Session)), SoftwareVersion: softwareVersion,
-		Team: c.team(), Urgency: r.view.urgency(c),
+		Team: c.team(),
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
@@ -117,6 +117,7 @@
 	} else {
 		request.Service, request.Idempotent = service, c.Route.Kind == route.Idempotent
 	}
+	request.Urgency = r.view.urgency(c, request.Model != "")
 	if r.progress.started {
 		// The scheduler refuses calls that it expects to miss their deadlines. The
 		// caller of a stream that has begun would get a broken response.
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -10,8 +10,14 @@
 // urgencies is the strict order of the calls of a routing table with workspaces: by
 // the priority of the workspace, then by that of the route. It is nil for a table
 // without workspaces.
+//
+// Routes to engines and others are ordered apart, since they lead to other servers:
+// the fewer urgencies there are, the more priorities of a server's queue are left for
+// the order among equals.
 type urgencies struct {
-	workspaces, routes []int // distinct priorities, the most urgent one first
+	// Distinct priorities, the most urgent one first: of workspaces, and of the routes
+	// to engines and the others.
+	workspaces, engines, plain []int
 }
 
 func newUrgencies(x *route.Index) *urgencies {
@@ -23,28 +29,37 @@
 		u.workspaces = append(u.workspaces, w.Priority)
 	}
 	for _, r := range x.Routes() {
-		u.routes = append(u.routes, r.Priority)
+		for _, t := range r.Targets {
+			if s := x.Service(t.Service); s != nil && s.Engine != nil {
+				u.engines = append(u.engines, r.Priority)
+			} else {
+				u.plain = append(u.plain, r.Priority)
+			}
+		}
+	}
+	for _, list := range []*[]int{&u.workspaces, &u.engines, &u.plain} {
+		slices.Sort(*list)
+		*list = slices.Compact(*list)
 	}
-	slices.Sort(u.workspaces)
-	slices.Sort(u.routes)
-	u.workspaces, u.routes = slices.Compact(u.workspaces), slices.Compact(u.routes)
 	return u
 }
 
-// count returns the number of urgencies.
-func (u *urgencies) count() int { return len(u.workspaces) * max(1, len(u.routes)) }
-
-// of returns the urgency of a call; 0 is the most urgent one. Calls without a
-// workspace have the lowest priority of the workspaces, since anybody can send them.
-func (u *urgencies) of(c *Call) int {
+// of returns the urgency of a call to an engine or to another server; 0 is the most
+// urgent one. Calls without a workspace have the lowest priority of the workspaces,
+// since anybody can send them.
+func (u *urgencies) of(c *Call, engine bool) int {
 	if u == nil {
 		return 0
 	}
+	routes := u.plain
+	if engine {
+		routes = u.engines
+	}
 	workspace := len(u.workspaces) - 1
 	if c.Workspace != nil {
 		workspace = rankOf(u.workspaces, c.Workspace.Priority)
 	}
-	return workspace*max(1, len(u.routes)) + rankOf(u.routes, c.Route.Priority)
+	return workspace*max(1, len(routes)) + rankOf(routes, c.Route.Priority)
 }
 
 // rankOf returns the index of a priority, or of the next lower one for a call of an
@@ -60,7 +75,10 @@
 	if u == nil {
 		return schedule.Shares{}
 	}
-	s := schedule.Shares{Weights: map[string]float64{}, Urgencies: u.count()}
+	s := schedule.Shares{
+		Weights:   map[string]float64{},
+		Urgencies: len(u.workspaces) * len(u.engines), ServiceUrgencies: len(u.workspaces) * len(u.plain),
+	}
 	mean, limited := 0.0, 0.0
 	for _, w := range x.Workspaces() {
 		if w.PerSecond > 0 {
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -12,8 +12,12 @@
 // Guards against an order in which the priority of the route counts before that of the
 // workspace, and against calls without a key that go before those of workspaces.
 func TestUrgencies(t *testing.T) {
+	to := func(service string) []route.Target { return []route.Target{{Service: service, Weight: 1}} }
 	index := route.NewIndex(&route.Table{
-		Routes:     []route.Route{{Priority: 3}, {Priority: 0}, {Priority: 7}},
+		Routes: []route.Route{
+			{Priority: 3, Targets: to("engine")}, {Priority: 0, Targets: to("engine")}, {Priority: 7, Targets: to("engine")}, {Priority: 4, Targets: to("plain")},
+		},
+		Services:   []route.Service{{Name: "engine", Engine: &route.Engine{}}, {Name: "plain"}},
 		Workspaces: []route.Workspace{{Name: "a", Priority: 5, PerSecond: 10}, {Name: "b", Priority: 1, PerSecond: 2}, {Name: "c", Priority: 5}},
 	})
 	u := newUrgencies(index)
@@ -21,23 +25,24 @@
 		name      string
 		workspace *route.Workspace
 		route     int
+		engine    bool
 		want      int
 	}{
-		{"urgent workspace, urgent route", &route.Workspace{Priority: 1}, 0, 0},
-		{"urgent workspace, other route", &route.Workspace{Priority: 1}, 7, 2},
-		{"other workspace, urgent route", &route.Workspace{Priority: 5}, 0, 3},
-		{"priorities of an earlier table", &route.Workspace{Priority: 9}, 9, 5},
-		{"public route", nil, 0, 3},
+		{"urgent workspace, urgent route", &route.Workspace{Priority: 1}, 0, true, 0},
+		{"urgent workspace, other route", &route.Workspace{Priority: 1}, 7, true, 2},
+		{"other workspace, urgent route", &route.Workspace{Priority: 5}, 0, true, 3},
+		{"priorities of an earlier table", &route.Workspace{Priority: 9}, 9, true, 5},
+		{"public route", nil, 0, true, 3},
+		{"plain service", &route.Workspace{Priority: 5}, 4, false, 1},
 	}
 	for _, tt := range tests {
-		assert.Equal(t, u.of(&Call{Workspace: tt.workspace, Route: &route.Route{Priority: tt.route}}), tt.want, tt.name)
+		assert.Equal(t, u.of(&Call{Workspace: tt.workspace, Route: &route.Route{Priority: tt.route}}, tt.engine), tt.want, tt.name)
 	}
-	assert.Equal(t, u.count(), 6)
-	assert.DeepEqual(t, sharesOf(index, u), schedule.Shares{Weights: map[string]float64{"a": 10, "b": 2, "c": 6}, Urgencies: 6})
+	assert.DeepEqual(t, sharesOf(index, u), schedule.Shares{Weights: map[string]float64{"a": 10, "b": 2, "c": 6}, Urgencies: 6, ServiceUrgencies: 2})
 
 	none := newUrgencies(route.NewIndex(&route.Table{Routes: []route.Route{{Priority: 3}}}))
 	assert.Assert(t, none == nil)
-	assert.Equal(t, none.of(&Call{Route: &route.Route{Priority: 3}}), 0)
+	assert.Equal(t, none.of(&Call{Route: &route.Route{Priority: 3}}, true), 0)
 }
 
 // Guards against work that is not counted for its workspace, and against reports that
--- a/forward/view.go
+++ b/forward/view.go
@@ -113,11 +113,12 @@
 	return x != nil && x.HasWorkspaces()
 }
 
-// urgency returns the urgency of a call; 0 without workspaces.
-func (view *View) urgency(c *Call) int {
+// urgency returns the urgency of a call to an engine or to another server; 0 without
+// workspaces.
+func (view *View) urgency(c *Call, engine bool) int {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	return view.order.of(c)
+	return view.order.of(c, engine)
 }
 
 // service returns a service of the routing table, or nil.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -28,10 +28,12 @@
 	evidenceAt     time.Duration           // time of the last evidence
 	queues         map[string]ServiceQueue // of all hosts, by model or service
 	queuesAt       time.Duration
-	shared         bool    // teams share the servers, see SetShares
-	urgencies      int     // number of values of Request.Urgency
-	meanWeight     float64 // of the teams that share the servers
-	meanCharge     float64 // to teams for a call, in seconds of a slot; 0 before the first
+	shared         bool // teams share the servers, see SetShares
+	// urgencies and serviceUrgencies are the numbers of values of Request.Urgency of
+	// model calls and of tool calls.
+	urgencies, serviceUrgencies int
+	meanWeight                  float64 // of the teams that share the servers
+	meanCharge                  float64 // to teams for a call, in seconds of a slot; 0 before the first
 	// usedAbove is the part of the service that the teams of each grade or a higher one
 	// have got.
 	usedAbove      [priorityLevels]float64
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -99,8 +99,9 @@
 // Shares configures how teams share the servers.
 type Shares struct {
 	Weights map[string]float64 // by team; others have the mean
-	// Urgencies is the number of values of Request.Urgency.
-	Urgencies int
+	// Urgencies is the number of values of Request.Urgency of model calls, and
+	// ServiceUrgencies that of tool calls.
+	Urgencies, ServiceUrgencies int
 }
 
 // SetShares makes teams share the servers of all hosts: calls go in the order of
@@ -113,7 +114,7 @@
 		return
 	}
 	s.shared = len(c.Weights) > 0
-	s.urgencies = max(1, c.Urgencies)
+	s.urgencies, s.serviceUrgencies = max(1, c.Urgencies), max(1, c.ServiceUrgencies)
 	sum := 0.0
 	for _, w := range c.Weights {
 		sum += w
@@ -217,11 +218,15 @@
 // level returns the priority of a call in the queue of a server, from 0 to
 // priorityLevels-1. Its urgency counts first.
 func (s *Scheduler) level(c *call) int {
-	urgency := min(max(0, c.Urgency), s.urgencies-1)
-	if s.urgencies > priorityLevels {
-		return urgency * priorityLevels / s.urgencies
+	count := s.urgencies
+	if c.Service != "" {
+		count = s.serviceUrgencies
 	}
-	grades := priorityLevels / s.urgencies
+	urgency := min(max(0, c.Urgency), count-1)
+	if count > priorityLevels {
+		return urgency * priorityLevels / count
+	}
+	grades := priorityLevels / count
 	return urgency*grades + min(c.team.shares.grade(s.now, s.serviceAt), grades-1)
 }
 
