forward, limits, cmd: metrics of workspaces and a command that shows limits

Operators could not tell from logs or metrics which workspace a refused call belonged to, or which limit was in force.

--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -1,6 +1,7 @@
 // Command sycamoreline-platform runs the roles of Sycamoreline on the users'
 // platform. Each role is a subcommand that runs until it is signalled to stop;
-// check validates settings files and history searches logs. Start with
+// check validates settings files, history searches logs and limits shows those of
+// workspaces. Start with
 // roleCommand, and with controlModule, entryModule and ledgerModule for the
 // contents of a role.
 package main
@@ -43,6 +44,7 @@
 	commander.Register(&roleCommand{name: "ledger", synopsis: "run a ledger host", module: ledgerModule, reload: reload}, "")
 	commander.Register(&checkCommand{}, "")
 	commander.Register(&historyCommand{}, "")
+	commander.Register(&limitsCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := commander.Execute(ctx)
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -126,7 +126,7 @@
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
+				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link, platform.WithIngressMetrics(p.metrics)))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 		r.tokensPerEvent = x.Engine.TokensPerEvent
 	}
 	r.timing.placed = time.Since(c.Arrived)
-	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+	r.logger.Info("call placed", zap.String("request", c.ID), zap.String("route", c.Route.Name), workspaceField(c), zap.String("program", c.Program),
 		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version),
 		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -236,6 +236,7 @@
 // receives an aborted response.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, c *Call) error {
 	c.limitDeadline()
+	f.metrics.requested(c)
 	size := max(0, int64(len(c.Body))-c.HeldBody)
 	if err := f.HoldBody(size); err != nil {
 		return f.failed(c, err)
@@ -295,7 +296,7 @@
 	after := time.Since(c.Arrived)
 	version, age := f.view.table()
 	return []zap.Field{
-		zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.Duration("after", after),
+		zap.String("request", c.ID), zap.String("route", c.Route.Name), workspaceField(c), zap.Duration("after", after),
 		zap.Duration("route-timeout", c.Route.Timeout), zap.Float64("time-used", after.Seconds()/max(time.Millisecond, c.callerTime).Seconds()),
 		zap.Int64("table", version), zap.Duration("table-age", age), zap.Error(err),
 	}
@@ -382,7 +383,7 @@
 	r.silence.heard()
 	r.view.recordAnswer(t, status)
 	r.metrics.answered(c, status, r.timing)
-	r.logger.Info("call answered", zap.String("request", c.ID), zap.String("route", c.Route.Name), zap.String("program", c.Program),
+	r.logger.Info("call answered", zap.String("request", c.ID), zap.String("route", c.Route.Name), workspaceField(c), zap.String("program", c.Program),
 		zap.String("server", t.server), zap.Int("status", status), zap.Int("attempts", r.attempts), zap.Int64("events", r.events),
 		zap.Duration("reserved", r.timing.reserved), zap.Duration("placed", r.timing.placed),
 		zap.Duration("first-event", r.timing.firstEvent), zap.Duration("total", time.Since(c.Arrived)))
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -14,7 +14,8 @@
 // deployment. Most metrics of calls are tagged by route; a deployment has about a
 // hundred routes.
 type callMetrics struct {
-	scope tally.Scope
+	scope  tally.Scope
+	labels workspaceLabels
 }
 
 func newCallMetrics(s tally.Scope) *callMetrics { return &callMetrics{scope: s} }
@@ -25,6 +26,7 @@
 
 // answered counts a call that a server has answered.
 func (m *callMetrics) answered(c *Call, status int, t timing) {
+	m.workspaceServed(c)
 	s := m.route(c)
 	s.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("calls").Inc(1)
 	s.Histogram("call-latency", metrics.LatencyBuckets).RecordDuration(time.Since(c.Arrived))
@@ -39,6 +41,7 @@
 
 // failed counts a call to which no server has returned a complete answer.
 func (m *callMetrics) failed(c *Call, e *verdict.Error) {
+	m.workspaceEnded(c, e.Verdict(), e.Reason())
 	m.route(c).Tagged(map[string]string{"verdict": e.Verdict().String(), "reason": string(e.Reason())}).Counter("calls-refused").Inc(1)
 }
 
@@ -50,6 +53,7 @@
 
 // aborted counts an aborted stream by what ended it.
 func (m *callMetrics) aborted(c *Call, cause verdict.Reason) {
+	m.workspaceEnded(c, verdict.MayHaveRun, cause)
 	m.route(c).Tagged(map[string]string{"cause": string(cause)}).Counter("streams-broken").Inc(1)
 }
 
--- a/forward/view.go
+++ b/forward/view.go
@@ -177,6 +177,7 @@
 	view.index, view.indexAt, view.order = x, time.Now(), order
 	view.mu.Unlock()
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { s.SetShares(now, sharesOf(x, order)) })
+	view.forwarder.metrics.limits(x)
 	view.syncServers()
 }
 
--- a/forward/workspace_test.go
+++ b/forward/workspace_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamoreline/sycamoreline/ledger"
@@ -67,3 +69,39 @@
 	}
 	assert.NilError(t, stream(desk, "third", "first"))
 }
+
+// Guards against requests that are counted for another workspace or not at all, and
+// against a limit that stays in the metrics after its removal.
+func TestWorkspaceMetrics(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := newCallMetrics(scope)
+	desk := &route.Workspace{Name: "desk", PerSecond: 2, Burst: 3}
+	call := &Call{Workspace: desk, Route: &route.Route{Name: "r"}}
+	m.limits(route.NewIndex(&route.Table{Workspaces: []route.Workspace{*desk}}))
+	for range 3 {
+		m.requested(call)
+	}
+	m.answered(call, http.StatusOK, timing{})
+	m.failed(call, verdict.New(verdict.NotRun, verdict.QuotaExceeded, ""))
+	m.aborted(call, verdict.Timeout)
+	m.answered(&Call{Route: call.Route}, http.StatusOK, timing{})
+	counter := func(name string) int64 { return scope.Snapshot().Counters()[name].Value() }
+	gauge := func(name string) float64 { return scope.Snapshot().Gauges()[name].Value() }
+	assert.Equal(t, counter("workspace-requested+workspace=desk"), int64(3))
+	assert.Equal(t, counter("workspace-served+workspace=desk"), int64(1))
+	assert.Equal(t, counter("workspace-refused+reason=quota-exceeded,workspace=desk"), int64(1))
+	assert.Equal(t, counter("workspace-failed+reason=timeout,workspace=desk"), int64(1))
+	assert.Equal(t, gauge("workspace-limit-per-second+workspace=desk"), 2.0)
+	m.limits(route.NewIndex(&route.Table{}))
+	assert.Equal(t, gauge("workspace-limit-per-second+workspace=desk"), 0.0)
+}
+
+// Guards against metrics whose number grows with that of the workspaces.
+func TestWorkspaceLabelsAreBounded(t *testing.T) {
+	var l workspaceLabels
+	for i := range 3 * maxWorkspaceLabels {
+		assert.Equal(t, l.label(fmt.Sprint(i)) == otherWorkspaces, i >= maxWorkspaceLabels)
+	}
+	assert.Equal(t, l.label("0"), "0")
+	assert.Equal(t, len(l.names()), maxWorkspaceLabels)
+}
