--- a/cluster/confirmation.go
+++ b/cluster/confirmation.go
@@ -80,6 +80,21 @@
 	return x != nil && l.confirmation.Load().covers(x.Version(), bootclock.Now(), l.config.StrictRevocation)
 }
 
+// confirmationInterval returns the longest delay between two polls of a control host
+// with which some of its responses may be lost before the confirmation of the table
+// is too old. It is short if the host leads the log and the limit is short.
+func (l *Link) confirmationInterval(h *controlHost) time.Duration {
+	if !l.wantsConfirmation() {
+		return syncInterval
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.controlLeader.id != h.id {
+		return syncInterval
+	}
+	return max(sharedReadAge, l.config.StrictRevocation/4)
+}
+
 // wantsConfirmation reports whether polls ask if the table is the newest.
 func (l *Link) wantsConfirmation() bool {
 	x := l.index.Load()
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -307,7 +307,7 @@
 	if l.isLoadSource(h) {
 		return loadInterval
 	}
-	return syncInterval
+	return min(syncInterval, l.confirmationInterval(h))
 }
 
 // isLoadSource returns whether a control host supplies the aggregated load: the
