--- a/cluster/confirmation_test.go
+++ b/cluster/confirmation_test.go
@@ -117,6 +117,14 @@
 		return err == nil && saved.Version == 2 && len(saved.Workspaces) == 2
 	})
 
-	l.cancel() // as if all control hosts were lost
+	// The last control host answers, but can't know whether there is a newer table.
+	assert.NilError(t, hosts[1].Close())
+	assert.NilError(t, hosts[2].Close())
 	d.await("end of the confirmation", func(context.Context) bool { return !l.KeysCurrent() })
+	d.await("answer of the last control host", func(context.Context) bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.hosts["c1"].responsive
+	})
+	assert.Assert(t, !l.KeysCurrent())
 }
