--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,6 +27,7 @@
 	address         string
 	service         string
 	softwareVersion string
+	level           int // see schedule.Assignment
 }
 
 // checkPresent returns an error if the server has left since it was assigned.
@@ -60,7 +61,7 @@
 		zap.String("session", c.Session), zap.String("server", a.Server), zap.String("software-version", e.Version),
 		zap.String("reason", a.Reason), zap.Int("alternatives", a.Alternatives),
 		zap.Int("attempt", r.attempts), zap.Int64("table", r.view.version()), zap.Duration("waited", time.Since(c.Arrived)))
-	return target{id: a.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address, service: p.service, softwareVersion: e.Version}, a, nil
+	return target{id: a.ID, server: a.Server, startedAt: e.StartedAt, address: e.Address, service: p.service, softwareVersion: e.Version, level: a.Level}, a, nil
 }
 
 func (r *execution) nextPlacement(ctx context.Context) (*placement, error) {
@@ -106,7 +107,7 @@
 		Class: class(c.Route), Deadline: r.clock() + time.Until(c.Deadline),
 		Affinity: c.Affinity, Avoid: avoid, LastServer: r.lastServer,
 		Session: xxhash.Sum64String(c.ledgerID(c.Session)), SoftwareVersion: softwareVersion,
-		Team: c.team(),
+		Team: c.team(), Objective: c.Route.Objective,
 	}
 	if x := r.view.service(service); x != nil && x.Engine != nil {
 		request.Model, request.PromptTokens = service, c.PromptTokens
@@ -303,7 +304,7 @@
 		zap.Uint64("connection", r.connections.Last()),
 		zap.String("verdict", v.Verdict().String()), zap.Bool("server-ended", serverDown), zap.Bool("retry", step == Retry), zap.Error(err))
 	if step == Retry && notRun && (v.Reason() == verdict.Overloaded || r.progress.notRun >= maxNotRun) {
-		r.backOff(ctx, t.service)
+		r.backOff(ctx, t)
 	}
 	if step == Retry && ctx.Err() == nil {
 		return nil
@@ -321,9 +322,10 @@
 
 // backOff waits before a call that was rejected is sent again. It counts as
 // waiting meanwhile.
-func (r *execution) backOff(ctx context.Context, service string) {
-	r.view.addBackingOff(service, 1)
-	defer r.view.addBackingOff(service, -1)
+func (r *execution) backOff(ctx context.Context, t target) {
+	k := backingOff{t.service, t.level}
+	r.view.addBackingOff(k, 1)
+	defer r.view.addBackingOff(k, -1)
 	pause.For(ctx, r.progress.backoff(rand.Float64()))
 }
 
--- a/forward/view.go
+++ b/forward/view.go
@@ -55,9 +55,8 @@
 	limits   *cluster.Limits
 	outcomes *cluster.Outcomes
 	accused  map[string]bool // servers of which any host has reported failures
-	// backingOff counts the calls that wait to be sent again after a rejection, by
-	// service.
-	backingOff map[string]int
+	// backingOff counts the calls that wait to be sent again after a rejection.
+	backingOff map[backingOff]int
 	// knownSince is the time of the first update of the servers.
 	knownSince time.Time
 }
@@ -79,7 +78,7 @@
 	return &View{
 		forwarder: f, servers: map[string]registry.Entry{}, leaving: leavingServers{}, excluded: map[string]exclusion{},
 		crashed: map[uint64]*crash{}, suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
-		outcomes: cluster.NewOutcomes(), accused: map[string]bool{}, backingOff: map[string]int{},
+		outcomes: cluster.NewOutcomes(), accused: map[string]bool{}, backingOff: map[backingOff]int{},
 	}
 }
 
@@ -300,8 +299,13 @@
 		}
 		list = append(list, cluster.Suspect{Fingerprint: f, Servers: c.servers})
 	}
-	for service, n := range view.backingOff {
-		waiting[service] += n
+	for k, n := range view.backingOff {
+		waiting[k.service] += n
+		if levels != nil {
+			q := schedule.ServiceQueue{Levels: levels[k.service]}
+			q.AddLevels(append(make([]int, k.level), n))
+			levels[k.service] = q.Levels
+		}
 	}
 	now := view.forwarder.clock()
 	view.limits.Expire(now)
@@ -312,12 +316,19 @@
 	}
 }
 
-// addBackingOff adds n to the calls of a service that wait to be sent again.
-func (view *View) addBackingOff(service string, n int) {
+// backingOff is the service and the level of calls that wait to be sent again after a
+// rejection.
+type backingOff struct {
+	service string
+	level   int
+}
+
+// addBackingOff adds n to the calls that wait to be sent again.
+func (view *View) addBackingOff(k backingOff, n int) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	if view.backingOff[service] += n; view.backingOff[service] == 0 {
-		delete(view.backingOff, service)
+	if view.backingOff[k] += n; view.backingOff[k] == 0 {
+		delete(view.backingOff, k)
 	}
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -154,6 +154,9 @@
 	c.program.calls++
 	c.lastServer = s.servers[r.LastServer]
 	c.rank = s.ranking.rank(s.now, &c.Request)
+	if s.shared {
+		c.rank += c.objective()
+	}
 	s.calls[r.ID] = c
 	s.queued++
 	if r.ID.Attempt <= 1 {
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -35,6 +35,9 @@
 	// minLeftShare is the part of the servers that teams above their share are taken to
 	// get at least.
 	minLeftShare = 0.02
+	// maxObjective limits the time by which a call with a shorter objective may overtake
+	// others of the same urgency.
+	maxObjective = time.Second
 	// maxSharedRetry limits the time after which a caller is told to return if teams
 	// have shares.
 	maxSharedRetry = 8 * time.Second
@@ -249,6 +252,15 @@
 	return out
 }
 
+// objective returns the part of the rank of a call by which calls with less time left
+// of their objectives go first. It is limited, so that no call waits forever.
+func (c *call) objective() time.Duration {
+	if c.Objective == 0 {
+		return maxObjective
+	}
+	return min(c.Objective, maxObjective)
+}
+
 // chargeStart charges the expected work of a run, before its cost is known: a team
 // could otherwise start any number of runs.
 func (s *Scheduler) chargeStart(c *call) {
--- a/schedule/shares_test.go
+++ b/schedule/shares_test.go
@@ -359,7 +359,11 @@
 			if !shared {
 				urgency = 0
 			}
-			s.Enqueue(s.now, Request{ID: CallID{Program: id}, Model: "m", Team: team, Urgency: urgency})
+			objective := time.Second
+			if id == "short objective" {
+				objective = time.Second / 2
+			}
+			s.Enqueue(s.now, Request{ID: CallID{Program: id}, Model: "m", Team: team, Urgency: urgency, Objective: objective})
 		}
 		enqueue("running", "a", 0)
 		a, ok := s.Next(0)
@@ -371,10 +375,11 @@
 		enqueue("less urgent", "b", 1)
 		enqueue("first", "b", 0)
 		enqueue("second", "c", 0)
-		want := []string{"first", "second", "above its share", "less urgent"}
-		levels := []int{0, 0, 1, 5}
+		enqueue("short objective", "c", 0)
+		want := []string{"short objective", "first", "second", "above its share", "less urgent"}
+		levels := []int{0, 0, 0, 1, 5}
 		if !shared {
-			want, levels = []string{"above its share", "less urgent", "first", "second"}, []int{0, 0, 0, 0}
+			want, levels = []string{"above its share", "less urgent", "first", "second", "short objective"}, []int{0, 0, 0, 0, 0}
 		}
 		for i, id := range want {
 			s.Finished(s.now, a.ID, "s", Usage{}, Succeeded)
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -53,6 +53,10 @@
 	// Urgency is the strict order of calls if teams share the servers, see SetShares.
 	// Lower values go first.
 	Urgency int
+	// Objective is the time after its arrival in which the call should be answered; 0
+	// for none. Calls with less time left go first among equals if teams share the
+	// servers.
+	Objective time.Duration
 	// Model is set for model calls, Service for tool calls. Exactly one of them
 	// is set.
 	Model   string
