--- a/forward/call.go
+++ b/forward/call.go
@@ -9,10 +9,13 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
+	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
 // Call is a decoded request of a caller.
@@ -62,6 +65,16 @@
 	return c.Workspace.Name + "\n" + id
 }
 
+// inOwnIDs returns a refusal of the ledger with the caller's ids in its message.
+func (c *Call) inOwnIDs(e *verdict.Error) *verdict.Error {
+	if c.Workspace == nil {
+		return e
+	}
+	quoted := strconv.Quote(c.ledgerID("x"))
+	prefix := strings.TrimSuffix(quoted, `x"`)
+	return verdict.New(e.Verdict(), e.Reason(), strings.ReplaceAll(e.Message(), prefix, `"`), verdict.WithRetryAfter(e.RetryAfter()))
+}
+
 // limitDeadline limits the deadline to the end of the route's timeout.
 func (c *Call) limitDeadline() {
 	limit := c.Arrived.Add(c.Route.Timeout)
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -47,7 +47,7 @@
 			r.settle()
 		}
 		if slices.Contains(refusalsOfTurns, v.Reason()) {
-			return v
+			return r.call.inOwnIDs(v)
 		}
 		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the tokens of the turn could not be reserved",
 			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
@@ -111,7 +111,7 @@
 		ctx, cancel := context.WithTimeout(r.ctx, backgroundSettleTimeout)
 		defer cancel()
 		if err := r.turns.Settle(ctx, t); err != nil {
-			r.logger.Warn("turn not settled; reservation remains", zap.String("request", t.Turn), zap.String("program", t.Program), zap.Error(err))
+			r.logger.Warn("turn not settled; reservation remains", zap.String("request", r.call.ID), zap.String("program", r.call.Program), zap.Error(err))
 		}
 	})
 }
--- a/forward/workspace_test.go
+++ b/forward/workspace_test.go
@@ -15,14 +15,15 @@
 )
 
 // Guards against turns, budgets and conversations that workspaces with equal ids
-// share, in the ledger and in the cache of conversations.
+// share, in the ledger and in the cache of conversations, and against ids of the
+// ledger in the errors that callers get.
 func TestTurnsOfWorkspacesStayApart(t *testing.T) {
 	s := startServer(t, func(_ int, r *http.Request, w io.Writer) bool {
 		streamEvents(w, r.Header.Get("Id"), 1, 2, true)
 		return true
 	})
 	f := newFixture(t, s)
-	workspaces := []*route.Workspace{{Name: "desk"}, {Name: "co-op"}, nil}
+	workspaces := []*route.Workspace{{Name: "desk"}, {Name: `co "op"`}, nil}
 	turn := func(w *route.Workspace, id, previous string) verdict.Reason {
 		c := f.call(id, turnRoute())
 		c.Workspace, c.Program, c.Session = w, "p", "s"
@@ -32,6 +33,9 @@
 		if err == nil {
 			return ""
 		}
+		if verdict.From(err).Reason() == ledger.UnknownTurn {
+			assert.Equal(t, verdict.From(err).Message(), fmt.Sprintf("turn %q does not exist or has expired", previous))
+		}
 		return verdict.From(err).Reason()
 	}
 	assert.Equal(t, turn(workspaces[0], "only-desk", ""), verdict.Reason(""))
