--- a/cluster/host.go
+++ b/cluster/host.go
@@ -367,11 +367,14 @@
 	}
 	out.Part = h.serversPart(r.serversRequest)
 	out.Limits = h.limits.Report(now)
+	if r.WantInFlight && r.AcceptsTotals {
+		out.Service = h.loads.aggregated(now, h.registry).work
+	}
 	switch {
 	case !r.WantInFlight:
 	case r.AcceptsTotals:
 		a := h.loads.aggregated(now, h.registry)
-		out.Totals, out.OwnInFlight, out.Evidence, out.Queues, out.Service = a.encoded, a.byHost[r.Host], a.evidence, a.queues, a.work
+		out.Totals, out.OwnInFlight, out.Evidence, out.Queues = a.encoded, a.byHost[r.Host], a.evidence, a.queues
 	default:
 		out.InFlight = h.loads.aggregated(now, h.registry).remoteInFlight(r.Host)
 	}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -87,6 +87,10 @@
 // HostReport is the state that an entry host reports to the control hosts.
 type HostReport struct {
 	InFlight map[string]int // in-flight requests by server
+	// Levels are the numbers of calls by level, by service, and Service is the work for
+	// workspaces; nil without any.
+	Levels  map[string][]int
+	Service *schedule.Service
 	// Suspects are requests that were in flight on servers whose crash this host
 	// detected.
 	Suspects []Suspect
@@ -97,10 +101,6 @@
 	Outcomes  []ServerOutcomes
 	Succeeded map[string]float64
 	Waiting   map[string]int // calls that wait for a server, by service
-	// Levels are the numbers of calls by level, by service, and Service is the work for
-	// workspaces; nil without any.
-	Levels  map[string][]int
-	Service *schedule.Service
 }
 
 // LinkConfig configures a Link.
@@ -326,9 +326,7 @@
 		timeout = syncTimeout
 	}
 	wantLoad := l.loadSource == h.id
-	r := syncRequest{
-		Host: l.config.ID, WantInFlight: wantLoad, AcceptsTotals: wantLoad, LedgerDigest: h.ledgerDigest, Confirm: l.wantsConfirmation(),
-	}
+	r := syncRequest{Host: l.config.ID, WantInFlight: wantLoad, AcceptsTotals: wantLoad, LedgerDigest: h.ledgerDigest}
 	if l.config.LedgerHostReport == nil {
 		r.serversRequest = l.serversRequest(h)
 	}
@@ -340,10 +338,10 @@
 		r.LedgerHost = l.config.LedgerHostReport()
 	} else {
 		report := l.observer.Report()
-		r.DataCentre = l.config.DataCentre
+		r.DataCentre, r.Confirm = l.config.DataCentre, l.wantsConfirmation()
+		r.Levels, r.Service = report.Levels, report.Service
 		r.InFlight, r.Suspects, r.Limits = report.InFlight, report.Suspects, report.Limits
 		r.Outcomes, r.Succeeded, r.Waiting = report.Outcomes, report.Succeeded, report.Waiting
-		r.Levels, r.Service = report.Levels, report.Service
 	}
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
--- a/cluster/load.go
+++ b/cluster/load.go
@@ -50,13 +50,13 @@
 // aggregatedLoad is the sum of the recent reports of all entry hosts.
 type aggregatedLoad struct {
 	at      time.Duration
+	work    cborwire.Raw   // the encoded schedule.Service, or nil without workspaces
 	total   map[string]int // in-flight requests by server
 	encoded cborwire.Raw   // total, encoded once for all recipients
 	byHost  map[string]map[string]int
 	// evidence is the encoded list of ServerEvidence, or nil if it is empty.
 	evidence cborwire.Raw
 	queues   map[string]schedule.ServiceQueue // those with waiting calls, by service
-	work     cborwire.Raw                     // the encoded schedule.Service, or nil without workspaces
 }
 
 func newLoads() *loads {
@@ -116,10 +116,10 @@
 			a.total[id] += n
 		}
 	}
-	a.encoded = cborwire.MustMarshal(a.total)
 	if len(work) > 0 {
 		a.work = cborwire.MustMarshal(schedule.SumService(work))
 	}
+	a.encoded = cborwire.MustMarshal(a.total)
 	if e := l.evidence(now, directory); len(e) > 0 {
 		a.evidence = cborwire.MustMarshal(e)
 	}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -62,6 +62,10 @@
 	// InFlight is the number of in-flight requests of the entry host, by backend
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
+	// Levels and Service are the numbers of calls by level, by service, and the work
+	// for workspaces. They are not set without workspaces.
+	Levels  map[string][]int  `json:"levels,omitempty"`
+	Service *schedule.Service `json:"work,omitempty"`
 	// Suspects are requests that were in flight on a server when it crashed.
 	Suspects []Suspect `json:"suspects,omitempty"`
 	// Limits are the limits of backend servers that this host knows.
@@ -72,10 +76,6 @@
 	Succeeded map[string]float64 `json:"succeeded,omitempty"`
 	// Waiting is the number of calls that wait for a server, by service.
 	Waiting map[string]int `json:"waiting,omitempty"`
-	// Levels and Service are the numbers of calls by level, by service, and the work
-	// for workspaces. They are not set without workspaces.
-	Levels  map[string][]int  `json:"levels,omitempty"`
-	Service *schedule.Service `json:"work,omitempty"`
 	// WantInFlight requests the in-flight counts of all other entry hosts.
 	WantInFlight bool `json:"want-runs,omitempty"`
 	// AcceptsTotals is set by hosts that take the in-flight counts of all entry
@@ -153,6 +153,9 @@
 	ConfirmedAge  *time.Duration `json:"confirmed-age,omitempty"`
 	registry.Part                // not sent to ledger hosts
 	EntryHosts    int            `json:"entry-hosts"`
+	// Service is the encoded work of all entry hosts for workspaces, sent together with
+	// Totals.
+	Service cborwire.Raw `json:"work,omitempty"`
 	// Ledger is nil if the sender of the request has it.
 	Ledger       *LedgerView `json:"ledger,omitempty"`
 	LedgerDigest uint64      `json:"ledger-digest,omitempty"` // without the plan
@@ -166,11 +169,8 @@
 	// Evidence is an encoded list of ServerEvidence, sent together with Totals.
 	Evidence cborwire.Raw `json:"evidence,omitempty"`
 	// Queues are the queues of all entry hosts together, by service.
-	Queues map[string]schedule.ServiceQueue `json:"queues,omitempty"`
-	// Service is the encoded work of all entry hosts for workspaces, sent together with
-	// Totals.
-	Service  cborwire.Raw `json:"work,omitempty"`
-	Suspects []Suspect    `json:"suspects,omitempty"`
+	Queues   map[string]schedule.ServiceQueue `json:"queues,omitempty"`
+	Suspects []Suspect                        `json:"suspects,omitempty"`
 	// Limits are the limits of backend servers that any host has observed.
 	Limits []ServerLimit `json:"limits,omitempty"`
 }
--- a/forward/view.go
+++ b/forward/view.go
@@ -262,11 +262,11 @@
 	view.forwarder.metrics.deploymentGauges(view.version(), servers, l.Hosts)
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
 		s.SetHosts(now, l.Hosts)
-		s.SetRemoteInFlight(now, l.InFlight)
-		s.SetQueues(now, l.Queues)
 		if l.Service != nil {
 			s.SetService(now, l.Service)
 		}
+		s.SetRemoteInFlight(now, l.InFlight)
+		s.SetQueues(now, l.Queues)
 	})
 	view.applyEvidence(l.Evidence)
 }
@@ -283,12 +283,11 @@
 
 // Report implements cluster.Observer.
 func (view *View) Report() cluster.HostReport {
-	var inFlight, waiting map[string]int
 	var levels map[string][]int
 	var service *schedule.Service
-	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
-		inFlight, waiting, levels, service = s.InFlight(), s.Waiting(), s.Levels(), s.Service(now)
-	})
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { levels, service = s.Levels(), s.Service(now) })
+	var inFlight, waiting map[string]int
+	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight, waiting = s.InFlight(), s.Waiting() })
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	var list []cluster.Suspect
@@ -311,8 +310,8 @@
 	view.limits.Expire(now)
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
 	return cluster.HostReport{
-		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
 		Levels: levels, Service: service,
+		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
 	}
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -28,16 +28,6 @@
 	evidenceAt     time.Duration           // time of the last evidence
 	queues         map[string]ServiceQueue // of all hosts, by model or service
 	queuesAt       time.Duration
-	shared         bool // teams share the servers, see SetShares
-	// urgencies and serviceUrgencies are the numbers of values of Request.Urgency of
-	// model calls and of tool calls.
-	urgencies, serviceUrgencies int
-	meanWeight                  float64 // of the teams that share the servers
-	meanCharge                  float64 // to teams for a call, in seconds of a slot; 0 before the first
-	// usedAbove is the part of the service that the teams of each grade or a higher one
-	// have got.
-	usedAbove      [priorityLevels]float64
-	serviceAt      time.Duration
 	slots          int // sum over the servers that run models and are not leaving
 	pools          map[poolKey]*pool
 	poolOrder      []*pool // in order of addition
@@ -52,6 +42,7 @@
 	expiries  indexedHeap
 	refused   []Refused
 
+	sharing
 	programs           map[string]*program
 	programsByActivity programList // in order of last activity
 	activeFraction     float64     // smoothed fraction of the programs that run a call
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -107,6 +107,20 @@
 	Urgencies, ServiceUrgencies int
 }
 
+// sharing is the state of a scheduler about the teams that share the servers.
+type sharing struct {
+	shared bool // see SetShares
+	// urgencies and serviceUrgencies are the numbers of values of Request.Urgency of
+	// model calls and of tool calls.
+	urgencies, serviceUrgencies int
+	meanWeight                  float64 // of the teams
+	meanCharge                  float64 // to teams for a call, in seconds of a slot; 0 before the first
+	// usedAbove is the part of the service that the teams of each grade or a higher one
+	// have got.
+	usedAbove [priorityLevels]float64
+	serviceAt time.Duration // of the last SetService
+}
+
 // SetShares makes teams share the servers of all hosts: calls go in the order of
 // their urgency, then those of teams within their share of the service, then the
 // others, of which those least above it go first. Without weights, calls go in the
