cluster: confirm the first table of a host at once; schedule: benchmark of shares

A host that has just started got its first confirmation with the poll after its first table, up to 0.6 s later, and answered 503 until then.

--- a/cluster/confirmation.go
+++ b/cluster/confirmation.go
@@ -95,10 +95,12 @@
 	return max(sharedReadAge, l.config.StrictRevocation/4)
 }
 
-// wantsConfirmation reports whether polls ask if the table is the newest.
+// wantsConfirmation reports whether polls ask if the table is the newest. Before the
+// first table they do, so that a host that has just started serves as soon as it has
+// one.
 func (l *Link) wantsConfirmation() bool {
 	x := l.index.Load()
-	return l.config.StrictRevocation > 0 && x != nil && x.HasWorkspaces()
+	return l.config.StrictRevocation > 0 && (x == nil || x.HasWorkspaces())
 }
 
 // confirmTable records the confirmation in the response to a poll that was sent at a
--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -102,6 +103,40 @@
 	l.oldestRun = (l.oldestRun + 1) % len(l.running)
 }
 
+// BenchmarkShares measures what 600 teams that share the servers cost: a decision
+// (compare BenchmarkDecision), the report of a host, the sum of 330 reports and its
+// use.
+func BenchmarkShares(b *testing.B) {
+	shares := Shares{Weights: map[string]float64{}, Urgencies: 2}
+	for i := range 600 {
+		shares.Weights[fmt.Sprint("team-", i)] = 1
+	}
+	l := newDecisionLoop(1400, 10_000)
+	l.s.SetShares(l.now, shares)
+	for range 20_000 {
+		l.step()
+	}
+	report := l.s.Service(l.now)
+	reports := slices.Repeat([]*Service{report}, 330)
+	sum := SumService(reports)
+	for _, m := range []struct {
+		name    string
+		measure func()
+	}{
+		{"decision", l.step},
+		{"report", func() { l.s.Service(l.now); l.s.Levels() }},
+		{"sum", func() { SumService(reports) }},
+		{"use", func() { l.s.SetService(l.now, sum) }},
+	} {
+		b.Run(m.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				m.measure()
+			}
+		})
+	}
+}
+
 // BenchmarkSetServers measures an update of the list of servers in which one
 // server has changed.
 func BenchmarkSetServers(b *testing.B) {
