--- a/cluster/link.go
+++ b/cluster/link.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/bootclock"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/pause"
 	"github.com/sycamoreline/sycamoreline/registry"
@@ -80,11 +81,16 @@
 	// Evidence is what the entry hosts have seen of servers that fail requests.
 	Evidence []ServerEvidence
 	Queues   map[string]schedule.ServiceQueue // by service
+	Service  *schedule.Service                // for workspaces; nil without any
 }
 
 // HostReport is the state that an entry host reports to the control hosts.
 type HostReport struct {
 	InFlight map[string]int // in-flight requests by server
+	// Levels are the numbers of calls by level, by service, and Service is the work for
+	// workspaces; nil without any.
+	Levels  map[string][]int
+	Service *schedule.Service
 	// Suspects are requests that were in flight on servers whose crash this host
 	// detected.
 	Suspects []Suspect
@@ -108,6 +114,9 @@
 	// LedgerHostReport returns the report of a ledger host; nil for an entry
 	// host.
 	LedgerHostReport func() *LedgerHostReport
+	// StrictRevocation is the time for which keys of workspaces may be used after the
+	// table was confirmed as the newest; 0 for no such limit.
+	StrictRevocation time.Duration
 }
 
 // Link connects an entry host or a ledger host to all control hosts. On an
@@ -121,6 +130,7 @@
 
 	index        atomic.Pointer[route.Index] // routing table in force
 	confirmed    atomic.Bool                 // a table of the log has been in force
+	confirmation atomic.Pointer[tableConfirmation]
 	ledger       atomic.Pointer[LedgerView]
 	tableOffered chan struct{} // signals that a control host has a newer table
 	urgent       chan struct{} // signals that a report should not wait for loadInterval
@@ -301,7 +311,7 @@
 	if l.isLoadSource(h) {
 		return loadInterval
 	}
-	return syncInterval
+	return min(syncInterval, l.confirmationInterval(h))
 }
 
 // isLoadSource returns whether a control host supplies the aggregated load: the
@@ -332,18 +342,20 @@
 		r.LedgerHost = l.config.LedgerHostReport()
 	} else {
 		report := l.observer.Report()
-		r.DataCentre = l.config.DataCentre
+		r.DataCentre, r.Confirm = l.config.DataCentre, l.wantsConfirmation()
+		r.Levels, r.Service = report.Levels, report.Service
 		r.InFlight, r.Suspects, r.Limits = report.InFlight, report.Suspects, report.Limits
 		r.Outcomes, r.Succeeded, r.Waiting = report.Outcomes, report.Succeeded, report.Waiting
 	}
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
 	var out syncResponse
+	sentAt := bootclock.Now()
 	if err := h.Call(attempt, methodSync, r, &out); err != nil {
 		l.markUnreachable(h, err)
 		return false
 	}
-	l.applyResponse(h, out, wantLoad)
+	l.applyResponse(h, out, wantLoad, sentAt)
 	return true
 }
 
@@ -490,9 +502,9 @@
 	return nil
 }
 
-// applyResponse records the response of a control host and notifies the
-// observer of changes.
-func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool) {
+// applyResponse records the response of a control host to a poll that was sent at a
+// time of bootclock.Now, and notifies the observer of changes.
+func (l *Link) applyResponse(h *controlHost, r syncResponse, wantLoad bool, sentAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hosts[h.id] != h {
@@ -521,6 +533,7 @@
 	if x := l.index.Load(); x != nil && !r.Provisional && r.TableVersion > 0 && x.Version() >= r.TableVersion {
 		l.confirmed.Store(true)
 	}
+	l.confirmTable(&r, sentAt)
 	if l.tableFetch.offer(h.id, r.TableVersion, h.dataCentre == l.config.DataCentre) {
 		select {
 		case l.tableOffered <- struct{}{}:
@@ -545,11 +558,12 @@
 func (l *Link) applyLoad(h *controlHost, r *syncResponse) {
 	inFlight, err := r.inFlight()
 	evidence, evidenceErr := r.evidence()
-	if err = errors.Join(err, evidenceErr); err != nil {
+	service, serviceErr := r.service()
+	if err = errors.Join(err, evidenceErr, serviceErr); err != nil {
 		l.logger.Warn("aggregated load not readable", zap.String("control-host", h.id), zap.Error(err))
 		return
 	}
-	l.observer.Load(SharedLoad{InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues})
+	l.observer.Load(SharedLoad{InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues, Service: service})
 }
 
 const (
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
@@ -61,6 +62,10 @@
 	// InFlight is the number of in-flight requests of the entry host, by backend
 	// server.
 	InFlight map[string]int `json:"runs,omitempty"`
+	// Levels and Service are the numbers of calls by level, by service, and the work
+	// for workspaces. They are not set without workspaces.
+	Levels  map[string][]int  `json:"levels,omitempty"`
+	Service *schedule.Service `json:"work,omitempty"`
 	// Suspects are requests that were in flight on a server when it crashed.
 	Suspects []Suspect `json:"suspects,omitempty"`
 	// Limits are the limits of backend servers that this host knows.
@@ -79,6 +84,8 @@
 	// LedgerDigest is that of the last view of the ledger hosts which this control
 	// host has sent; 0 if it is to be sent in any case.
 	LedgerDigest uint64 `json:"ledger-digest,omitempty"`
+	// Confirm asks the leader to confirm that its table is the newest.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // check returns an error if a count is negative or not finite: it would spoil the
@@ -105,6 +112,16 @@
 			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d calls wait for service %q: want 0 to %.0f", n, service, maxReportedCount)
 		}
 	}
+	for service, counts := range r.Levels {
+		if i := slices.IndexFunc(counts, func(n int) bool { return !valid(float64(n)) }); i >= 0 {
+			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d calls of level %d on service %q: want 0 to %.0f", counts[i], i, service, maxReportedCount)
+		}
+	}
+	if r.Service != nil {
+		if err := r.Service.Check(); err != nil {
+			return verdict.New(verdict.NotRun, verdict.BadRequest, err.Error())
+		}
+	}
 	return nil
 }
 
@@ -130,9 +147,15 @@
 	TableVersion int64    `json:"table-version,omitempty"`
 	// Provisional is set while the table is one that the host has had before its
 	// restart: the log may have a newer one.
-	Provisional   bool `json:"provisional,omitempty"`
-	registry.Part      // not sent to ledger hosts
-	EntryHosts    int  `json:"entry-hosts"`
+	Provisional bool `json:"provisional,omitempty"`
+	// ConfirmedAge is the time since the table was confirmed as the newest. It is nil
+	// if that was not requested or is not known.
+	ConfirmedAge  *time.Duration `json:"confirmed-age,omitempty"`
+	registry.Part                // not sent to ledger hosts
+	EntryHosts    int            `json:"entry-hosts"`
+	// Service is the encoded work of all entry hosts for workspaces, sent together with
+	// Totals.
+	Service cborwire.Raw `json:"work,omitempty"`
 	// Ledger is nil if the sender of the request has it.
 	Ledger       *LedgerView `json:"ledger,omitempty"`
 	LedgerDigest uint64      `json:"ledger-digest,omitempty"` // without the plan
@@ -254,6 +277,15 @@
 	return list, nil
 }
 
+// service returns the work of all entry hosts for workspaces, or nil.
+func (r *syncResponse) service() (*schedule.Service, error) {
+	if len(r.Service) == 0 {
+		return nil, nil
+	}
+	v := new(schedule.Service)
+	return v, cborwire.Unmarshal(r.Service, v)
+}
+
 // LedgerView is the state of the ledger hosts, as last reported to a control
 // host.
 type LedgerView struct {
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -105,6 +105,7 @@
 		}
 		link := cluster.NewLink(cluster.LinkConfig{
 			ID: s.IP, DataCentre: s.DataCentre, Seeds: s.SeedHosts(), Key: key, Address: s.PeerAddress,
+			StrictRevocation: s.RevocationTime(),
 		}, logger)
 		f := forward.New(platform.Protocol{}, link, forward.WithLogger(logger), forward.WithMetrics(p.metrics), forward.WithPermits(link), forward.WithQuotas(link), forward.WithReporter(link),
 			forward.WithChainBytes((s.MemoryMB<<20)/chainMemoryDivisor),
@@ -126,7 +127,7 @@
 				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
+				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link, platform.WithIngressMetrics(p.metrics)))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
--- a/forward/view.go
+++ b/forward/view.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	index    *route.Index
 	indexAt  time.Time // when index came into force
+	order    *urgencies
 	servers  map[string]registry.Entry
 	leaving  leavingServers
 	excluded map[string]exclusion // servers that are not used at present, by id
@@ -54,9 +55,8 @@
 	limits   *cluster.Limits
 	outcomes *cluster.Outcomes
 	accused  map[string]bool // servers of which any host has reported failures
-	// backingOff counts the calls that wait to be sent again after a rejection, by
-	// service.
-	backingOff map[string]int
+	// backingOff counts the calls that wait to be sent again after a rejection.
+	backingOff map[backingOff]int
 	// knownSince is the time of the first update of the servers.
 	knownSince time.Time
 }
@@ -78,7 +78,7 @@
 	return &View{
 		forwarder: f, servers: map[string]registry.Entry{}, leaving: leavingServers{}, excluded: map[string]exclusion{},
 		crashed: map[uint64]*crash{}, suspects: map[uint64][]string{}, limits: cluster.NewLimits(),
-		outcomes: cluster.NewOutcomes(), accused: map[string]bool{}, backingOff: map[string]int{},
+		outcomes: cluster.NewOutcomes(), accused: map[string]bool{}, backingOff: map[backingOff]int{},
 	}
 }
 
@@ -106,6 +106,20 @@
 	return view.index.Version(), time.Since(view.indexAt)
 }
 
+// hasWorkspaces reports whether the routing table in force has workspaces.
+func (view *View) hasWorkspaces() bool {
+	x := view.Index()
+	return x != nil && x.HasWorkspaces()
+}
+
+// urgency returns the urgency of a call to an engine or to another server; 0 without
+// workspaces.
+func (view *View) urgency(c *Call, engine bool) int {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.order.of(c, engine)
+}
+
 // service returns a service of the routing table, or nil.
 func (view *View) service(name string) *route.Service {
 	if x := view.Index(); x != nil {
@@ -158,8 +172,11 @@
 // Routes implements cluster.Observer.
 func (view *View) Routes(x *route.Index) {
 	view.mu.Lock()
-	view.index, view.indexAt = x, time.Now()
+	order := newUrgencies(x)
+	view.index, view.indexAt, view.order = x, time.Now(), order
 	view.mu.Unlock()
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { s.SetShares(now, sharesOf(x, order)) })
+	view.forwarder.metrics.limits(x)
 	view.syncServers()
 }
 
@@ -245,6 +262,9 @@
 	view.forwarder.metrics.deploymentGauges(view.version(), servers, l.Hosts)
 	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
 		s.SetHosts(now, l.Hosts)
+		if l.Service != nil {
+			s.SetService(now, l.Service)
+		}
 		s.SetRemoteInFlight(now, l.InFlight)
 		s.SetQueues(now, l.Queues)
 	})
@@ -263,6 +283,9 @@
 
 // Report implements cluster.Observer.
 func (view *View) Report() cluster.HostReport {
+	var levels map[string][]int
+	var service *schedule.Service
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { levels, service = s.Levels(), s.Service(now) })
 	var inFlight, waiting map[string]int
 	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight, waiting = s.InFlight(), s.Waiting() })
 	view.mu.Lock()
@@ -275,23 +298,36 @@
 		}
 		list = append(list, cluster.Suspect{Fingerprint: f, Servers: c.servers})
 	}
-	for service, n := range view.backingOff {
-		waiting[service] += n
+	for k, n := range view.backingOff {
+		waiting[k.service] += n
+		if levels != nil {
+			q := schedule.ServiceQueue{Levels: levels[k.service]}
+			q.AddLevels(append(make([]int, k.level), n))
+			levels[k.service] = q.Levels
+		}
 	}
 	now := view.forwarder.clock()
 	view.limits.Expire(now)
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
 	return cluster.HostReport{
+		Levels: levels, Service: service,
 		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
 	}
 }
 
-// addBackingOff adds n to the calls of a service that wait to be sent again.
-func (view *View) addBackingOff(service string, n int) {
+// backingOff is the service and the level of calls that wait to be sent again after a
+// rejection.
+type backingOff struct {
+	service string
+	level   int
+}
+
+// addBackingOff adds n to the calls that wait to be sent again.
+func (view *View) addBackingOff(k backingOff, n int) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	if view.backingOff[service] += n; view.backingOff[service] == 0 {
-		delete(view.backingOff, service)
+	if view.backingOff[k] += n; view.backingOff[k] == 0 {
+		delete(view.backingOff, k)
 	}
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -42,6 +42,7 @@
 	expiries  indexedHeap
 	refused   []Refused
 
+	sharing
 	programs           map[string]*program
 	programsByActivity programList // in order of last activity
 	activeFraction     float64     // smoothed fraction of the programs that run a call
@@ -73,8 +74,9 @@
 	expiryIndex int           // index in Scheduler.expiries, or -1
 	exclusive   bool          // suspect that must run alone
 	hedge       hedgeState
-	runs        [2]run // only runs[:running] is in use
-	running     int    // number of runs in progress
+	runs        [2]run  // only runs[:running] is in use
+	running     int     // number of runs in progress
+	charged     float64 // to the team for the runs in progress, in seconds of a slot
 }
 
 type hedgeState uint8
@@ -138,10 +140,14 @@
 	*c = call{Request: r, serial: s.serial, queueIndex: -1, expiryIndex: -1}
 	c.pool = s.poolFor(&c.Request)
 	c.team = c.pool.queue.team(r.Team, s.team(r.Team).weight())
+	c.team.shares = s.team(r.Team)
 	c.program = s.activateProgram(r.ID.Program, s.team(r.Team))
 	c.program.calls++
 	c.lastServer = s.servers[r.LastServer]
 	c.rank = s.ranking.rank(s.now, &c.Request)
+	if s.shared {
+		c.rank += c.objective()
+	}
 	s.calls[r.ID] = c
 	s.queued++
 	if r.ID.Attempt <= 1 {
@@ -261,11 +267,15 @@
 func (s *Scheduler) nextPool() *pool {
 	var best *pool
 	var head *call
+	before := byRank
+	if s.shared {
+		before = byShare
+	}
 	for _, p := range s.waiting {
 		if len(p.eligible) == 0 {
 			continue
 		}
-		if c := p.queue.next().calls.head(); head == nil || byRank(c, head) {
+		if c := p.queue.next().calls.head(); head == nil || before(c, head) {
 			best, head = p, c
 		}
 	}
