cluster: let a workspace use what its limit allows in each window

A bucket of the plain rate served a workspace above its limit at that rate, although the limit allows rate x window + burst in each window, and programs of a workspace within its limit were refused, as 30 s of beginnings made programs seem longer than they are.

The bucket has the highest rate that the bound leaves beside a burst; beginnings are planned with a lag of 8 s, and more generously within the limit. The head start of a new leader has no room left and is removed.

TestQuotaBoundHolds passes.

--- a/cluster/beginnings.go
+++ b/cluster/beginnings.go
@@ -11,7 +11,7 @@
 	beginMemory = 3 * time.Minute
 	// beginLag is the mean time by which continuations follow their beginning. Without
 	// it, a burst of beginnings would make programs seem shorter.
-	beginLag = 30 * time.Second
+	beginLag = 8 * time.Second
 	// priorBeginnings and priorContinuations count as seen at first: programs have 4
 	// to 9 turns with a tool call each.
 	priorBeginnings    = 3
@@ -22,6 +22,9 @@
 	// beginShare is the part of the rate that programs are planned for. The rest
 	// makes up for programs that are longer than the mean.
 	beginShare = 0.95
+	// withinLimitShare is that part while the requests are within the limit. The
+	// estimate of what programs need may be too high by as much.
+	withinLimitShare = 1.3
 	// reserveShare is the part of the capacity that programs which begin beyond the
 	// limit leave for those that have begun.
 	reserveShare = 0.5
@@ -60,12 +63,15 @@
 // a program also leaves a reserve in the bucket.
 func (b *beginnings) missing(tokens, capacity, all float64, exceeded bool) float64 {
 	missing := 1 - tokens
+	share := beginShare
 	if exceeded {
 		missing += reserveShare * capacity
+	} else {
+		share = withinLimitShare
 	}
 	if exceeded || b.begun >= minBeginnings {
 		needed := 1 + (b.recent+1)*b.perBeginning()
-		missing = max(missing, needed-tokens-beginShare*all*beginLag.Seconds())
+		missing = max(missing, needed-tokens-share*all*beginLag.Seconds())
 	}
 	return missing
 }
--- a/cluster/host.go
+++ b/cluster/host.go
@@ -231,8 +231,7 @@
 	clear(h.pendingGossip)
 	to := h.otherHosts()
 	h.mu.Unlock()
-	status := h.group.Status()
-	h.quota.tick(status.Term, status.Leader)
+	h.quota.expire()
 	h.group.SetJoinPeers(to)
 	if len(entries) > 0 || gossipDue {
 		h.sendGossip(to, entries)
--- a/cluster/quota.go
+++ b/cluster/quota.go
@@ -49,26 +49,20 @@
 }
 
 // bucket returns the rate and the capacity of the bucket that keeps to the bound:
-// it grants at most capacity + rate x Window permits in a window. It never lacks a
-// permit for requests that a bucket of the plain limit has one for, since both are
-// at least those of the limit.
+// it grants at most capacity + rate x Window permits in a window. Both are at least
+// those of the limit. The rate is as high as the burst allows, so that a workspace
+// that sends more than its limit for long gets what the limit allows in each window,
+// and not only its rate.
 func (q QuotaBound) bucket(l QuotaLimit) (rate, capacity float64) {
-	capacity = max(1, l.Burst*(1+q.Overage)+q.Slack/2)
-	rate = l.PerSecond * (1 + q.Overage/2)
+	all := q.requests(l)
+	capacity = max(1, l.Burst, all-(l.PerSecond*q.Window.Seconds()+l.Burst))
+	rate = l.PerSecond
 	if q.Window > 0 {
-		rate = min(rate, (q.requests(l)-capacity)/q.Window.Seconds())
+		rate = (all - capacity) / q.Window.Seconds()
 	}
 	return max(rate, 0), capacity
 }
 
-// headStart returns what the bucket of a leader may have at its start if there was no
-// other change of the leader in the last window: what the bound leaves beyond that of
-// the bucket.
-func (q QuotaBound) headStart(l QuotaLimit) float64 {
-	rate, capacity := q.bucket(l)
-	return max(0, q.requests(l)-capacity-rate*q.Window.Seconds())
-}
-
 // quotaBucket counts the permits of a workspace. Its levels are at most the
 // capacity, and between two times they fall by the permits granted, without those
 // refunded later, and rise by at most the rate.
@@ -99,7 +93,7 @@
 		}
 		b.peaks[n%peakCount] = max(b.peaks[n%peakCount], b.tokens)
 	}
-	b.demand.fill(now, b.limit.PerSecond, max(1, b.limit.Burst))
+	b.demand.fill(now, b.rate, b.capacity)
 	b.begin.advance(now)
 }
 
@@ -112,7 +106,7 @@
 	b.limit = l
 	b.rate, b.capacity = q.bucket(l)
 	b.tokens = min(b.tokens, b.capacity)
-	b.demand.tokens = min(b.demand.tokens, max(1, l.Burst))
+	b.demand.tokens = min(b.demand.tokens, b.capacity)
 }
 
 // refund undoes the grant of permits at a time of this bucket's clock.
@@ -121,7 +115,7 @@
 	if count <= 0 || at < 0 || at > b.updatedAt || peakSlot(at) <= now-peakCount {
 		return
 	}
-	b.demand.tokens = min(b.demand.tokens+float64(count), max(1, b.limit.Burst))
+	b.demand.tokens = min(b.demand.tokens+float64(count), b.capacity)
 	highest := b.tokens
 	for n := peakSlot(at); n <= now; n++ {
 		highest = max(highest, b.peaks[n%peakCount])
@@ -139,7 +133,7 @@
 // grant decides on a request for permits. The bucket must be filled up to now.
 func (b *quotaBucket) grant(now time.Duration, r *workspaceRequest, random *rand.Rand) workspaceGrant {
 	b.demand.tokens -= float64(max(0, r.Continuations+r.Beginnings-r.Repeated))
-	b.demand.tokens = max(b.demand.tokens, -max(1, b.limit.PerSecond*exceededMemory.Seconds()))
+	b.demand.tokens = max(b.demand.tokens, -max(1, b.rate*exceededMemory.Seconds()))
 	g := workspaceGrant{Exceeded: b.demand.tokens < -tokenTolerance}
 	for g.Continuations < r.Continuations && b.take() {
 		g.Continuations++
@@ -202,9 +196,7 @@
 	term  uint64
 	// since is the start of the term. Permits of the term before may have been granted
 	// until leaseDuration later.
-	since time.Duration
-	// calm is set if no other term has begun in the window before this one.
-	calm    bool
+	since   time.Duration
 	random  *rand.Rand
 	table   int64 // version of limits
 	limits  map[string]QuotaLimit
@@ -234,12 +226,9 @@
 		return nil
 	case b == nil:
 		b = &quotaBucket{credit: credit{updatedAt: now}, begin: beginnings{updatedAt: now}}
-		b.demand = credit{max(1, l.Burst), now}
 		b.setLimit(q.bound, l, table)
+		b.demand = credit{b.capacity, now}
 		b.tokens = b.rate * (now - q.since - leaseDuration).Seconds()
-		if q.calm {
-			b.tokens += q.bound.headStart(l)
-		}
 		b.tokens = min(b.capacity, b.tokens)
 		b.peaks[peakSlot(now)%peakCount] = b.tokens
 		q.buckets[r.Workspace] = b
@@ -300,23 +289,3 @@
 func (l *leadershipLease) valid(now time.Duration, term uint64) bool {
 	return term != 0 && term == l.term && now < l.until
 }
-
-// leaderHistory holds the last two terms in which this host has known a leader.
-type leaderHistory struct {
-	term, previous            uint64
-	knownSince, previousSince time.Duration
-}
-
-// observe records that a host leads in a term.
-func (h *leaderHistory) observe(now time.Duration, term uint64, leader string) {
-	if leader != "" && term > h.term {
-		h.previous, h.previousSince = h.term, h.knownSince
-		h.term, h.knownSince = term, now
-	}
-}
-
-// calm reports whether the last term is the only one that began less than a window
-// before its own start. Terms that this host has not seen may have had leaders.
-func (h *leaderHistory) calm(since, window time.Duration) bool {
-	return h.previous != 0 && h.term == h.previous+1 && since-h.previousSince > window
-}
--- a/cluster/quotahost.go
+++ b/cluster/quotahost.go
@@ -23,7 +23,6 @@
 type quotaOwner struct {
 	mu       sync.Mutex
 	lease    leadershipLease
-	leaders  leaderHistory
 	renewing bool    // a read is in progress
 	quotas   *quotas // of the last term in which permits were requested, or nil
 }
@@ -51,9 +50,7 @@
 	if o.quotas == nil || o.quotas.term != term {
 		since := now - time.Since(h.group.LeadingSince())
 		o.quotas = newQuotas(h.config.Quota, term, since, rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		o.leaders.observe(now, term, h.config.ID)
-		o.quotas.calm = o.leaders.calm(since, h.config.Quota.Window)
-		h.logger.Info("counting quotas of workspaces", zap.Uint64("term", term), zap.Duration("leading", now-since), zap.Bool("head-start", o.quotas.calm))
+		h.logger.Info("counting quotas of workspaces", zap.Uint64("term", term), zap.Duration("leading", now-since))
 	}
 	if t != nil && t.Version > o.quotas.table {
 		o.quotas.table, o.quotas.limits = t.Version, make(map[string]QuotaLimit, len(t.Workspaces))
@@ -103,14 +100,12 @@
 	return term, nil
 }
 
-// tick records who leads, and removes the buckets that are not needed.
-func (o *quotaOwner) tick(term uint64, leader string) {
+// expire removes the buckets that are not needed.
+func (o *quotaOwner) expire() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := bootclock.Now()
-	o.leaders.observe(now, term, leader)
 	if o.quotas != nil {
-		o.quotas.expire(now)
+		o.quotas.expire(bootclock.Now())
 	}
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -77,7 +77,7 @@
 // quota counts a request of a workspace with a limit by what became of its permit:
 // granted, refused or refunded.
 func (m *callMetrics) quota(w *route.Workspace, event string) {
-	m.scope.Tagged(map[string]string{"workspace": w.Name}).Counter("quota-" + event).Inc(1)
+	m.workspace(w).Counter("quota-" + event).Inc(1)
 }
 
 // doubted counts a server that is not used because of the failures that hosts have
