cluster: what few hosts have seen of a bad server reaches all in time

Cause: with 259 entry hosts each sees one failure of a bad server. Hosts forgot failures of a weight below 0.05, after 3 s and all at once, while the sum of all hosts was still above the weight that keeps a server in doubt. All hosts then went back to the server. Evidence was also up to 78 ms old, since it is computed with the aggregated load, as against 6 ms with 20 hosts.

Change: failures are kept to a weight of 0.01. Failures that may put a server in doubt are added to the evidence at once, at most 32 times for one aggregated load.

--- a/cluster/load.go
+++ b/cluster/load.go
@@ -43,6 +43,8 @@
 	suspects map[uint64]*suspectRecord
 	// aggregate is the last aggregated load, and nil if a host has been removed since.
 	aggregate *aggregatedLoad
+	// evidenceStale is set by a report of failures that may put a server in doubt.
+	evidenceStale bool
 }
 
 // aggregatedLoad is the sum of the recent reports of all entry hosts.
@@ -52,8 +54,12 @@
 	encoded cborwire.Raw   // total, encoded once for all recipients
 	byHost  map[string]map[string]int
 	// evidence is the encoded list of ServerEvidence, or nil if it is empty.
-	evidence cborwire.Raw
-	queues   map[string]schedule.ServiceQueue // those with waiting calls, by service
+	evidence   cborwire.Raw
+	evidenceAt time.Duration
+	// failed is the weight of the failures by server in the evidence, and of those
+	// reported since.
+	failed map[string]float64
+	queues map[string]schedule.ServiceQueue // those with waiting calls, by service
 }
 
 func newLoads() *loads {
@@ -61,6 +67,7 @@
 }
 
 func (l *loads) report(now time.Duration, r *syncRequest) {
+	l.noteFailures(now, r)
 	l.hosts[r.Host] = hostLoad{dataCentre: r.DataCentre, inFlight: r.InFlight, outcomes: r.Outcomes, succeeded: r.Succeeded, waiting: r.Waiting, reportedAt: now}
 	for _, s := range r.Suspects {
 		record := l.suspects[s.Fingerprint]
@@ -96,7 +103,11 @@
 // aggregated returns the aggregated load, which is computed again when it is too
 // old.
 func (l *loads) aggregated(now time.Duration, directory serviceDirectory) *aggregatedLoad {
-	if a := l.aggregate; a != nil && now-a.at < time.Duration(len(l.hosts))*snapshotAgePerHost {
+	maxAge := time.Duration(len(l.hosts)) * snapshotAgePerHost
+	if a := l.aggregate; a != nil && now-a.at < maxAge {
+		if l.evidenceStale && now-a.evidenceAt >= maxAge/evidencePerAggregate {
+			l.refreshEvidence(now, directory)
+		}
 		return a
 	}
 	a := &aggregatedLoad{at: now, total: map[string]int{}, byHost: map[string]map[string]int{}}
@@ -110,11 +121,9 @@
 		}
 	}
 	a.encoded = cborwire.MustMarshal(a.total)
-	if e := l.evidence(now, directory); len(e) > 0 {
-		a.evidence = cborwire.MustMarshal(e)
-	}
 	a.queues = l.queues(now)
 	l.aggregate = a
+	l.refreshEvidence(now, directory)
 	return a
 }
 
--- a/cluster/outcomes.go
+++ b/cluster/outcomes.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/schedule"
 )
 
@@ -11,9 +12,20 @@
 	// outcomeHalfLife is the time in which the weight of an outcome halves. It is
 	// about as long as the outcome takes to reach all entry hosts.
 	outcomeHalfLife = 700 * time.Millisecond
-	// minOutcomeWeight is the weight below which outcomes are forgotten, some 3 s
-	// after the last one.
-	minOutcomeWeight = 0.05
+	// minOutcomeWeight is the weight below which outcomes are forgotten, some 5 s
+	// after the last one. With many hosts each sees one failure of a server: if hosts
+	// forgot it while the sum of all still counts, the doubt about a bad server would
+	// end for all of them at once, and earlier than with few hosts.
+	minOutcomeWeight = 0.01
+	// pressingFailures is the weight of the failures of a server from which another
+	// one may put it in doubt, and settledFailures that from which more of them change
+	// nothing. It is twice the weight that does, since entry hosts ignore the failures
+	// that hosts of a single other data centre have seen.
+	pressingFailures = 2
+	settledFailures  = 6
+	// evidencePerAggregate is how often evidence may be computed for one aggregated
+	// load, which bounds the cost if many servers go on failing a few requests.
+	evidencePerAggregate = 32
 	// outcomesPerSecond is the rate of outcomes whose weights add up to 1.
 	outcomesPerSecond = math.Ln2 / (float64(outcomeHalfLife) / float64(time.Second))
 )
@@ -190,6 +202,48 @@
 	ReadyServers() map[string]int
 }
 
+// noteFailures marks the evidence of the aggregated load as stale if the failures
+// that a report adds may put a server in doubt. With many hosts the aggregated load
+// is computed rarely, and all of them would lose requests to the server meanwhile.
+// Failures that are spread over many servers mark nothing.
+func (l *loads) noteFailures(now time.Duration, r *syncRequest) {
+	if l.aggregate == nil {
+		return
+	}
+	previous := l.hosts[r.Host]
+	for _, o := range r.Outcomes {
+		added := o.Failed
+		for _, x := range previous.outcomes {
+			if x.Server == o.Server && x.StartedAt == o.StartedAt {
+				added -= weightAfter(now-previous.reportedAt) * x.Failed
+			}
+		}
+		if added < minOutcomeWeight {
+			continue
+		}
+		before := l.aggregate.failed[o.Server]
+		l.aggregate.failed[o.Server] = before + added
+		if before < settledFailures && before+added >= pressingFailures {
+			l.evidenceStale = true
+		}
+	}
+}
+
+// refreshEvidence computes the evidence of the aggregated load.
+func (l *loads) refreshEvidence(now time.Duration, directory serviceDirectory) {
+	a := l.aggregate
+	a.evidence, a.evidenceAt, a.failed = nil, now, map[string]float64{}
+	l.evidenceStale = false
+	list := l.evidence(now, directory)
+	if len(list) == 0 {
+		return
+	}
+	for _, e := range list {
+		a.failed[e.Server] += e.Failed
+	}
+	a.evidence = cborwire.MustMarshal(list)
+}
+
 // evidence sums the reports of entry hosts by server and data centre.
 func (l *loads) evidence(now time.Duration, directory serviceDirectory) []ServerEvidence {
 	type key struct{ server, dataCentre string }
