schedule, cluster, forward: speeds of servers learned by all hosts together

Cause: on a deployment with engines of 0.55 and 1.2 times the usual speed, sessions are placed by hash and stay on slow engines. A host has a run on a given engine every 5 s and cannot learn its speed by itself, and prefix affinity ignored speeds.

Change: hosts report the mean time per token, or per response of a plain service, of the servers that they have used in the last second, once a second to each control host. Control hosts keep one mean a server with a memory of 8 s and return the speeds that differ from the mean of the service by a fifth. In a pool with such speeds, prefix affinity compares the last server, six homes and two random servers by expected finish; plain services are sampled in proportion to speed; a slow server is worth fewer slots. A pool without such speeds is served as before.

--- a/cluster/host.go
+++ b/cluster/host.go
@@ -334,6 +334,7 @@
 		h.ledgerHosts.report(now, r.Host, *r.LedgerHost)
 	} else {
 		h.loads.report(now, &r)
+		h.loads.reportTimings(now, r.Timings, h.registry)
 		h.observeLimits(now, r.Limits)
 	}
 	out := syncResponse{
@@ -365,6 +366,9 @@
 	case r.AcceptsTotals:
 		a := h.loads.aggregated(now, h.registry)
 		out.Totals, out.OwnInFlight, out.Evidence, out.Queues = a.encoded, a.byHost[r.Host], a.evidence, a.queues
+		if out.SpeedsDigest = a.speedsDigest; r.SpeedsDigest != a.speedsDigest {
+			out.Speeds = a.speeds
+		}
 	default:
 		out.InFlight = h.loads.aggregated(now, h.registry).remoteInFlight(r.Host)
 	}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -24,6 +24,9 @@
 	// loadInterval is the delay between two polls of the control host that
 	// supplies the aggregated load of all entry hosts.
 	loadInterval = 250 * time.Millisecond
+	// timingInterval is the interval at which the times that servers take are reported
+	// to a control host.
+	timingInterval = time.Second
 	// urgentReportDelay is the delay from the last poll of that control host until
 	// the next one if a server has failed a request meanwhile.
 	urgentReportDelay = 80 * time.Millisecond
@@ -77,6 +80,9 @@
 	// InFlight are the in-flight requests of all other entry hosts, by server.
 	InFlight map[string]int
 	Hosts    int // number of entry hosts
+	// Speeds are the speeds of the servers that differ from the mean of their
+	// service, in percent. The map is not changed later.
+	Speeds map[string]int
 	// Evidence is what the entry hosts have seen of servers that fail requests.
 	Evidence []ServerEvidence
 	Queues   map[string]schedule.ServiceQueue // by service
@@ -95,6 +101,9 @@
 	Outcomes  []ServerOutcomes
 	Succeeded map[string]float64
 	Waiting   map[string]int // calls that wait for a server, by service
+	// Timings are the mean times per unit of work on the servers that this host has
+	// used lately, in microseconds.
+	Timings map[string]int
 }
 
 // LinkConfig configures a Link.
@@ -133,7 +142,9 @@
 	leaders        map[int]partitionLeader
 	ledgerHosts    map[string]*control.Peer // by id
 	serversChanged bool                     // since the observer was notified
-	loadSource     string                   // id of the control host that supplies the aggregated load
+	speeds         map[string]int           // of servers that differ, in percent
+	speedsDigest   uint64
+	loadSource     string // id of the control host that supplies the aggregated load
 	tableFetch     *tableFetch
 	controlLeader  partitionLeader // of the control hosts' log
 }
@@ -147,6 +158,7 @@
 	partBytes    int // size of the next part of the registry
 	answeredAt   time.Time
 	advertisedAt time.Time // last listed as a seed or by a control host
+	timingsAt    time.Time // when timings were last reported to it
 	ledgerDigest uint64    // of the last view of the ledger hosts that it has sent
 	responsive   bool      // the last request succeeded
 	warned       bool      // a warning was logged since the last answer
@@ -317,6 +329,13 @@
 	}
 	wantLoad := l.loadSource == h.id
 	r := syncRequest{Host: l.config.ID, WantInFlight: wantLoad, AcceptsTotals: wantLoad, LedgerDigest: h.ledgerDigest}
+	withTimings := time.Since(h.timingsAt) >= timingInterval
+	if withTimings {
+		h.timingsAt = time.Now()
+	}
+	if wantLoad {
+		r.SpeedsDigest = l.speedsDigest
+	}
 	if l.config.LedgerHostReport == nil {
 		r.serversRequest = l.serversRequest(h)
 	}
@@ -331,6 +350,9 @@
 		r.DataCentre = l.config.DataCentre
 		r.InFlight, r.Suspects, r.Limits = report.InFlight, report.Suspects, report.Limits
 		r.Outcomes, r.Succeeded, r.Waiting = report.Outcomes, report.Succeeded, report.Waiting
+		if withTimings {
+			r.Timings = report.Timings
+		}
 	}
 	attempt, cancel := context.WithTimeout(ctx, min(timeout, syncTimeout))
 	defer cancel()
@@ -545,7 +567,11 @@
 		l.logger.Warn("aggregated load not readable", zap.String("control-host", h.id), zap.Error(err))
 		return
 	}
-	l.observer.Load(SharedLoad{InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues})
+	if r.SpeedsDigest != l.speedsDigest {
+		l.speeds, l.speedsDigest = r.Speeds, r.SpeedsDigest
+		l.logger.Info("speeds of backend servers learned", zap.String("control-host", h.id), zap.Int("servers", len(l.speeds)), zap.Any("percent", l.speeds))
+	}
+	l.observer.Load(SharedLoad{Speeds: l.speeds, InFlight: inFlight, Hosts: r.EntryHosts, Evidence: evidence, Queues: r.Queues})
 }
 
 const (
--- a/cluster/load.go
+++ b/cluster/load.go
@@ -1,10 +1,13 @@
 package cluster
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/schedule"
 )
@@ -43,6 +46,7 @@
 	suspects map[uint64]*suspectRecord
 	// aggregate is the last aggregated load, and nil if a host has been removed since.
 	aggregate *aggregatedLoad
+	speeds    *schedule.Speeds
 	// evidenceStale is set by a report of failures that may put a server in doubt.
 	evidenceStale bool
 }
@@ -58,12 +62,14 @@
 	evidenceAt time.Duration
 	// failed is the weight of the failures by server in the evidence, and of those
 	// reported since.
-	failed map[string]float64
-	queues map[string]schedule.ServiceQueue // those with waiting calls, by service
+	failed       map[string]float64
+	speeds       map[string]int // in percent, of servers that differ
+	speedsDigest uint64
+	queues       map[string]schedule.ServiceQueue // those with waiting calls, by service
 }
 
 func newLoads() *loads {
-	return &loads{hosts: map[string]hostLoad{}, suspects: map[uint64]*suspectRecord{}}
+	return &loads{hosts: map[string]hostLoad{}, suspects: map[uint64]*suspectRecord{}, speeds: schedule.NewSpeeds()}
 }
 
 func (l *loads) report(now time.Duration, r *syncRequest) {
@@ -122,6 +128,8 @@
 	}
 	a.encoded = cborwire.MustMarshal(a.total)
 	a.queues = l.queues(now)
+	a.speeds = l.speeds.Relative(now)
+	a.speedsDigest = digestSpeeds(a.speeds)
 	l.aggregate = a
 	l.refreshEvidence(now, directory)
 	return a
@@ -176,3 +184,24 @@
 	}
 	return out
 }
+
+// reportTimings records the times that an entry host has seen on servers.
+func (l *loads) reportTimings(now time.Duration, timings map[string]int, directory serviceDirectory) {
+	for id, micros := range timings {
+		if service := directory.Service(id); service != "" {
+			l.speeds.Report(now, service, id, micros)
+		}
+	}
+}
+
+// digestSpeeds returns a hash of the speeds, which is 0 if there are none.
+func digestSpeeds(speeds map[string]int) uint64 {
+	if len(speeds) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(speeds)) {
+		fmt.Fprintln(d, id, speeds[id])
+	}
+	return d.Sum64()
+}
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -31,8 +31,12 @@
 	methodPermit    = "permit"          // entry host to the leader of the control hosts
 )
 
-// maxReportedCount is the highest count in a report.
-const maxReportedCount = 1e6
+// maxReportedCount is the highest count in a report, and maxReportedTime the longest
+// time, in microseconds.
+const (
+	maxReportedCount = 1e6
+	maxReportedTime  = 1e9
+)
 
 // gossip is a message by which a control host forwards announcements and
 // departures of backend servers to the other control hosts.
@@ -71,6 +75,10 @@
 	Succeeded map[string]float64 `json:"succeeded,omitempty"`
 	// Waiting is the number of calls that wait for a server, by service.
 	Waiting map[string]int `json:"waiting,omitempty"`
+	// Timings are the mean times per unit of work on the servers that this host has
+	// used lately, in microseconds. SpeedsDigest is that of the speeds it has.
+	Timings      map[string]int `json:"timings,omitempty"`
+	SpeedsDigest uint64         `json:"speeds-digest,omitempty"`
 	// WantInFlight requests the in-flight counts of all other entry hosts.
 	WantInFlight bool `json:"want-runs,omitempty"`
 	// AcceptsTotals is set by hosts that take the in-flight counts of all entry
@@ -100,6 +108,11 @@
 			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%v successes on service %q: want 0 to %.0f", n, service, maxReportedCount)
 		}
 	}
+	for id, n := range r.Timings {
+		if n <= 0 || float64(n) > maxReportedTime {
+			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d us on server %q: want 1 to %.0f", n, id, maxReportedTime)
+		}
+	}
 	for service, n := range r.Waiting {
 		if !valid(float64(n)) {
 			return verdict.Newf(verdict.NotRun, verdict.BadRequest, "%d calls wait for service %q: want 0 to %.0f", n, service, maxReportedCount)
@@ -146,8 +159,12 @@
 	// Evidence is an encoded list of ServerEvidence, sent together with Totals.
 	Evidence cborwire.Raw `json:"evidence,omitempty"`
 	// Queues are the queues of all entry hosts together, by service.
-	Queues   map[string]schedule.ServiceQueue `json:"queues,omitempty"`
-	Suspects []Suspect                        `json:"suspects,omitempty"`
+	Queues map[string]schedule.ServiceQueue `json:"queues,omitempty"`
+	// Speeds are the speeds of servers that differ from the mean of their service, in
+	// percent. They are omitted if the recipient has those of SpeedsDigest.
+	Speeds       map[string]int `json:"speeds,omitempty"`
+	SpeedsDigest uint64         `json:"speeds-digest,omitempty"`
+	Suspects     []Suspect      `json:"suspects,omitempty"`
 	// Limits are the limits of backend servers that any host has observed.
 	Limits []ServerLimit `json:"limits,omitempty"`
 }
--- a/forward/view.go
+++ b/forward/view.go
@@ -247,6 +247,7 @@
 		s.SetHosts(now, l.Hosts)
 		s.SetRemoteInFlight(now, l.InFlight)
 		s.SetQueues(now, l.Queues)
+		s.SetSpeeds(now, l.Speeds)
 	})
 	view.applyEvidence(l.Evidence)
 }
@@ -263,8 +264,10 @@
 
 // Report implements cluster.Observer.
 func (view *View) Report() cluster.HostReport {
-	var inFlight, waiting map[string]int
-	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight, waiting = s.InFlight(), s.Waiting() })
+	var inFlight, waiting, timings map[string]int
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		inFlight, waiting, timings = s.InFlight(), s.Waiting(), s.Timings(now)
+	})
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	var list []cluster.Suspect
@@ -282,7 +285,7 @@
 	view.limits.Expire(now)
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
 	return cluster.HostReport{
-		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
+		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting, Timings: timings,
 	}
 }
 
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -53,6 +53,9 @@
 	if c.Affinity == 0 {
 		return p.fallback.choose(s, c)
 	}
+	if c.pool.uneven() {
+		return p.finishFirst(s, c)
+	}
 	suffix := p.moveReason(s, c)
 	if suffix == "" {
 		return choice{server: c.lastServer, reason: "cached-prefix"}
@@ -100,18 +103,7 @@
 // returns the first usable server in the ranking of the prefix, or nil. Servers
 // above homeMaxUtilisation are unusable.
 func (p prefixAffinity) home(s *Scheduler, c *call) *server {
-	ranked := make([]rankedServer, 0, len(c.pool.members))
-	for _, v := range c.pool.members {
-		if v.available() {
-			ranked = append(ranked, rankedServer{v, p.rankServer(c.Affinity, v)})
-		}
-	}
-	slices.SortFunc(ranked, func(a, b rankedServer) int {
-		if a.before(b.affinityRank) {
-			return -1
-		}
-		return 1
-	})
+	ranked := p.rank(c)
 	homeIndex := 0
 	if n := min(p.homeServers, len(ranked)); n > 0 {
 		homeIndex = int(c.Session % uint64(n))
@@ -130,6 +122,23 @@
 	return nil
 }
 
+// rank returns the available servers of the pool in the ranking of the prefix.
+func (p prefixAffinity) rank(c *call) []rankedServer {
+	ranked := make([]rankedServer, 0, len(c.pool.members))
+	for _, v := range c.pool.members {
+		if v.available() {
+			ranked = append(ranked, rankedServer{v, p.rankServer(c.Affinity, v)})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b rankedServer) int {
+		if a.before(b.affinityRank) {
+			return -1
+		}
+		return 1
+	})
+	return ranked
+}
+
 type rankedServer struct {
 	server *server
 	affinityRank
--- a/schedule/routing.go
+++ b/schedule/routing.go
@@ -46,10 +46,10 @@
 		return l.best
 	}
 	for range e.samples {
-		l.consider(eligible[s.random.IntN(len(eligible))], 0, "earliest-finish")
+		l.consider(s.sample(eligible), 0, "earliest-finish")
 	}
 	for _, v := range c.pool.recent {
-		if c.Service != "" && c.pool.isEligible(v) {
+		if c.Service != "" && c.pool.isEligible(v) && s.accepts(v) {
 			l.consider(v, 0, "open-connection")
 		}
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -82,6 +82,9 @@
 	elapsed := (now - r.lastToken).Seconds()
 	r.lastToken = now
 	r.tokens += n
+	if elapsed > 0 {
+		r.server.timing.observe(now, elapsed/float64(n))
+	}
 	if !s.detectSlow || elapsed <= 0 {
 		return
 	}
@@ -132,6 +135,9 @@
 func (s *Scheduler) recordOutcome(now time.Duration, c *call, r *run, u Usage, o Outcome) {
 	switch o {
 	case Succeeded:
+		if c.Service != "" {
+			r.server.timing.observe(now, (now - r.started).Seconds())
+		}
 		c.pool.costs.observeRun(u.OutputTokens, now-r.started)
 		if r.tokens > 0 && r.resumedTokens == 0 && !r.server.speed.slow {
 			c.pool.costs.observePrefill(u.PromptTokens-u.CachedTokens, r.firstToken-r.started)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -28,7 +28,9 @@
 	evidenceAt     time.Duration           // time of the last evidence
 	queues         map[string]ServiceQueue // of all hosts, by model or service
 	queuesAt       time.Duration
-	slots          int // sum over the servers that run models and are not leaving
+	sharedSpeeds   map[string]int // percent, by server; see Speeds
+	fastest        float64        // highest of the speeds
+	slots          int            // sum over the servers that run models and are not leaving
 	pools          map[poolKey]*pool
 	poolOrder      []*pool // in order of addition
 	waiting        []*pool // pools with waiting calls
@@ -295,7 +297,7 @@
 	}
 	for _, v := range s.serverOrder {
 		n.Servers = append(n.Servers, ServerStatus{
-			ID: v.ID, InFlight: v.inFlight, Speed: v.speed.relative, Leaving: v.Leaving,
+			ID: v.ID, InFlight: v.inFlight, Speed: v.relativeSpeed(), Leaving: v.Leaving,
 		})
 	}
 	slices.SortFunc(n.Servers, func(a, b ServerStatus) int { return cmp.Compare(a.ID, b.ID) })
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -33,6 +33,8 @@
 
 	connections openConnections
 	speed       speed
+	timing      timing
+	shared      float64 // speed that all hosts have learned; see Speeds
 	cache       cacheEstimate
 	// reserved is set while the server is reserved for a suspect of this host,
 	// remotelyReserved while it is reserved for a suspect of another host.
@@ -81,7 +83,7 @@
 	if s.unlimited {
 		return 1 << 30
 	}
-	n := v.slots()
+	n := v.worth()
 	if s.hosts > 1 {
 		share := int(float64(n)/float64(s.hosts) + v.rounding)
 		free := n - v.remoteInFlight
@@ -187,7 +189,7 @@
 	k := serverKey{n.ID, n.Incarnation}
 	v := s.removedServers[k]
 	if v == nil {
-		v = &server{monitoredIndex: -1, rounding: s.random.Float64(), speed: newSpeed(s.thresholds)}
+		v = &server{monitoredIndex: -1, rounding: s.random.Float64(), speed: newSpeed(s.thresholds), shared: sharedSpeed(s.sharedSpeeds, n.ID)}
 	}
 	delete(s.removedServers, k)
 	v.removed = false
