schedule, cluster: slots of slow servers in the wait by which calls are refused

A slow server with free slots is no free server once its runs exceed what its slots are worth, and its further runs count as waiting.

--- a/schedule/hopeless.go
+++ b/schedule/hopeless.go
@@ -111,6 +111,6 @@
 	return n
 }
 
-// surplus returns the number of runs of all hosts beyond the slots of the server,
-// which is negative if slots are free.
-func (v *server) surplus() int { return v.inFlight + v.remoteInFlight - v.slots() }
+// surplus returns the number of runs of all hosts beyond what the slots of the server
+// are worth, which is negative if slots are free.
+func (v *server) surplus() int { return v.inFlight + v.remoteInFlight - v.worth() }
--- a/schedule/hopeless_test.go
+++ b/schedule/hopeless_test.go
@@ -22,6 +22,7 @@
 		deadline time.Duration
 		first    bool
 		free     bool // a server has a free slot
+		slow     bool // that server has half the speed of others
 		refused  bool
 	}{
 		{name: "deadline before its turn", queue: full, deadline: 3 * time.Second, refused: true},
@@ -31,13 +32,19 @@
 		{name: "no deadline", queue: full},
 		{name: "old queues", queue: full, age: queuesMaxAge + 1, deadline: 3 * time.Second},
 		{name: "free slot", queue: full, deadline: 3 * time.Second, free: true},
+		{name: "free slot of a slow server", queue: full, deadline: 3 * time.Second, slow: true, refused: true},
 		{name: "no completions", queue: ServiceQueue{Waiting: 100, PerSecond: 0.5}, deadline: 3 * time.Second},
 		{name: "short queue", queue: ServiceQueue{Waiting: 9, PerSecond: 10}, deadline: 500 * time.Millisecond},
 		{name: "nothing known", deadline: 3 * time.Second},
 	}
 	for _, tt := range tests {
 		s := New(rand.NewPCG(1, 2))
-		s.SetServer(0, Server{ID: "s", Slots: 1, Models: []ServerModel{{Name: "m"}}})
+		slots := 1
+		if tt.slow {
+			slots = 2
+			s.SetSpeeds(0, map[string]int{"s": 50})
+		}
+		s.SetServer(0, Server{ID: "s", Slots: slots, Models: []ServerModel{{Name: "m"}}})
 		if !tt.free {
 			s.Enqueue(0, Request{ID: CallID{Program: "running"}, Model: "m"})
 			_, ok := s.Next(0)
