--- a/schedule/speeds.go
+++ b/schedule/speeds.go
@@ -37,7 +37,7 @@
 	// slow one.
 	sampleAttempts = 4
 	// speedInterval is the interval at which the speeds are computed.
-	speedInterval = 2 * time.Second
+	speedInterval = 1 * time.Second
 )
 
 // timing is the geometric mean of the times per unit of work on a server that this
