--- a/cluster/load.go
+++ b/cluster/load.go
@@ -1,10 +1,13 @@
 package cluster
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/schedule"
 )
@@ -45,6 +48,9 @@
 	suspects map[uint64]*suspectRecord
 	// aggregate is the last aggregated load, and nil if a host has been removed since.
 	aggregate *aggregatedLoad
+	speeds    *schedule.Speeds
+	// evidenceStale is set by a report of failures that may put a server in doubt.
+	evidenceStale bool
 }
 
 // aggregatedLoad is the sum of the recent reports of all entry hosts.
@@ -55,15 +61,22 @@
 	encoded cborwire.Raw   // total, encoded once for all recipients
 	byHost  map[string]map[string]int
 	// evidence is the encoded list of ServerEvidence, or nil if it is empty.
-	evidence cborwire.Raw
-	queues   map[string]schedule.ServiceQueue // those with waiting calls, by service
+	evidence   cborwire.Raw
+	evidenceAt time.Duration
+	// failed is the weight of the failures by server in the evidence, and of those
+	// reported since.
+	failed       map[string]float64
+	speeds       map[string]int // in percent, of servers that differ
+	speedsDigest uint64
+	queues       map[string]schedule.ServiceQueue // those with waiting calls, by service
 }
 
 func newLoads() *loads {
-	return &loads{hosts: map[string]hostLoad{}, suspects: map[uint64]*suspectRecord{}}
+	return &loads{hosts: map[string]hostLoad{}, suspects: map[uint64]*suspectRecord{}, speeds: schedule.NewSpeeds()}
 }
 
 func (l *loads) report(now time.Duration, r *syncRequest) {
+	l.noteFailures(now, r)
 	l.hosts[r.Host] = hostLoad{dataCentre: r.DataCentre, inFlight: r.InFlight, outcomes: r.Outcomes, succeeded: r.Succeeded, waiting: r.Waiting, levels: r.Levels, work: r.Service, reportedAt: now}
 	for _, s := range r.Suspects {
 		record := l.suspects[s.Fingerprint]
@@ -99,7 +112,11 @@
 // aggregated returns the aggregated load, which is computed again when it is too
 // old.
 func (l *loads) aggregated(now time.Duration, directory serviceDirectory) *aggregatedLoad {
-	if a := l.aggregate; a != nil && now-a.at < time.Duration(len(l.hosts))*snapshotAgePerHost {
+	maxAge := time.Duration(len(l.hosts)) * snapshotAgePerHost
+	if a := l.aggregate; a != nil && now-a.at < maxAge {
+		if l.evidenceStale && now-a.evidenceAt >= maxAge/evidencePerAggregate {
+			l.refreshEvidence(now, directory)
+		}
 		return a
 	}
 	a := &aggregatedLoad{at: now, total: map[string]int{}, byHost: map[string]map[string]int{}}
@@ -120,11 +137,11 @@
 		a.work = cborwire.MustMarshal(schedule.SumService(work))
 	}
 	a.encoded = cborwire.MustMarshal(a.total)
-	if e := l.evidence(now, directory); len(e) > 0 {
-		a.evidence = cborwire.MustMarshal(e)
-	}
 	a.queues = l.queues(now)
+	a.speeds = l.speeds.Relative(now)
+	a.speedsDigest = digestSpeeds(a.speeds)
 	l.aggregate = a
+	l.refreshEvidence(now, directory)
 	return a
 }
 
@@ -185,3 +202,24 @@
 	}
 	return out
 }
+
+// reportTimings records the times that an entry host has seen on servers.
+func (l *loads) reportTimings(now time.Duration, timings map[string]int, directory serviceDirectory) {
+	for id, micros := range timings {
+		if service := directory.Service(id); service != "" {
+			l.speeds.Report(now, service, id, micros)
+		}
+	}
+}
+
+// digestSpeeds returns a hash of the speeds, which is 0 if there are none.
+func digestSpeeds(speeds map[string]int) uint64 {
+	if len(speeds) == 0 {
+		return 0
+	}
+	d := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(speeds)) {
+		fmt.Fprintln(d, id, speeds[id])
+	}
+	return d.Sum64()
+}
--- a/forward/view.go
+++ b/forward/view.go
@@ -267,6 +267,7 @@
 		}
 		s.SetRemoteInFlight(now, l.InFlight)
 		s.SetQueues(now, l.Queues)
+		s.SetSpeeds(now, l.Speeds)
 	})
 	view.applyEvidence(l.Evidence)
 }
@@ -285,9 +286,11 @@
 func (view *View) Report() cluster.HostReport {
 	var levels map[string][]int
 	var service *schedule.Service
-	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) { levels, service = s.Levels(), s.Service(now) })
-	var inFlight, waiting map[string]int
-	view.forwarder.queue.Do(func(_ time.Duration, s *schedule.Scheduler) { inFlight, waiting = s.InFlight(), s.Waiting() })
+	var inFlight, waiting, timings map[string]int
+	view.forwarder.queue.Do(func(now time.Duration, s *schedule.Scheduler) {
+		levels, service = s.Levels(), s.Service(now)
+		inFlight, waiting, timings = s.InFlight(), s.Waiting(), s.Timings(now)
+	})
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	var list []cluster.Suspect
@@ -311,7 +314,7 @@
 	outcomes, succeeded := view.outcomes.Report(now, func(server string) bool { return view.accused[server] })
 	return cluster.HostReport{
 		Levels: levels, Service: service,
-		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting,
+		InFlight: inFlight, Suspects: list, Limits: view.limits.Report(now), Outcomes: outcomes, Succeeded: succeeded, Waiting: waiting, Timings: timings,
 	}
 }
 
