backend: invalid statuses and resets fail an exchange

Cause: http.ReadResponse accepts statuses such as 000 and 999, and everything below 200 counted as informational. A reset that the kernel reports to the writer of a long upload ended an answer without a length as complete: always for clients with a transport, and in the pool if the writer ran more than 10 ms late.

Change: CheckStatus accepts 200 to 599, for the pool, backend.Do and the clients of the product's own interface. The connection is closed, the verdict is may-have-run, and the failure counts as evidence. At the end of a connection, the state of its socket tells a reset from a FIN.

Measured: TestTransportCloseDelimitedAnswersBesideLongBodies failed for 7 of 7 heads with a reset before, TestInvalidResponses timed out before (the pool waits for another response after 000); both pass, backend three times in a row.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -37,10 +38,11 @@
 		dial = (&net.Dialer{Timeout: transportDialTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     transportIdleTimeout,
+		DialContext:            checkEnds(dial),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        transportIdleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -52,17 +54,34 @@
 // safe to run twice: the transport may resend it after a broken connection.
 func Do(transport http.RoundTripper, r *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
+	var conn atomic.Value // httptrace.GotConnInfo
+	informational := 0
 	trace := &httptrace.ClientTrace{
 		// Unless the request is safe to run twice, the transport requests another
 		// connection only if it wrote nothing to the previous one.
 		GetConn: func(string) { connected.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { connected.Store(true); conn.Store(i) },
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			if informational++; informational >= maxUnmatchedResponses {
+				return ErrUnmatchedResponses
+			}
+			return nil
+		},
 	}
 	resp, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	v, message := verdict.MayHaveRun, "connection lost before a response"
 	if err == nil {
-		return resp, nil
+		if err = CheckStatus(resp); err == nil {
+			return resp, nil
+		}
+		// The transport may have kept the connection. A request that has taken it
+		// since is sent on another one, unless a part of it has been written.
+		if i, ok := conn.Load().(httptrace.GotConnInfo); ok {
+			i.Conn.Close()
+		}
+		resp.Body.Close()
+		message = "invalid response"
 	}
-	v, message := verdict.MayHaveRun, "connection lost before a response"
 	if !connected.Load() {
 		v, message = verdict.NotRun, "cannot connect"
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -121,7 +121,7 @@
 		}
 		dial = d.DialContext
 	}
-	return &Pool{dial: dial, idle: map[string][]*conn{}}
+	return &Pool{dial: checkEnds(dial), idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections and waits until those in use are closed.
@@ -477,9 +477,12 @@
 			return nil, err
 		}
 		c.limiter.left = -1
-		if r.StatusCode < http.StatusOK {
+		if isInformational(r.StatusCode) {
 			continue
 		}
+		if err := CheckStatus(r); err != nil {
+			return nil, err
+		}
 		if x.matches(r, x.alone) {
 			return r, nil
 		}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -237,3 +238,19 @@
 	assert.Equal(t, strings.TrimSpace(w.Body.String()),
 		`{"program":"p","from":4,"next":5,"messages":[{"role":"user","content":"4+2"}]}`)
 }
+
+// Guards against the answer of an entry host with an invalid status that is taken
+// for that of a tool.
+func TestClientRejectsInvalidStatus(t *testing.T) {
+	for _, status := range []int{600, 999} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderCall, "1")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "{}")
+		}))
+		c := NewClient([]string{s.URL}, "credential", WithAttempts(1))
+		_, err := c.Tool(t.Context(), "p", "k", "s", "o", nil, struct{}{})
+		s.Close()
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	}
+}
--- a/caller/client.go
+++ b/caller/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/dispatch"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -174,6 +175,9 @@
 		return connectionError(ctx, err)
 	}
 	defer response.Body.Close()
+	if err := backend.CheckStatus(response); err != nil {
+		return connectionError(ctx, err)
+	}
 	if isAPIError(response) {
 		return readAPIError(response)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/sycamoreline/sycamoreline/backend"
 	"github.com/sycamoreline/sycamoreline/tree"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
@@ -133,6 +134,9 @@
 		return connectionError(err)
 	}
 	defer response.Body.Close()
+	if err := backend.CheckStatus(response); err != nil {
+		return connectionError(err)
+	}
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return connectionError(err)
