--- a/cmd/sycamoreline-platform/process_test.go
+++ b/cmd/sycamoreline-platform/process_test.go
@@ -36,6 +36,7 @@
 	testHealthPort  = 17444
 	testMetricsPort = 17445
 	testControlPort = 17446
+	testPeerPort    = 17440
 	testDrain       = 8 * time.Second
 	// startTimeout is long since the machine may be busy.
 	startTimeout = 15 * time.Second
@@ -61,7 +62,7 @@
 
 func (p *process) settings(t *testing.T) []byte {
 	data, err := json.Marshal(map[string]any{
-		"host": "test", "ip": p.ip, "data-centre": "dc", "peer-port": 17440, "seeds": []string{p.address(testControlPort)},
+		"host": "test", "ip": p.ip, "data-centre": "dc", "peer-port": testPeerPort, "seeds": []string{p.address(testControlPort)},
 		"first-start": true, "data-folder": t.TempDir(), "metrics-port": testMetricsPort, "memory-mb": 256,
 		"drain-seconds": testDrain.Seconds(), "deployment-key": "a key for the tests of processes", "log-level": "info",
 		"listen": map[string]string{
