connlimit, cmd/sycamoreline-platform, control: limit what connections hold

Cause: nothing limited the number of connections, or what all of them hold before a request is accepted. A head of 66 KB of short fields takes 1 MB.

Change: one account per process (connlimit) for the ports of callers, health, metrics, control and peers, with a reserve for each but the first. It counts a cost per connection, the bytes of the current head and 200 bytes per line. Beyond the limit, connections without an accepted request are closed, those that hold the most first. Setting connection-memory-mb, by default an eighth of memory-mb; connections use at most half of the descriptors. max_header_bytes and header_timeout_ms of the table in force apply with a margin.

The property test fails without the exemption of accepted requests, without the reserves, and without the order by memory.

--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/sycamoreline/sycamoreline/connlimit"
 )
 
 // stage is the progress of the latest request on a connection.
@@ -64,11 +66,15 @@
 	}
 }
 
+// headTooLarge is the answer to a request whose head exceeds the configured limit.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // connection is an accepted connection. It reports to its server when the process
 // closes it although a request is unanswered.
 type connection struct {
 	*net.TCPConn
 	server *server
+	head   *connlimit.Head
 
 	mu sync.Mutex
 	progress
@@ -82,6 +88,10 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
 		n, err = c.readArrived(p)
 	}
+	if limitErr := c.head.Read(p[:n]); limitErr != nil {
+		c.refuse(limitErr)
+		return 0, limitErr
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -95,6 +105,26 @@
 	return n, err
 }
 
+// refuse ends a connection that exceeds a limit.
+func (c *connection) refuse(err error) {
+	if errors.Is(err, connlimit.ErrHeadTooLarge) {
+		c.server.refusedHead(c)
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = io.WriteString(c.TCPConn, headTooLarge) // the client may not read it
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true // no request has arrived whole
+}
+
+// closeForMemory closes a connection on which no request has been accepted.
+func (c *connection) closeForMemory() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.TCPConn.Close()
+}
+
 // SetReadDeadline sets the deadline of reads, unless the connection has expired.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -102,7 +132,7 @@
 	if c.expired {
 		return nil
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.TCPConn.SetReadDeadline(c.head.Deadline(t))
 }
 
 // expireIfSilent makes reads of a silent connection return what has arrived instead
@@ -154,6 +184,7 @@
 }
 
 func (c *connection) Close() error {
+	c.head.Close()
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
@@ -234,6 +265,9 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		if !c.head.Accept() {
+			return // the connection has been closed
+		}
 		result := aborted
 		defer func() { c.setStage(result) }()
 		c.setStage(handled)
@@ -299,7 +333,9 @@
 	}
 	switch {
 	case err == nil:
-		return &connection{TCPConn: c, server: l.server}, nil
+		conn := &connection{TCPConn: c, server: l.server}
+		conn.head = connlimit.NewHead(l.server.port, conn.closeForMemory, l.server.limits)
+		return conn, nil
 	case l.server.stopping.Load():
 		return nil, http.ErrServerClosed
 	default:
--- a/cmd/sycamoreline-platform/connection_test.go
+++ b/cmd/sycamoreline-platform/connection_test.go
@@ -83,7 +83,7 @@
 	core, logs := observer.New(zap.InfoLevel)
 	w := &watchedServer{address: address, logs: logs, metrics: tally.NewTestScope("", nil)}
 	var err error
-	w.server, err = serve(address, h, zap.New(core), withMetrics(w.metrics), withPhase(func() balancer.Phase { return balancer.Refusing }))
+	w.server, err = serve(address, testPort(), h, zap.New(core), withMetrics(w.metrics), withPhase(func() balancer.Phase { return balancer.Refusing }))
 	assert.NilError(t, err)
 	t.Cleanup(func() { w.Close() })
 	return w
@@ -208,7 +208,7 @@
 			assert.NilError(t, err)
 			defer l.Close()
 			client := dialRaw(t, l.Addr().String())
-			accepted, err := (&connectionListener{TCPListener: l.(*net.TCPListener), server: &server{logger: zap.NewNop(), metrics: tally.NoopScope}}).Accept()
+			accepted, err := (&connectionListener{TCPListener: l.(*net.TCPListener), server: &server{logger: zap.NewNop(), metrics: tally.NoopScope, port: testPort()}}).Accept()
 			assert.NilError(t, err)
 			defer accepted.Close()
 			c := accepted.(*connection)
--- a/cmd/sycamoreline-platform/ledger.go
+++ b/cmd/sycamoreline-platform/ledger.go
@@ -22,7 +22,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		lifecycle.Append(fx.Hook{
 			OnStart: func(context.Context) error {
-				l, err := listen(s.PeerListenAddress())
+				l, err := listenToPeers(p)
 				if err != nil {
 					return err
 				}
--- a/cmd/sycamoreline-platform/main.go
+++ b/cmd/sycamoreline-platform/main.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/logsink"
 	"github.com/sycamoreline/sycamoreline/metrics"
 	"github.com/sycamoreline/sycamoreline/platform"
@@ -68,6 +69,7 @@
 	settingsPath string
 	logger       *zap.Logger
 	metrics      tally.Scope
+	account      *connlimit.Account
 	reload       <-chan os.Signal // receives a signal when the settings file has changed
 }
 
@@ -106,7 +108,8 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	}
 	logger.Info("starting", zap.String("data-centre", s.DataCentre), zap.Strings("seeds", s.Seeds), zap.Bool("first-start", s.FirstStart))
-	app := fx.New(fx.Invoke(serveMetrics(s, handler, logger)), c.module(roleParams{s, path, logger, scope, c.reload}), fx.StopTimeout(s.DrainTimeout()),
+	account := connlimit.NewAccount(s.ConnectionBytes(), connlimit.WithLogger(logger), connlimit.WithMetrics(scope))
+	app := fx.New(fx.Invoke(serveMetrics(s, account, handler, logger)), c.module(roleParams{s, path, logger, scope, account, c.reload}), fx.StopTimeout(s.DrainTimeout()),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(ctx); err != nil {
 		logger.Error("start failed", zap.Error(err))
--- a/cmd/sycamoreline-platform/roles.go
+++ b/cmd/sycamoreline-platform/roles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,9 +11,11 @@
 
 	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/cluster"
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/forward"
 	"github.com/sycamoreline/sycamoreline/platform"
+	"github.com/sycamoreline/sycamoreline/route"
 	"github.com/sycamoreline/sycamoreline/schedule"
 )
 
@@ -39,6 +42,12 @@
 	// bodyMemoryDivisor limits the bodies of in-flight requests to 1/5 of the
 	// memory.
 	bodyMemoryDivisor = 5
+	// healthReserveDivisor and the like are the shares of the memory of connections
+	// that a port does not lose to others.
+	healthReserveDivisor  = 8
+	metricsReserveDivisor = 16
+	controlReserveDivisor = 8
+	peerReserveDivisor    = 4
 	// slowBelow and recoveredAbove are the relative speeds for
 	// schedule.WithSlowThresholds. Noisy neighbours slow a server by a factor of
 	// 2.5 for half a second, which must not mark it as slow.
@@ -64,7 +73,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		lifecycle.Append(fx.Hook{
 			OnStart: func(context.Context) error {
-				l, err := listen(s.PeerListenAddress())
+				l, err := listenToPeers(p)
 				if err != nil {
 					return err
 				}
@@ -80,7 +89,7 @@
 				}
 				go watchSeeds(ctx, p, host.SetSeeds)
 				go stopOnFailure(ctx, host, shutdown, logger)
-				api, err = serve(s.Listen.Control, platform.NewControlAPI(host, s, logger), logger, withMetrics(p.metrics))
+				api, err = serve(s.Listen.Control, p.account.Port("control", controlReserveDivisor, false), platform.NewControlAPI(host, s, logger), logger, withMetrics(p.metrics))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
@@ -122,10 +131,11 @@
 				link.Start(f.View())
 				go watchSeeds(ctx, p, link.SetSeeds)
 				var err error
-				if health, err = serve(s.Listen.Health, gate.Health(), logger); err != nil {
+				if health, err = serve(s.Listen.Health, p.account.Port("health", healthReserveDivisor, false), gate.Health(), logger); err != nil {
 					return err
 				}
-				callers, err = serve(s.Listen.Callers, gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger, withMetrics(p.metrics), withPhase(gate.Phase))
+				callers, err = serve(s.Listen.Callers, p.account.Port("callers", 0, false), gate.Wrap(countRequests(gate, platform.NewIngress(f, link))), logger,
+					withMetrics(p.metrics), withPhase(gate.Phase), withLimits(func() connlimit.Limits { return headLimits(link.Index()) }))
 				return err
 			},
 			OnStop: func(ctx context.Context) error {
@@ -140,6 +150,24 @@
 	})
 }
 
+// headLimits returns the limits on heads of a table, which may be nil.
+func headLimits(x *route.Index) connlimit.Limits {
+	if x == nil {
+		return connlimit.Limits{}
+	}
+	l := x.Limits()
+	return connlimit.Limits{HeadBytes: l.MaxHeaderBytes, HeadTimeout: l.HeaderTimeout}
+}
+
+// listenToPeers listens for connections of other hosts.
+func listenToPeers(p roleParams) (net.Listener, error) {
+	l, err := listen(p.settings.PeerListenAddress())
+	if err != nil {
+		return nil, err
+	}
+	return connlimit.NewListener(l, p.account.Port("peers", peerReserveDivisor, false)), nil
+}
+
 // drain drains the gate and stops the callers' server. It cancels requests that
 // are still running answerTimeout before the timeout, so that their callers learn
 // whether they may have run, and closes the remaining connections at the timeout.
--- a/cmd/sycamoreline-platform/roles_test.go
+++ b/cmd/sycamoreline-platform/roles_test.go
@@ -62,7 +62,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	})
-	s, err := serve(address, g.Wrap(countRequests(g, mux)), zap.NewNop())
+	s, err := serve(address, testPort(), g.Wrap(countRequests(g, mux)), zap.NewNop())
 	assert.NilError(t, err)
 	type answer struct {
 		status  int
--- a/cmd/sycamoreline-platform/server.go
+++ b/cmd/sycamoreline-platform/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/balancer"
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/platform"
 )
 
@@ -41,6 +42,9 @@
 	// listen queue, queueLimit the time in which it accepts any.
 	queueTimeout = 5 * time.Millisecond
 	queueLimit   = 500 * time.Millisecond
+	// refusalTimeout limits the writing of a refusal. It fits into the buffer of
+	// the socket.
+	refusalTimeout = 100 * time.Millisecond
 	// stopInterval is the interval at which stop looks at the open connections.
 	stopInterval = 5 * time.Millisecond
 )
@@ -51,6 +55,8 @@
 	logger  *zap.Logger
 	metrics tally.Scope
 	phase   func() balancer.Phase // of the host's shutdown, nil if it has none
+	port    *connlimit.Port
+	limits  func() connlimit.Limits // those in force, nil if there are none
 	done    sync.WaitGroup
 
 	listener *net.TCPListener
@@ -69,8 +75,12 @@
 // withPhase sets the phase of the host's shutdown, for logs and metrics.
 func withPhase(f func() balancer.Phase) serverOption { return func(s *server) { s.phase = f } }
 
-// serve listens on an address and starts an HTTP server there.
-func serve(address string, h http.Handler, logger *zap.Logger, opts ...serverOption) (*server, error) {
+// withLimits sets the limits on heads.
+func withLimits(f func() connlimit.Limits) serverOption { return func(s *server) { s.limits = f } }
+
+// serve listens on an address and starts an HTTP server there, whose connections
+// are those of the port.
+func serve(address string, port *connlimit.Port, h http.Handler, logger *zap.Logger, opts ...serverOption) (*server, error) {
 	// Among the errors of the server are panics of handlers, which lose a request.
 	errorLog, err := zap.NewStdLogAt(logger, zap.ErrorLevel)
 	if err != nil {
@@ -87,7 +97,7 @@
 	s := &server{Server: http.Server{
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: errorLog, ConnContext: withConnection,
-	}, logger: logger, metrics: tally.NoopScope, listener: tcp, open: map[*connection]struct{}{}}
+	}, logger: logger, port: port, metrics: tally.NoopScope, listener: tcp, open: map[*connection]struct{}{}}
 	s.Handler = s.recordStages(h)
 	for _, o := range opts {
 		o(s)
@@ -121,8 +131,10 @@
 		defer s.mu.Unlock()
 		s.open[c] = struct{}{}
 	case http.StateActive:
+		c.head.Parsed()
 		c.setStage(parsed)
 	case http.StateIdle:
+		c.head.Idle()
 		c.setStage(awaited)
 	case http.StateHijacked, http.StateClosed:
 		s.mu.Lock()
@@ -148,6 +160,13 @@
 	s.metrics.Tagged(map[string]string{"cause": string(cause), "phase": phase}).Counter("connections-closed-unanswered").Inc(1)
 }
 
+// refusedHead reports a head that exceeds the configured limit.
+func (s *server) refusedHead(c *connection) {
+	s.metrics.Counter("heads-too-large").Inc(1)
+	s.logger.Info("request refused: its head is larger than configured",
+		zap.Stringer("address", c.LocalAddr()), zap.Stringer("client", c.RemoteAddr()))
+}
+
 // stop answers the requests that have arrived and waits for those in progress until
 // the context ends, and then closes their connections. http.Server.Shutdown alone
 // drops requests: it resets connections in the listen queue and those on which a
@@ -192,12 +211,12 @@
 // serveMetrics returns a function that adds the server of the metrics endpoint to
 // the lifecycle of an app. Hooks stop in reverse order: invoked before the role's
 // module, the server runs until the role has stopped.
-func serveMetrics(s platform.Settings, handler http.Handler, logger *zap.Logger) func(fx.Lifecycle) {
+func serveMetrics(s platform.Settings, account *connlimit.Account, handler http.Handler, logger *zap.Logger) func(fx.Lifecycle) {
 	return func(lifecycle fx.Lifecycle) {
 		var metricsServer *server
 		lifecycle.Append(fx.Hook{
 			OnStart: func(context.Context) (err error) {
-				metricsServer, err = serve(s.MetricsAddress(), handler, logger)
+				metricsServer, err = serve(s.MetricsAddress(), account.Port("metrics", metricsReserveDivisor, false), handler, logger)
 				return err
 			},
 			OnStop: func(context.Context) error { return metricsServer.stopNow() },
--- a/cmd/sycamoreline-platform/server_test.go
+++ b/cmd/sycamoreline-platform/server_test.go
@@ -10,8 +10,13 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/sycamoreline/sycamoreline/connlimit"
 )
 
+// testPort returns a port whose connections are not limited.
+func testPort() *connlimit.Port { return connlimit.NewAccount(1<<40).Port("test", 0, false) }
+
 // Guards against a shutdown that is delayed by a connection on which no request
 // has been sent, such as one of a scraper.
 func TestStopIgnoresConnectionWithoutRequest(t *testing.T) {
@@ -19,7 +24,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	l.Close()
-	s, err := serve(address, http.NotFoundHandler(), zap.NewNop())
+	s, err := serve(address, testPort(), http.NotFoundHandler(), zap.NewNop())
 	assert.NilError(t, err)
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 	assert.NilError(t, err)
@@ -37,7 +42,7 @@
 func TestStopWaitsForRequestsBesideUnusedConnections(t *testing.T) {
 	const address = "127.48.1.3:17443"
 	running := make(chan struct{})
-	s, err := serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s, err := serve(address, testPort(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(running)
 		time.Sleep(3 * unusedTimeout) // the request outlasts the wait for unused connections
 		w.WriteHeader(http.StatusOK)
--- a/control/server.go
+++ b/control/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/verdict"
 )
 
@@ -108,7 +109,7 @@
 		nc.Close()
 		return
 	}
-	session := &session{server: s, nonce: newNonce()}
+	session := &session{server: s, nonce: newNonce(), accepted: func() { connlimit.Accepted(nc) }}
 	c := newConn(nc, session)
 	s.conns[c] = struct{}{}
 	s.wait.Add(1)
@@ -159,7 +160,9 @@
 type session struct {
 	server *Server
 	nonce  string
-	wait   sync.WaitGroup
+	// accepted records that the peer has been authenticated.
+	accepted func()
+	wait     sync.WaitGroup
 
 	mu   sync.Mutex
 	peer string
@@ -234,6 +237,7 @@
 	s.mu.Lock()
 	s.peer = hello.Peer
 	s.mu.Unlock()
+	s.accepted()
 	return helloResponse{Proof: key.proof("server", s.nonce, hello.Nonce)}, nil
 }
 
