cmd/sycamoreline, connlimit: limit connections of the product's entry and control

Change: settings connection-memory-mb of entry hosts (256) and control hosts (64), one account per process, a quarter of it for the port of operators. Idle connections and incomplete heads of more than a second are closed before newer ones, so that an ordinary caller takes the place of a silent one.

--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/replica"
@@ -41,7 +42,8 @@
 					return err
 				}
 				// The control server adds TLS itself.
-				listener, err := listen.open("listen", s.Listen, settings.TLS{})
+				account := connlimit.NewAccount(int64(s.ConnectionMemoryMB)<<20, connlimit.WithLogger(logger))
+				listener, err := listen.limit(account.Port("hosts", 0, serverTLS != nil)).open("listen", s.Listen, settings.TLS{})
 				if err != nil {
 					return err
 				}
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/credential"
 	"github.com/sycamoreline/sycamoreline/dispatch"
@@ -29,7 +30,12 @@
 	"github.com/sycamoreline/sycamoreline/settings"
 )
 
-const metricsInterval = time.Second
+const (
+	metricsInterval = time.Second
+	// operatorReserveDivisor is the share of the memory of connections that the
+	// port of operators, health and metrics does not lose to callers.
+	operatorReserveDivisor = 4
+)
 
 // entryModule runs an entry host. Its components are private, so that several
 // entry hosts can share one app.
@@ -174,11 +180,12 @@
 }
 
 func startEntry(lifecycle fx.Lifecycle, s settings.Entry, listen listenFunc, p entryParams) error {
-	callers, err := listen.open("listen", s.Listen, s.TLS)
+	account := connlimit.NewAccount(int64(s.ConnectionMemoryMB)<<20, connlimit.WithLogger(p.Logger), connlimit.WithMetrics(p.Metrics.scope))
+	callers, err := listen.limit(account.Port("callers", 0, s.Enabled())).open("listen", s.Listen, s.TLS)
 	if err != nil {
 		return err
 	}
-	operators, err := listen.open("operator-listen", s.OperatorListen, s.TLS)
+	operators, err := listen.limit(account.Port("operators", operatorReserveDivisor, s.Enabled())).open("operator-listen", s.OperatorListen, s.TLS)
 	if err != nil {
 		callers.Close()
 		return err
--- a/cmd/sycamoreline/local.go
+++ b/cmd/sycamoreline/local.go
@@ -83,6 +83,7 @@
 			ID: h.ID, DataCentre: dataCentre(i), Listen: h.Address, ControlHosts: hosts, GroupCount: localGroups,
 			DataFolder: filepath.Join(d.folder, h.ID), DeploymentKeyFile: key,
 			LeaseTTL: settings.Duration(settings.DefaultLeaseTTL), LogLevel: settings.DefaultLogLevel,
+			ConnectionMemoryMB: settings.DefaultControlConnectionMB,
 		})
 	}
 	for i := range localEntryHosts {
@@ -177,7 +178,8 @@
 		ID: fmt.Sprintf("entry-%d", i+1), DataCentre: dataCentre(i), Listen: callers, OperatorListen: operators,
 		ControlHosts: hosts, GroupCount: localGroups, DeploymentKeyFile: key, CredentialsFile: credentials,
 		LeaseTTL: settings.Duration(settings.DefaultLeaseTTL), LogLevel: settings.DefaultLogLevel,
-		DefaultMaxTokens: settings.DefaultMaxTokens, MaxBodyBytes: settings.DefaultMaxBodyBytes,
+		ConnectionMemoryMB: settings.DefaultEntryConnectionMB,
+		DefaultMaxTokens:   settings.DefaultMaxTokens, MaxBodyBytes: settings.DefaultMaxBodyBytes,
 	})
 	return nil
 }
--- a/cmd/sycamoreline/process_test.go
+++ b/cmd/sycamoreline/process_test.go
@@ -57,8 +57,7 @@
 	d, err := newLocalDeployment(folder)
 	assert.NilError(t, err)
 	d.Close()
-	p := &processes{t: t, local: d, folder: folder, running: map[string]*exec.Cmd{}, logs: map[string]*os.File{}}
-	t.Cleanup(p.stop)
+	p := newProcesses(t, d, folder)
 	for _, s := range d.controls {
 		p.writeSettings(s.ID, s)
 	}
@@ -91,6 +90,13 @@
 	return p
 }
 
+// newProcesses returns a deployment none of whose processes has been started.
+func newProcesses(t *testing.T, d *localDeployment, folder string) *processes {
+	p := &processes{t: t, local: d, folder: folder, running: map[string]*exec.Cmd{}, logs: map[string]*os.File{}}
+	t.Cleanup(p.stop)
+	return p
+}
+
 func (p *processes) writeSettings(name string, settings any) {
 	data, err := json.Marshal(settings)
 	assert.NilError(p.t, err)
--- a/cmd/sycamoreline/role.go
+++ b/cmd/sycamoreline/role.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/settings"
 	"github.com/sycamoreline/sycamoreline/strictjson"
 )
@@ -44,6 +45,17 @@
 	return l, nil
 }
 
+// limit returns a listenFunc whose connections are those of a port.
+func (f listenFunc) limit(p *connlimit.Port) listenFunc {
+	return func(address string) (net.Listener, error) {
+		l, err := f(address)
+		if err != nil {
+			return nil, err
+		}
+		return connlimit.NewListener(l, p), nil
+	}
+}
+
 // open opens a listener on the address in a field of the settings, with TLS if
 // it is configured. It reports errors as invalid settings.
 func (f listenFunc) open(field, address string, t settings.TLS) (net.Listener, error) {
@@ -118,6 +130,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	connlimit.Watch(server)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
--- a/connlimit/account.go
+++ b/connlimit/account.go
@@ -26,8 +26,9 @@
 	// unitBytes is the precision to which connections are compared by what they
 	// hold. An ordinary head fits into one unit beside the connection.
 	unitBytes = 8 << 10
-	// overdueAfter is the time after which a connection without an accepted
-	// request is closed before newer ones. An ordinary head arrives at once.
+	// overdueAfter is the time after which a connection that sends nothing, or whose
+	// head is incomplete, is closed before newer ones. An ordinary head arrives at
+	// once.
 	overdueAfter = time.Second
 	// logInterval is the shortest time between two log lines about one port.
 	logInterval = time.Second
@@ -121,7 +122,7 @@
 
 	held     int64 // all below are guarded by Account.mu
 	order    uint64
-	since    time.Time // of the opening, or of the latest answer
+	since    time.Time // of the opening, the latest answer or the first byte after it
 	accepted bool
 	used     bool // a request has been accepted before
 	removed  bool
@@ -157,6 +158,9 @@
 		a.mu.Unlock()
 		return false
 	}
+	if e.held == e.port.base() {
+		e.since = now
+	}
 	e.add(int64(bytes) + int64(lines)*lineBytes)
 	victims := e.port.enforce(now)
 	removed := e.removed
@@ -241,21 +245,24 @@
 }
 
 // before reports whether a connection is closed before another one: the one that
-// holds more, then one on which no request has been accepted, then one that is
-// overdue, then the newest. Of connections that have been used, the one that has
-// been idle for longest goes first.
+// holds more, then one that is overdue, then one that has never been used, then
+// the newest. Of two that have been used, the one that has been idle for longer
+// goes first.
 func (e *Entry) before(o *Entry, now time.Time) bool {
-	if e.used && o.used && e.units() == o.units() {
-		return e.since.Before(o.since)
+	last := cmp.Compare(e.order, o.order)
+	if e.used && o.used {
+		last = o.since.Compare(e.since)
 	}
 	return cmp.Or(
 		cmp.Compare(e.units(), o.units()),
+		compareBool(e.isOverdue(now), o.isOverdue(now)),
 		compareBool(!e.used, !o.used),
-		compareBool(now.Sub(e.since) > overdueAfter, now.Sub(o.since) > overdueAfter),
-		cmp.Compare(e.order, o.order),
+		last,
 	) > 0
 }
 
+func (e *Entry) isOverdue(now time.Time) bool { return now.Sub(e.since) > overdueAfter }
+
 func (e *Entry) units() int64 { return e.held / unitBytes }
 
 func compareBool(a, b bool) int {
--- a/connlimit/account_test.go
+++ b/connlimit/account_test.go
@@ -62,6 +62,24 @@
 				c.Idle(start.Add(time.Duration(i)))
 			}
 		}, 0, -1},
+		{"used and idle", func(cs []*testConn) {
+			for i, c := range cs {
+				c.Accept()
+				c.Idle(start.Add(-time.Duration(i)))
+			}
+		}, 2 * overdueAfter, 9},
+		{"used, beside an overdue one", func(cs []*testConn) {
+			for _, c := range cs[1:] {
+				c.Accept()
+				c.Idle(start)
+			}
+		}, 2 * overdueAfter, 0},
+		{"a head after a time", func(cs []*testConn) {
+			for _, c := range cs[1:] {
+				c.Accept()
+			}
+			cs[0].Grow(start.Add(2*overdueAfter), 0, 0)
+		}, 2 * overdueAfter, -1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/settings/control.go
+++ b/settings/control.go
@@ -19,12 +19,16 @@
 	ControlCAFile     string        `json:"control-ca-file"` // issuers of the control hosts' certificates
 	LeaseTTL          Duration      `json:"lease-ttl"`
 	LogLevel          string        `json:"log-level"`
+	// ConnectionMemoryMB limits the memory of connections that are not
+	// authenticated.
+	ConnectionMemoryMB int `json:"connection-memory-mb"`
 	TLS
 }
 
 func (c Control) withDefaults() Control {
 	c.LeaseTTL = Duration(c.LeaseTTL.Or(DefaultLeaseTTL))
 	c.GroupCount = orDefault(c.GroupCount, DefaultGroupCount)
+	c.ConnectionMemoryMB = orDefault(c.ConnectionMemoryMB, DefaultControlConnectionMB)
 	c.LogLevel = orDefault(c.LogLevel, DefaultLogLevel)
 	return c
 }
@@ -33,6 +37,7 @@
 func (c *Control) Check() error {
 	*c = c.withDefaults()
 	return firstError(
+		checkRange("connection-memory-mb", c.ConnectionMemoryMB, 1, 1<<20),
 		checkID("id", c.ID),
 		checkID("data-centre", c.DataCentre),
 		checkAddress("listen", c.Listen),
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -14,6 +14,10 @@
 	DefaultDrainDelay         = 2 * time.Second
 	DefaultGroupCount         = 4
 	DefaultLogLevel           = "info"
+	// DefaultEntryConnectionMB and DefaultControlConnectionMB have room for 16,384
+	// and 4,096 connections, a third of that with TLS.
+	DefaultEntryConnectionMB   = 256
+	DefaultControlConnectionMB = 64
 )
 
 // Entry contains the settings of an entry host.
@@ -32,6 +36,9 @@
 	LogLevel          string        `json:"log-level"`
 	DefaultMaxTokens  int           `json:"default-max-tokens"`
 	MaxBodyBytes      int64         `json:"max-body-bytes"`
+	// ConnectionMemoryMB limits the memory of connections without an accepted
+	// request.
+	ConnectionMemoryMB int `json:"connection-memory-mb"`
 	TLS
 }
 
@@ -42,6 +49,7 @@
 	e.GroupCount = orDefault(e.GroupCount, DefaultGroupCount)
 	e.DefaultMaxTokens = orDefault(e.DefaultMaxTokens, DefaultMaxTokens)
 	e.MaxBodyBytes = orDefault(e.MaxBodyBytes, DefaultMaxBodyBytes)
+	e.ConnectionMemoryMB = orDefault(e.ConnectionMemoryMB, DefaultEntryConnectionMB)
 	e.LogLevel = orDefault(e.LogLevel, DefaultLogLevel)
 	return e
 }
@@ -62,6 +70,7 @@
 		checkLeaseTTL(e.LeaseTTL),
 		checkLogLevel(e.LogLevel),
 		checkRange("default-max-tokens", e.DefaultMaxTokens, 1, 1<<20),
+		checkRange("connection-memory-mb", e.ConnectionMemoryMB, 1, 1<<20),
 		checkRange("max-body-bytes", e.MaxBodyBytes, 1<<10, 1<<30),
 		e.checkFiles(),
 	)
