--- a/backend/closedelimited_test.go
+++ b/backend/closedelimited_test.go
@@ -96,47 +96,46 @@
 // not read the whole body.
 func TestPoolCloseDelimitedAnswersBesideLongBodies(t *testing.T) {
 	const bodyBytes, readBytes = 16 << 20, 100 << 10
-	for _, reset := range []bool{true, false} {
-		for _, head := range closeDelimitedHeads {
-			t.Run(fmt.Sprint("reset ", reset, strings.ReplaceAll(head, "\r\n", " ")), func(t *testing.T) {
-				for range 20 { // the reader and the writer race for the report
-					l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-					assert.NilError(t, err)
-					received, ended := make(chan struct{}), make(chan struct{})
-					go func() {
-						c, err := l.Accept()
-						if !assert.Check(t, err) {
-							return
-						}
-						defer c.Close()
-						_, err = io.CopyN(io.Discard, c, readBytes)
-						assert.Check(t, err)
-						_, err = io.WriteString(c, head+"12345")
-						assert.Check(t, err)
-						<-received
-						if reset {
-							assert.Check(t, c.(*net.TCPConn).SetLinger(0))
-							return
-						}
-						assert.Check(t, c.(*net.TCPConn).CloseWrite())
-						<-ended
-					}()
-					p := NewPool(nil)
-					req := requestFor("1")
-					req.Body = bytes.Repeat([]byte("x"), bodyBytes)
-					resp, err := p.Do(t.Context(), l.Addr().String(), req, matchID("1"))
-					assert.NilError(t, err)
-					_, err = io.ReadFull(resp.Body, make([]byte, 5))
-					assert.NilError(t, err)
-					close(received)
-					_, err = io.ReadAll(resp.Body)
-					assert.Equal(t, err != nil, reset, "%v", err)
-					close(ended)
-					assert.NilError(t, resp.Body.Close())
-					p.Close()
-					l.Close()
-				}
-			})
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	for _, client := range newTestClients(t) {
+		for _, reset := range []bool{true, false} {
+			for _, head := range closeDelimitedHeads {
+				t.Run(fmt.Sprint(client.name, " reset ", reset, strings.ReplaceAll(head, "\r\n", " ")), func(t *testing.T) {
+					for range 20 { // the reader and the writer race for the report
+						l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+						assert.NilError(t, err)
+						received, ended := make(chan struct{}), make(chan struct{})
+						go func() {
+							c, err := l.Accept()
+							if !assert.Check(t, err) {
+								return
+							}
+							defer c.Close()
+							_, err = io.CopyN(io.Discard, c, readBytes)
+							assert.Check(t, err)
+							_, err = io.WriteString(c, head+"12345")
+							assert.Check(t, err)
+							<-received
+							if reset {
+								assert.Check(t, c.(*net.TCPConn).SetLinger(0))
+								return
+							}
+							assert.Check(t, c.(*net.TCPConn).CloseWrite())
+							<-ended
+						}()
+						resp, err := client.send(t.Context(), l.Addr().String(), http.MethodPost, "1", body)
+						assert.NilError(t, err)
+						_, err = io.ReadFull(resp.Body, make([]byte, 5))
+						assert.NilError(t, err)
+						close(received)
+						_, err = io.ReadAll(resp.Body)
+						assert.Equal(t, err != nil, reset, "%v", err)
+						close(ended)
+						resp.Body.Close()
+						l.Close()
+					}
+				})
+			}
 		}
 	}
 }
@@ -215,54 +214,3 @@
 		}
 	}
 }
-
-// Guards against a reset answer that a client with a transport takes for complete,
-// because the reset was reported to the writing of a long body, and against a
-// complete one that fails.
-func TestTransportCloseDelimitedAnswersBesideLongBodies(t *testing.T) {
-	const readBytes = 100 << 10
-	transport := NewTransport(nil)
-	defer transport.CloseIdleConnections()
-	body := bytes.Repeat([]byte("x"), 16<<20)
-	for _, reset := range []bool{true, false} {
-		for _, head := range closeDelimitedHeads {
-			t.Run(fmt.Sprint("reset ", reset, strings.ReplaceAll(head, "\r\n", " ")), func(t *testing.T) {
-				for range 20 { // the reader and the writer race for the report
-					received, ended := make(chan struct{}), make(chan struct{})
-					l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-					assert.NilError(t, err)
-					go func() {
-						c, err := l.Accept()
-						if !assert.Check(t, err) {
-							return
-						}
-						defer c.Close()
-						_, err = io.CopyN(io.Discard, c, readBytes)
-						assert.Check(t, err)
-						_, err = io.WriteString(c, head+"12345")
-						assert.Check(t, err)
-						<-received
-						if reset {
-							assert.Check(t, c.(*net.TCPConn).SetLinger(0))
-							return
-						}
-						assert.Check(t, c.(*net.TCPConn).CloseWrite())
-						<-ended
-					}()
-					r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/", bytes.NewReader(body))
-					assert.NilError(t, err)
-					resp, err := Do(transport, r)
-					assert.NilError(t, err)
-					_, err = io.ReadFull(resp.Body, make([]byte, 5))
-					assert.NilError(t, err)
-					close(received)
-					_, err = io.ReadAll(resp.Body)
-					assert.Equal(t, err != nil, reset, "%v", err)
-					close(ended)
-					resp.Body.Close()
-					l.Close()
-				}
-			})
-		}
-	}
-}
--- a/backend/status_test.go
+++ b/backend/status_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,39 +26,47 @@
 	strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\n",
 }
 
-// answerWait bounds the wait for an exchange that must fail at once.
-const answerWait = 5 * time.Second
+// testClient is one of the clients of backend servers.
+type testClient struct {
+	name string
+	send func(ctx context.Context, address, method, id string, body []byte) (*http.Response, error)
+}
 
-// Guards against an invalid response that is passed on, taken for an informational
-// one or for proof that a request has not run, and against another request on its
-// connection.
-func TestInvalidResponses(t *testing.T) {
+func newTestClients(t *testing.T) []testClient {
 	p := NewPool(nil)
-	defer p.Close()
+	t.Cleanup(p.Close)
 	transport := NewTransport(nil)
-	defer transport.CloseIdleConnections()
-	clients := []struct {
-		name string
-		send func(ctx context.Context, address, method, id string) (int, string, error)
-	}{
-		{"pool", func(ctx context.Context, address, method, id string) (int, string, error) {
+	t.Cleanup(transport.CloseIdleConnections)
+	return []testClient{
+		{"pool", func(ctx context.Context, address, method, id string, body []byte) (*http.Response, error) {
 			req := requestFor(id)
-			req.Method = method
-			return readAll(p.Do(ctx, address, req, matchID(id)))
+			req.Method, req.Body = method, body
+			return p.Do(ctx, address, req, matchID(id))
 		}},
-		{"transport", func(ctx context.Context, address, method, id string) (int, string, error) {
-			r, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/", strings.NewReader("body"))
-			assert.NilError(t, err)
+		{"transport", func(ctx context.Context, address, method, id string, body []byte) (*http.Response, error) {
+			r, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/", bytes.NewReader(body))
+			if err != nil {
+				return nil, err
+			}
 			r.Header.Set("Id", id)
-			return readAll(Do(transport, r))
+			return Do(transport, r)
 		}},
 	}
+}
+
+// answerWait bounds the wait for an exchange that must fail at once.
+const answerWait = 5 * time.Second
+
+// Guards against an invalid response that is passed on, taken for an informational
+// one or for proof that a request has not run, and against another request on its
+// connection.
+func TestInvalidResponses(t *testing.T) {
 	rests := []string{
 		"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbody", "Connection: close\r\nContent-Length: 4\r\n\r\nbody",
 		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "Connection: close\r\n\r\nbody",
 		"Content-Length: 0\r\n\r\n" + responseText("1", "second"),
 	}
-	for _, c := range clients {
+	for _, c := range newTestClients(t) {
 		for _, method := range []string{http.MethodPost, http.MethodGet} {
 			for _, head := range invalidHeads {
 				t.Run(fmt.Sprint(c.name, " ", method, " ", strings.ReplaceAll(head[:min(len(head), 60)], "\r\n", " ")), func(t *testing.T) {
@@ -71,12 +80,12 @@
 							return !strings.Contains(rest, "close")
 						})
 						ctx, cancel := context.WithTimeout(t.Context(), answerWait)
-						status, body, err := c.send(ctx, s.address(), method, "1")
+						status, body, err := readAll(c.send(ctx, s.address(), method, "1", []byte("body")))
 						cancel()
 						var e *verdict.Error
 						assert.Check(t, errors.As(err, &e) && e.Verdict() == verdict.MayHaveRun && e.Reason() == verdict.ServerFailed,
 							"got %d %q, %v with %q", status, body, err, rest)
-						_, body, err = c.send(t.Context(), s.address(), method, "2")
+						_, body, err = readAll(c.send(t.Context(), s.address(), method, "2", []byte("body")))
 						assert.NilError(t, err)
 						assert.Equal(t, body, "next")
 						assert.Check(t, s.conns.Load() > 1, "the connection was used again, with %q", rest)
