--- a/cmd/sycamoreline/control.go
+++ b/cmd/sycamoreline/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/engine"
 	"github.com/sycamoreline/sycamoreline/replica"
@@ -41,10 +42,12 @@
 					return err
 				}
 				// The control server adds TLS itself.
+				account := connlimit.NewAccount(int64(s.ConnectionMemoryMB)<<20, connlimit.WithLogger(logger))
 				listener, err := listen.open("listen", s.Listen, settings.TLS{})
 				if err != nil {
 					return err
 				}
+				listener = connlimit.NewListener(listener, account.Port("hosts", 0, serverTLS != nil))
 				host, err = control.StartHost(control.HostConfig{
 					ID: s.ID, Hosts: controlAddresses(s.ControlHosts), ProgramGroups: s.GroupCount,
 					DataFolder: s.DataFolder, LeaseTTL: s.LeaseTTL.D(), Key: key, Engines: control.NewEngineReleaser(engines),
--- a/cmd/sycamoreline/entry.go
+++ b/cmd/sycamoreline/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sycamoreline/sycamoreline/balancer"
 	"github.com/sycamoreline/sycamoreline/board"
 	"github.com/sycamoreline/sycamoreline/caller"
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/control"
 	"github.com/sycamoreline/sycamoreline/credential"
 	"github.com/sycamoreline/sycamoreline/dispatch"
@@ -29,7 +30,12 @@
 	"github.com/sycamoreline/sycamoreline/settings"
 )
 
-const metricsInterval = time.Second
+const (
+	metricsInterval = time.Second
+	// operatorReserveDivisor is the share of the memory of connections that the
+	// port of operators, health and metrics does not lose to callers.
+	operatorReserveDivisor = 4
+)
 
 // entryModule runs an entry host. Its components are private, so that several
 // entry hosts can share one app.
@@ -184,8 +190,9 @@
 		return err
 	}
 	renewLease(lifecycle, s, callers, p)
-	serveHTTP(lifecycle, p.Logger, operators, operatorHandler(s, p))
-	serveHTTP(lifecycle, p.Logger, callers, callerHandler(s, p))
+	account := connlimit.NewAccount(int64(s.ConnectionMemoryMB)<<20, connlimit.WithLogger(p.Logger), connlimit.WithMetrics(p.Metrics.scope))
+	serveHTTP(lifecycle, p.Logger, connlimit.NewListener(operators, account.Port("operators", operatorReserveDivisor, s.Enabled())), operatorHandler(s, p))
+	serveHTTP(lifecycle, p.Logger, connlimit.NewListener(callers, account.Port("callers", 0, s.Enabled())), callerHandler(s, p))
 	drainOnStop(lifecycle, p.Gate)
 	p.Logger.Info("entry host starting", zap.String("listen", s.Listen), zap.String("operator-listen", s.OperatorListen))
 	return nil
--- a/cmd/sycamoreline/role.go
+++ b/cmd/sycamoreline/role.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/sycamoreline/sycamoreline/connlimit"
 	"github.com/sycamoreline/sycamoreline/settings"
 	"github.com/sycamoreline/sycamoreline/strictjson"
 )
@@ -118,6 +119,7 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	connlimit.Watch(server)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
