disk, replica: segments beside the log, entries on disk, transfers that are read while they are sent

With WithResidentLog, entries that are applied are read from the file of the log, and the entries in flight to one follower are bounded by bytes.

--- a/disk/frame.go
+++ b/disk/frame.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
+	"io"
 )
 
 // frameHeaderBytes is the size of a frame's header. A frame is one durable
@@ -38,10 +40,9 @@
 	binary.LittleEndian.PutUint32(frame[8:], checksum(offset, frame[4:8], payload))
 }
 
-// readFrame returns the payload of the frame at offset, and false if there is
-// no complete, valid frame.
-func readFrame(data []byte, offset int64) ([]byte, bool) {
-	rest := data[offset:]
+// readFrame returns the payload of the frame that rest, the bytes of the file from
+// offset on, starts with. It returns false if there is no complete, valid frame.
+func readFrame(rest []byte, offset int64) ([]byte, bool) {
 	if len(rest) < frameHeaderBytes || !bytes.Equal(rest[:4], frameMagic) {
 		return nil, false
 	}
@@ -56,17 +57,65 @@
 	return payload, true
 }
 
-// hasFrameAfter returns whether a valid frame starts anywhere after offset.
-func hasFrameAfter(data []byte, offset int64) bool {
-	for at := offset + 1; at < int64(len(data)); at++ {
-		i := bytes.Index(data[at:], frameMagic)
+// hasFrameAfter returns whether a valid frame starts anywhere in rest, the bytes of
+// the file from offset on, but at its start.
+func hasFrameAfter(rest []byte, offset int64) bool {
+	for at := 1; at < len(rest); at++ {
+		i := bytes.Index(rest[at:], frameMagic)
 		if i < 0 {
 			return false
 		}
-		at += int64(i)
-		if _, ok := readFrame(data, at); ok {
+		at += i
+		if _, ok := readFrame(rest[at:], offset+int64(at)); ok {
 			return true
 		}
 	}
 	return false
 }
+
+// frameReader reads the frames of a file one after the other.
+type frameReader struct {
+	file   io.ReaderAt
+	size   int64
+	offset int64  // end of the last valid frame
+	buffer []byte // reused
+}
+
+// next returns the payload of the next frame and its offset. The payload is valid
+// until the next call. It returns false if there is no complete, valid frame.
+func (r *frameReader) next() (payload []byte, at int64, ok bool, err error) {
+	var header [frameHeaderBytes]byte
+	if r.size-r.offset < frameHeaderBytes {
+		return nil, 0, false, nil
+	}
+	if _, err := r.file.ReadAt(header[:], r.offset); err != nil {
+		return nil, 0, false, err
+	}
+	n := int64(binary.LittleEndian.Uint32(header[4:])) + frameHeaderBytes
+	if !bytes.Equal(header[:4], frameMagic) || n > r.size-r.offset {
+		return nil, 0, false, nil
+	}
+	if int64(cap(r.buffer)) < n {
+		r.buffer = make([]byte, n)
+	}
+	frame := r.buffer[:n]
+	if _, err := r.file.ReadAt(frame, r.offset); err != nil && !errors.Is(err, io.EOF) {
+		return nil, 0, false, err
+	}
+	payload, ok = readFrame(frame, r.offset)
+	if ok {
+		at = r.offset + frameHeaderBytes
+		r.offset += n
+	}
+	return payload, at, ok, nil
+}
+
+// torn returns whether what follows the last valid frame can be a torn write, since
+// no valid frame follows it.
+func (r *frameReader) torn() (bool, error) {
+	rest := make([]byte, r.size-r.offset)
+	if _, err := r.file.ReadAt(rest, r.offset); err != nil && !errors.Is(err, io.EOF) {
+		return false, err
+	}
+	return !hasFrameAfter(rest, r.offset), nil
+}
--- a/disk/fuzz_test.go
+++ b/disk/fuzz_test.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"bytes"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,7 +21,7 @@
 	f.Add(append(first, second...))
 	f.Add(first[:20])
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c, end, err := decodeLog(data)
+		c, end, err := decodeLog(bytes.NewReader(data), int64(len(data)), false)
 		if err != nil {
 			assert.ErrorIs(t, err, ErrDamaged)
 			return
--- a/disk/record.go
+++ b/disk/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"hash/crc32"
 )
 
 // EntryKind is the type of a log entry.
@@ -23,8 +24,14 @@
 	UnixMillis int64     `json:"unix-millis,omitempty"` // leader's wall-clock time
 	Kind       EntryKind `json:"kind,omitempty"`
 	Data       []byte    `json:"data,omitempty"`
+	// Size is the length of the data if it is only in the file of the log; Data is
+	// then nil.
+	Size int `json:"-"`
 }
 
+// Bytes returns the length of the data.
+func (e Entry) Bytes() int { return max(len(e.Data), e.Size) }
+
 // HardState is the Raft state that must survive a restart: term and vote.
 type HardState struct {
 	Term            uint64
@@ -127,26 +134,45 @@
 	return v
 }
 
-func (d *decoder) bytes() []byte {
+func (d *decoder) bytes() []byte { return append([]byte(nil), d.shared()...) }
+
+// shared is like bytes, but does not copy the data.
+func (d *decoder) shared() []byte {
 	n := d.uvarint()
 	if n > uint64(len(d.data)) {
 		d.fail()
 		return nil
 	}
-	b := append([]byte(nil), d.data[:n]...)
+	b := d.data[:n:n]
 	d.data = d.data[n:]
 	return b
 }
 
+// position is where the data of an entry lies in the file of the log.
+type position struct {
+	offset int64
+	length int
+	sum    uint32
+}
+
 // logContents is the state resulting from the frames of a log.
 type logContents struct {
 	base      Base
 	hardState HardState
 	entries   []Entry
+	positions []position // of the data of each entry
+	// onDisk is set if the data of commands is not to be read into memory.
+	onDisk bool
+	end    int64 // offset after the payload that is being decoded
 }
 
 func (c *logContents) lastIndex() uint64 { return c.base.Index + uint64(len(c.entries)) }
 
+// newPosition returns the position of the data that ends at an offset.
+func newPosition(end int64, data []byte) position {
+	return position{end - int64(len(data)), len(data), crc32.Checksum(data, castagnoli)}
+}
+
 // decode applies the records in the payload of a frame or in the info part of a
 // snapshot file.
 func (c *logContents) decode(payload []byte) error {
@@ -172,13 +198,21 @@
 		if d.failed {
 			return errRecord
 		}
-		c.base, c.entries = b, nil
+		c.base, c.entries, c.positions = b, nil, nil
 	case entryRecord:
-		e := Entry{Index: d.uvarint(), Term: d.uvarint(), UnixMillis: d.varint(), Kind: EntryKind(d.byte()), Data: d.bytes()}
+		e := Entry{Index: d.uvarint(), Term: d.uvarint(), UnixMillis: d.varint(), Kind: EntryKind(d.byte())}
+		data := d.shared()
 		if d.failed || e.Index <= c.base.Index || e.Index > c.lastIndex()+1 {
 			return errRecord
 		}
-		c.entries = append(c.entries[:e.Index-c.base.Index-1], e)
+		if c.onDisk && e.Kind == Command {
+			e.Size = len(data)
+		} else {
+			e.Data = append([]byte(nil), data...)
+		}
+		k := e.Index - c.base.Index - 1
+		c.entries = append(c.entries[:k], e)
+		c.positions = append(c.positions[:k], newPosition(c.end-int64(len(d.data)), data))
 	default:
 		return errRecord
 	}
--- a/disk/snapshot.go
+++ b/disk/snapshot.go
@@ -35,6 +35,8 @@
 	file  File
 	sum   hash.Hash32
 	info  SnapshotInfo
+	// received splits a snapshot of another replica, if it has segments.
+	received *receiver
 }
 
 func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
@@ -43,14 +45,21 @@
 	return name == identityFile || name == logFile || name == damagedFile || strings.HasPrefix(name, snapshotPrefix) || strings.HasSuffix(name, tempSuffix)
 }
 
+func isSegmentFile(name string) bool { return strings.HasPrefix(name, segmentPrefix) }
+
 // CreateSnapshot starts writing a snapshot of the local state machine.
 func (s *Store) CreateSnapshot(info SnapshotInfo) (*SnapshotWriter, error) {
 	return s.createSnapshot(info, "local"+tempSuffix)
 }
 
-// ReceiveSnapshot starts writing a snapshot received from another replica.
+// ReceiveSnapshot starts writing a snapshot received from another replica, with
+// the bytes of a Transfer.
 func (s *Store) ReceiveSnapshot(info SnapshotInfo) (*SnapshotWriter, error) {
-	return s.createSnapshot(info, "received"+tempSuffix)
+	w, err := s.createSnapshot(info, "received"+tempSuffix)
+	if err == nil && s.segments != nil {
+		w.received = &receiver{store: s}
+	}
+	return w, err
 }
 
 func (s *Store) createSnapshot(info SnapshotInfo, temp string) (*SnapshotWriter, error) {
@@ -62,15 +71,22 @@
 	return &SnapshotWriter{store: s, temp: temp, file: f, sum: crc32.New(castagnoli), info: info}, nil
 }
 
-// Write appends a part of the state machine's state.
+// Write appends a part of the state machine's state, or of a Transfer.
 func (w *SnapshotWriter) Write(data []byte) (int, error) {
-	n, err := w.file.Write(data)
-	_, _ = w.sum.Write(data[:n])
+	state := data
+	if w.received != nil {
+		var err error
+		if state, err = w.received.take(data); err != nil {
+			return 0, err
+		}
+	}
+	n, err := w.file.Write(state)
+	_, _ = w.sum.Write(state[:n])
 	w.info.Bytes += int64(n)
 	if err != nil {
 		return n, fmt.Errorf("write snapshot: %w", err)
 	}
-	return n, nil
+	return len(data), nil
 }
 
 // Close discards the snapshot unless it was finished. The temporary file is
@@ -81,13 +97,29 @@
 	}
 	f := w.file
 	w.file = nil
+	if w.received != nil {
+		return errors.Join(f.Close(), w.received.close())
+	}
 	return f.Close()
 }
 
 // Finish makes the snapshot durable under its final name and removes older
-// ones. It does not change the log.
+// ones. It does not change the log. The segments are synced before, so that all
+// records to which the snapshot refers are durable.
 func (w *SnapshotWriter) Finish() (SnapshotInfo, error) {
 	s, info := w.store, w.info
+	if w.received != nil {
+		if err := w.received.finish(); err != nil {
+			return SnapshotInfo{}, errors.Join(err, w.Close())
+		}
+	}
+	var sizes map[uint64]int64
+	if s.segments != nil {
+		var err error
+		if sizes, err = s.segments.sync(); err != nil {
+			return SnapshotInfo{}, errors.Join(err, w.Close())
+		}
+	}
 	footer := appendBase(nil, Base{Index: info.Index, Term: info.Term, Members: info.Members})
 	_, _ = w.sum.Write(footer)
 	n := uint32(len(footer))
@@ -106,6 +138,11 @@
 	if err := s.fs.SyncDir(s.dir); err != nil {
 		return SnapshotInfo{}, fmt.Errorf("sync data folder: %w", err)
 	}
+	if s.segments != nil && w.received == nil {
+		if err := s.segments.snapshotFinished(sizes); err != nil {
+			return SnapshotInfo{}, err
+		}
+	}
 	return info, s.removeSnapshotsBefore(info.Index)
 }
 
--- a/disk/store.go
+++ b/disk/store.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"io/fs"
 	"path/filepath"
 	"slices"
+	"sync"
 	"syscall"
 )
 
@@ -16,6 +18,11 @@
 	logFile      = "log"
 	damagedFile  = "damaged"
 	tempSuffix   = ".tmp"
+	// rewriteFrameBytes is the size from which on a frame gets no further entries
+	// when the log is rewritten, which bounds the memory for it.
+	rewriteFrameBytes = 1 << 20
+	// maxKeptBuffer is the largest buffer for frames that is kept for the next write.
+	maxKeptBuffer = 1 << 20
 )
 
 // ErrDamaged is wrapped by errors about a data folder with invalid or missing
@@ -32,6 +39,22 @@
 // Nothing was written, and the write may be retried.
 var ErrFull = errors.New("disk is full")
 
+// ErrCompacted is returned for an entry that the log no longer contains.
+var ErrCompacted = errors.New("entry is not in the log")
+
+// Option sets an optional property of a Store.
+type Option func(*Store)
+
+// WithSegments makes the store hold segments beside the log. origin is a random
+// number.
+func WithSegments(origin uint64) Option {
+	return func(s *Store) { s.withSegments, s.origin = true, origin }
+}
+
+// WithEntriesOnDisk makes Open recover the commands of the log without their data,
+// which LoadEntry reads.
+func WithEntriesOnDisk() Option { return func(s *Store) { s.onDisk = true } }
+
 // Identity identifies a replica and the incarnation of its data folder.
 type Identity struct {
 	ID          string `json:"id"`
@@ -60,20 +83,31 @@
 // be called by one goroutine at a time; the snapshot methods may be called
 // concurrently with them.
 type Store struct {
-	fs        FS
-	dir       string
+	fs           FS
+	dir          string
+	onDisk       bool
+	withSegments bool
+	origin       uint64    // of new segments
+	segments     *Segments // or nil
+	buffer       []byte    // reused for frames
+	failed       error     // returned by all later writes
+	hardState    HardState // last one written; kept when the log is rewritten
+
+	mu        sync.RWMutex // held to change the fields below
 	log       File
-	size      int64     // of the log in bytes
-	buffer    []byte    // reused for frames
-	failed    error     // returned by all later writes
-	hardState HardState // last one written; kept when the log is rewritten
+	size      int64 // of the log in bytes
+	base      uint64
+	positions []position // of the entries after base
 }
 
 // Open opens the data folder dir. If the folder has no identity file, Open
 // initialises it for the replica with the given id and incarnation; otherwise
 // the folder keeps its incarnation.
-func Open(fsys FS, dir, id string, incarnation uint64) (*Store, Recovered, error) {
+func Open(fsys FS, dir, id string, incarnation uint64, opts ...Option) (*Store, Recovered, error) {
 	s := &Store{fs: fsys, dir: dir}
+	for _, f := range opts {
+		f(s)
+	}
 	if err := fsys.MkdirAll(dir); err != nil {
 		return nil, Recovered{}, fmt.Errorf("create data folder: %w", err)
 	}
@@ -95,9 +129,29 @@
 		return nil, Recovered{}, errors.Join(err, s.Close())
 	}
 	r.Identity = found
+	if s.withSegments {
+		if s.segments, err = openSegments(fsys, dir, s.origin); err != nil {
+			return nil, Recovered{}, errors.Join(err, s.Close())
+		}
+	}
 	return s, r, nil
 }
 
+// Segments returns the segments beside the log, or nil. Retain must be called
+// before they are used, also if there is no snapshot.
+func (s *Store) Segments() *Segments { return s.segments }
+
+// Bytes returns the size of the log and of the segments.
+func (s *Store) Bytes() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	size := s.size
+	if s.segments != nil {
+		size += s.segments.Bytes()
+	}
+	return size
+}
+
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
 func (s *Store) readIdentity() (Identity, error) {
@@ -167,26 +221,29 @@
 }
 
 func (s *Store) load() (Recovered, error) {
-	data, err := s.readFile(logFile)
+	f, err := s.fs.Open(s.path(logFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return Recovered{}, fmt.Errorf("%w: the log is missing", ErrDamaged)
 	}
+	if err != nil {
+		return Recovered{}, fmt.Errorf("open log: %w", err)
+	}
+	s.log = f
+	size, err := f.Size()
 	if err != nil {
 		return Recovered{}, fmt.Errorf("read log: %w", err)
 	}
-	c, end, err := decodeLog(data)
+	c, end, err := decodeLog(f, size, s.onDisk)
 	if err != nil {
 		return Recovered{}, err
 	}
-	if s.log, err = s.fs.Open(s.path(logFile)); err != nil {
-		return Recovered{}, fmt.Errorf("open log: %w", err)
-	}
-	torn := int64(len(data)) - end
+	torn := size - end
 	if torn > 0 {
 		if err := errors.Join(s.log.Truncate(end), s.log.Sync()); err != nil {
 			return Recovered{}, fmt.Errorf("truncate torn write at the end of the log: %w", err)
 		}
 	}
+	s.base, s.positions = c.base.Index, c.positions
 	s.size, s.hardState = end, c.hardState
 	snapshot, err := s.findSnapshot()
 	if err != nil {
@@ -200,26 +257,58 @@
 // end offset of the last valid frame. Each frame is synced before the next one
 // is written, so that only the last one can be torn; an invalid frame before a
 // valid one means that synced data was damaged.
-func decodeLog(data []byte) (logContents, int64, error) {
-	var c logContents
-	var offset int64
-	for offset < int64(len(data)) {
-		payload, ok := readFrame(data, offset)
+func decodeLog(file io.ReaderAt, size int64, onDisk bool) (logContents, int64, error) {
+	c := logContents{onDisk: onDisk}
+	r := frameReader{file: file, size: size}
+	for {
+		payload, at, ok, err := r.next()
+		if err != nil {
+			return logContents{}, 0, fmt.Errorf("read log: %w", err)
+		}
 		if !ok {
 			break
 		}
+		c.end = at + int64(len(payload))
 		if err := c.decode(payload); err != nil {
-			return logContents{}, 0, fmt.Errorf("%w: log offset %d: %w", ErrDamaged, offset, err)
+			return logContents{}, 0, fmt.Errorf("%w: log offset %d: %w", ErrDamaged, at-frameHeaderBytes, err)
 		}
-		offset += frameHeaderBytes + int64(len(payload))
 	}
-	if offset == 0 {
+	if r.offset == 0 {
 		return logContents{}, 0, fmt.Errorf("%w: the log has no valid first record", ErrDamaged)
 	}
-	if offset < int64(len(data)) && hasFrameAfter(data, offset) {
-		return logContents{}, 0, fmt.Errorf("%w: log offset %d: checksum mismatch before valid records", ErrDamaged, offset)
+	if r.offset < size {
+		torn, err := r.torn()
+		if err != nil {
+			return logContents{}, 0, fmt.Errorf("read log: %w", err)
+		}
+		if !torn {
+			return logContents{}, 0, fmt.Errorf("%w: log offset %d: checksum mismatch before valid records", ErrDamaged, r.offset)
+		}
 	}
-	return c, offset, nil
+	return c, r.offset, nil
+}
+
+// LoadEntry returns an entry with its data, which it reads from the file of the
+// log if Size is set. Its error wraps ErrCompacted if the log no longer contains
+// the entry, and ErrDamaged if the data does not match its checksum. It may be
+// called concurrently with all other methods.
+func (s *Store) LoadEntry(e Entry) (Entry, error) {
+	if e.Size == 0 {
+		return e, nil
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if e.Index <= s.base || e.Index > s.base+uint64(len(s.positions)) {
+		return e, fmt.Errorf("%w: index %d", ErrCompacted, e.Index)
+	}
+	p := s.positions[e.Index-s.base-1]
+	data := make([]byte, p.length)
+	_, err := s.log.ReadAt(data, p.offset)
+	if err != nil || crc32.Checksum(data, castagnoli) != p.sum || p.length != e.Size {
+		return e, errors.Join(fmt.Errorf("%w: log entry %d does not match its checksum", ErrDamaged, e.Index), err)
+	}
+	e.Data, e.Size = data, 0
+	return e, nil
 }
 
 // Write appends a batch to the log and syncs it. After an error other than
@@ -235,18 +324,27 @@
 	if b.HardState != nil {
 		frame = appendHardState(frame, *b.HardState)
 	}
+	var positions []position
 	for _, e := range b.Entries {
 		frame = appendEntry(frame, e)
+		positions = append(positions, newPosition(s.size+int64(len(frame)), e.Data))
 	}
 	sealFrame(frame, s.size)
-	s.buffer = frame
+	if s.buffer = frame; cap(frame) > maxKeptBuffer {
+		s.buffer = nil
+	}
 	if _, err := s.log.Write(frame); err != nil {
 		return s.writeFailed(err)
 	}
 	if err := s.log.Sync(); err != nil {
 		return s.fail(fmt.Errorf("sync log: %w", err))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.size += int64(len(frame))
+	for i, e := range b.Entries {
+		s.positions = append(s.positions[:e.Index-s.base-1], positions[i])
+	}
 	if b.HardState != nil {
 		s.hardState = *b.HardState
 	}
@@ -273,28 +371,72 @@
 	return s.failed
 }
 
-// rewrite replaces the log with one that starts at base.
+// rewrite replaces the log with one that starts at base. It reads the data of
+// entries that have none from the old log.
 func (s *Store) rewrite(base Base, h HardState, entries []Entry) error {
-	frame := appendBase(make([]byte, frameHeaderBytes), base)
-	frame = appendHardState(frame, h)
-	for _, e := range entries {
-		frame = appendEntry(frame, e)
-	}
-	sealFrame(frame, 0)
-	if err := s.replaceFile(logFile, frame); err != nil {
+	f, err := s.fs.Create(s.path(logFile + tempSuffix))
+	if err != nil {
 		return s.fail(fmt.Errorf("rewrite log: %w", err))
 	}
-	if s.log != nil {
-		s.log.Close()
+	size, positions, err := s.writeFrames(f, base, h, entries)
+	if err == nil {
+		err = f.Sync()
+	}
+	err = errors.Join(err, f.Close())
+	if err == nil {
+		err = s.fs.Rename(s.path(logFile+tempSuffix), s.path(logFile))
+	}
+	if err == nil {
+		err = s.fs.SyncDir(s.dir)
+	}
+	if err != nil {
+		return s.fail(fmt.Errorf("rewrite log: %w", err))
 	}
 	log, err := s.fs.Open(s.path(logFile))
 	if err != nil {
 		return s.fail(fmt.Errorf("reopen log: %w", err))
 	}
-	s.log, s.size, s.hardState = log, int64(len(frame)), h
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.log != nil {
+		s.log.Close()
+	}
+	s.log, s.size, s.base, s.positions, s.hardState = log, size, base.Index, positions, h
 	return nil
 }
 
+// writeFrames writes a log that starts at base. If it needs several frames, a frame
+// with the hard state follows those with the entries, so that damage to an entry is
+// not taken for a torn write.
+func (s *Store) writeFrames(f File, base Base, h HardState, entries []Entry) (size int64, positions []position, err error) {
+	frame := appendHardState(appendBase(make([]byte, frameHeaderBytes), base), h)
+	flush := func() error {
+		sealFrame(frame, size)
+		_, err := f.Write(frame)
+		size += int64(len(frame))
+		frame = frame[:frameHeaderBytes]
+		return err
+	}
+	for _, e := range entries {
+		if len(frame) >= rewriteFrameBytes {
+			if err := flush(); err != nil {
+				return 0, nil, err
+			}
+		}
+		if e, err = s.LoadEntry(e); err != nil {
+			return 0, nil, err
+		}
+		frame = appendEntry(frame, e)
+		positions = append(positions, newPosition(size+int64(len(frame)), e.Data))
+	}
+	several := size > 0
+	if err := flush(); err != nil || !several {
+		return size, positions, err
+	}
+	frame = appendHardState(frame, h)
+	return size, positions, flush()
+}
+
 // Compact replaces the log with one that starts at base and contains the given
 // entries. A snapshot at base or above must be durable. If h is nil, the hard
 // state is unchanged.
@@ -314,19 +456,25 @@
 	return s.replaceFile(damagedFile, []byte(reason))
 }
 
-// Close closes the log. All completed writes are already durable.
+// Close closes the log and the segments. All completed writes to the log are
+// already durable.
 func (s *Store) Close() error {
+	var err error
+	if s.segments != nil {
+		err = s.segments.close()
+	}
 	if s.log == nil {
-		return nil
+		return err
 	}
-	err := s.log.Close()
+	err = errors.Join(err, s.log.Close())
 	s.log = nil
 	return err
 }
 
 // SetAside moves the files of a damaged or rolled-back data folder into a
 // subfolder whose name ends with suffix, a random number, so that the next Open
-// starts a new incarnation.
+// starts a new incarnation. Segments are removed, since they are large and other
+// replicas have their records.
 func SetAside(fsys FS, dir string, suffix uint64) error {
 	names, err := fsys.List(dir)
 	if err != nil {
@@ -338,7 +486,11 @@
 		return err
 	}
 	for _, n := range names {
-		if isStoreFile(n) {
+		if isSegmentFile(n) {
+			if err := fsys.Remove(filepath.Join(dir, n)); err != nil {
+				return err
+			}
+		} else if isStoreFile(n) {
 			if err := fsys.Rename(filepath.Join(dir, n), filepath.Join(subfolder, n)); err != nil {
 				return err
 			}
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -37,10 +37,15 @@
 
 func newApplier(g *Group, r disk.Recovered) (*applier, error) {
 	a := &applier{group: g, applied: r.Base.Index, term: r.Base.Term, members: r.Base.Members}
-	if r.Snapshot.Index > 0 {
+	switch {
+	case r.Snapshot.Index > 0:
 		if err := a.restore(r.Snapshot); err != nil {
 			return nil, err
 		}
+	case g.store.Segments() != nil:
+		if err := g.store.Segments().Retain(nil); err != nil {
+			return nil, err
+		}
 	}
 	return a, nil
 }
@@ -85,18 +90,30 @@
 		}
 	}
 	for _, e := range item.entries {
+		e, err := a.group.store.LoadEntry(e)
+		if errors.Is(err, disk.ErrCompacted) {
+			break // replaced by a received snapshot, which is restored next
+		}
+		if err != nil {
+			return fmt.Errorf("apply: %w", err)
+		}
 		a.apply(e)
+		a.snapshotIfDue()
 	}
 	if len(item.reads) > 0 {
 		a.reads = append(a.reads, item)
 	}
 	a.finishReads()
+	a.snapshotIfDue()
+	return nil
+}
+
+func (a *applier) snapshotIfDue() {
 	o := a.group.options
 	due := a.entriesSinceSnapshot >= o.snapshotEntries || a.bytesSinceSnapshot >= o.snapshotBytes
 	if due && !a.group.sendingSnapshot.Load() && !a.savingSnapshot.Load() {
 		a.takeSnapshot()
 	}
-	return nil
 }
 
 func (a *applier) apply(e disk.Entry) {
@@ -156,9 +173,14 @@
 }
 
 // saveSnapshot writes a snapshot. A failure, such as a full disk, is not fatal,
-// since the log still contains all entries.
+// since the log still contains all entries. It is if the segments could not be
+// synced: what they have lost must be written again from the log.
 func (g *Group) saveSnapshot(info disk.SnapshotInfo, write func(io.Writer) error) {
 	saved, err := g.writeSnapshot(info, write)
+	if errors.Is(err, disk.ErrStopped) {
+		g.shutDown(err)
+		return
+	}
 	if err != nil {
 		g.options.logger.Error("save snapshot failed", zap.Error(err))
 		return
--- a/replica/group.go
+++ b/replica/group.go
@@ -44,6 +44,7 @@
 	keepEntries       uint64
 	maxQueuedRequests int
 	rejoin            bool
+	residentBytes     int
 }
 
 // Option sets an optional property of a Group.
@@ -65,6 +66,12 @@
 	return func(o *options) { o.snapshotEntries, o.snapshotBytes, o.keepEntries = entries, bytes, keep }
 }
 
+// WithResidentLog limits the data of log entries in memory: that of the newest
+// applied entries to the given number of bytes or twice as much, and that of entries
+// in flight to one follower. Other entries are read from the disk when they are
+// needed. Without it, all entries of the log are in memory.
+func WithResidentLog(bytes int) Option { return func(o *options) { o.residentBytes = bytes } }
+
 // WithRejoin makes Open move the contents of a damaged or rolled-back data
 // folder aside and join the group as a new incarnation. Without it, Open fails
 // on such a folder with an error that wraps disk.ErrDamaged.
@@ -91,6 +98,7 @@
 	toApply        *queue[applyItem]
 	savedSnapshots *queue[disk.SnapshotInfo]
 	proposals      pendingProposals
+	transfer       *disk.Transfer // snapshot being sent, or nil; owned by the loop
 
 	leader          atomic.Pointer[Ref]
 	leaderTerm      atomic.Uint64 // term in which this replica leads; 0 if it does not
@@ -130,13 +138,39 @@
 		f(&o)
 	}
 	o.logger = o.logger.With(zap.String("replica", c.ID), zap.String("folder", c.Dir))
-	store, recovered, err := openStore(c, o)
+	g, err := open(c, m, t, o)
+	if errors.Is(err, disk.ErrDamaged) && o.rejoin {
+		o.logger.Error("data folder is damaged; joining as a new incarnation", zap.Error(err))
+		if err := disk.SetAside(o.fs, c.Dir, rand.Uint64()); err != nil {
+			return nil, fmt.Errorf("open replica %s: %w", c.ID, err)
+		}
+		g, err = open(c, m, t, o)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("open replica %s: %w", c.ID, err)
 	}
+	return g, nil
+}
+
+func open(c Config, m StateMachine, t Transport, o options) (*Group, error) {
+	var storeOptions []disk.Option
+	user, hasSegments := m.(SegmentUser)
+	if hasSegments {
+		storeOptions = append(storeOptions, disk.WithSegments(rand.Uint64()))
+	}
+	if o.residentBytes > 0 {
+		storeOptions = append(storeOptions, disk.WithEntriesOnDisk())
+	}
+	store, recovered, err := disk.Open(o.fs, c.Dir, c.ID, rand.Uint64(), storeOptions...)
+	if err != nil {
+		return nil, err
+	}
 	if recovered.TornBytes > 0 {
 		o.logger.Warn("truncated a torn write at the end of the log", zap.Int64("bytes", recovered.TornBytes))
 	}
+	if hasSegments {
+		user.UseSegments(store.Segments())
+	}
 	g := &Group{
 		config: c, options: o, transport: t, stateMachine: m, store: store, started: time.Now(),
 		inbox: newQueue[Message](), requests: newQueue[*request](), writes: newQueue[write](), written: newQueue[write](),
@@ -146,27 +180,15 @@
 		proposals:    pendingProposals{byIndex: map[uint64]pendingProposal{}},
 	}
 	if err := g.start(recovered); err != nil {
-		return nil, errors.Join(fmt.Errorf("open replica %s: %w", c.ID, err), store.Close())
+		return nil, errors.Join(err, store.Close())
 	}
 	return g, nil
 }
 
-func openStore(c Config, o options) (*disk.Store, disk.Recovered, error) {
-	store, r, err := disk.Open(o.fs, c.Dir, c.ID, rand.Uint64())
-	if !errors.Is(err, disk.ErrDamaged) || !o.rejoin {
-		return store, r, err
-	}
-	o.logger.Error("data folder is damaged; joining as a new incarnation", zap.Error(err))
-	if err := disk.SetAside(o.fs, c.Dir, rand.Uint64()); err != nil {
-		return nil, disk.Recovered{}, err
-	}
-	return disk.Open(o.fs, c.Dir, c.ID, rand.Uint64())
-}
-
 func (g *Group) start(r disk.Recovered) error {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := Ref{ID: r.Identity.ID, Incarnation: r.Identity.Incarnation}
-	node, err := NewNode(g.now(), NodeOptions{Self: self, Initial: g.config.Peers, Open: g.config.Open, Timing: g.options.timing, Random: random}, r)
+	node, err := NewNode(g.now(), NodeOptions{Self: self, Initial: g.config.Peers, Open: g.config.Open, Timing: g.options.timing, Random: random, ResidentBytes: g.options.residentBytes}, r)
 	if err != nil {
 		return err
 	}
@@ -287,7 +309,7 @@
 // for a regular one.
 func (g *Group) shutDown(err error) {
 	g.stopOnce.Do(func() {
-		if errors.Is(err, ErrRolledBack) {
+		if errors.Is(err, ErrRolledBack) || errors.Is(err, disk.ErrDamaged) {
 			err = errors.Join(err, g.store.MarkDamaged(err.Error()))
 		}
 		g.failure = err
@@ -298,6 +320,13 @@
 	})
 }
 
+// Fail stops the replica because of a failure of its state machine. If the failure
+// wraps disk.ErrDamaged, the data folder is marked as damaged.
+func (g *Group) Fail(err error) { g.shutDown(err) }
+
+// DiskBytes returns the size of the log and of the segments.
+func (g *Group) DiskBytes() int64 { return g.store.Bytes() }
+
 // Close transfers leadership, stops the replica and waits until it has stopped.
 // Pending requests are completed or fail.
 func (g *Group) Close() error {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -26,7 +26,7 @@
 	next          uint64 // index of the first entry to send
 	probing       bool   // next is a guess: send one message at a time
 	probeInFlight bool
-	inflight      []uint64      // last index of each append in flight
+	inflight      []inflightAppend
 	lastContact   time.Duration // time of the last reply or, before it, of the start of tracking
 	responded     bool          // has replied to an append since this replica became leader
 	round         uint64        // last heartbeat round echoed
@@ -36,6 +36,21 @@
 	resendAt time.Duration // when the current chunk is presumed lost
 }
 
+// inflightAppend is an append without a reply.
+type inflightAppend struct {
+	last  uint64 // index of its last entry
+	bytes int
+}
+
+// mayAppend returns whether another append may be sent to a follower.
+func (n *Node) mayAppend(p *progress) bool {
+	bytes := 0
+	for _, a := range p.inflight {
+		bytes += a.bytes
+	}
+	return len(p.inflight) < maxInflightAppends && (n.ResidentBytes == 0 || bytes < n.ResidentBytes)
+}
+
 func (n *Node) becomeLeader(now Now) {
 	n.role, n.leader = Leader, n.Self
 	n.leaderState = leaderState{progress: map[Ref]*progress{}, joining: map[string]joiner{}, since: now.Elapsed}
@@ -107,7 +122,7 @@
 }
 
 func (n *Node) sendEntries(to Ref, p *progress) {
-	for p.next <= n.log.last() && !p.probeInFlight && p.snapshot.Index == 0 && len(p.inflight) < maxInflightAppends {
+	for p.next <= n.log.last() && !p.probeInFlight && p.snapshot.Index == 0 && n.mayAppend(p) {
 		n.sendAppend(to, p)
 	}
 }
@@ -125,7 +140,7 @@
 		return
 	}
 	m.Index, m.LogTerm = p.next-1, prev
-	if !p.probing && p.next <= n.log.last() && len(p.inflight) < maxInflightAppends {
+	if !p.probing && p.next <= n.log.last() && n.mayAppend(p) {
 		m.Entries = n.log.from(p.next, maxAppendBytes)
 	}
 	switch {
@@ -134,7 +149,11 @@
 		m = n.attachPromises(m)
 	case len(m.Entries) > 0:
 		p.next = m.Entries[len(m.Entries)-1].Index + 1
-		p.inflight = append(p.inflight, p.next-1)
+		a := inflightAppend{last: p.next - 1}
+		for _, e := range m.Entries {
+			a.bytes += e.Bytes()
+		}
+		p.inflight = append(p.inflight, a)
 	}
 	n.sendNow(m)
 }
@@ -253,7 +272,7 @@
 		p.probing, p.probeInFlight = false, false
 	}
 	p.next = max(p.next, p.match+1)
-	p.inflight = slices.DeleteFunc(p.inflight, func(i uint64) bool { return i <= p.match })
+	p.inflight = slices.DeleteFunc(p.inflight, func(a inflightAppend) bool { return a.last <= p.match })
 	n.advanceCommit()
 }
 
--- a/replica/log.go
+++ b/replica/log.go
@@ -8,6 +8,10 @@
 	base    disk.Base
 	entries []disk.Entry
 	stable  uint64
+	// The data of commands up to the index evicted is only on disk. The entries
+	// after it up to the index counted have resident bytes of data.
+	evicted, counted uint64
+	resident         int
 }
 
 func (l *entryLog) last() uint64 { return l.base.Index + uint64(len(l.entries)) }
@@ -35,7 +39,7 @@
 	rest := l.entries[index-l.base.Index-1:]
 	size := 0
 	for i, e := range rest {
-		size += len(e.Data)
+		size += e.Bytes()
 		if i > 0 && size > maxBytes {
 			return rest[:i:i]
 		}
@@ -48,7 +52,7 @@
 func (l *entryLog) countBefore(index uint64, maxBytes int) uint64 {
 	count := uint64(0)
 	for index > l.base.Index && index <= l.last() {
-		maxBytes -= len(l.entries[index-l.base.Index-1].Data)
+		maxBytes -= l.entries[index-l.base.Index-1].Bytes()
 		if maxBytes < 0 {
 			break
 		}
@@ -106,4 +110,28 @@
 	}
 	l.base = base
 	l.stable = max(l.stable, base.Index)
+	l.counted, l.resident = base.Index, 0
+}
+
+// evict drops the data of commands up to index from memory, all but the newest ones
+// that have together at most limit bytes. It acts only once there are twice as
+// many, since it copies the list: slices returned by from and between must not
+// change.
+func (l *entryLog) evict(index uint64, limit int) {
+	index = min(index, l.stable)
+	l.counted = max(l.counted, l.base.Index)
+	for ; l.counted < index; l.counted++ {
+		l.resident += len(l.entries[l.counted-l.base.Index].Data)
+	}
+	if l.resident < 2*limit {
+		return
+	}
+	l.entries = append([]disk.Entry(nil), l.entries...)
+	for l.evicted = max(l.evicted, l.base.Index); l.resident > limit && l.evicted < l.counted; l.evicted++ {
+		e := &l.entries[l.evicted-l.base.Index]
+		l.resident -= len(e.Data)
+		if e.Kind == disk.Command && len(e.Data) > 0 {
+			e.Data, e.Size = nil, len(e.Data)
+		}
+	}
 }
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/sycamoreline/sycamoreline/disk"
 )
 
 // maxTransferWait limits how long Close waits for the transfer of leadership,
@@ -167,7 +171,11 @@
 // leadership, it also fails the pending proposals, whose outcome is unknown.
 func (g *Group) publishLeader() {
 	g.publishTerm()
-	g.sendingSnapshot.Store(g.node.SendingSnapshot())
+	sending := g.node.SendingSnapshot()
+	g.sendingSnapshot.Store(sending)
+	if !sending {
+		g.closeTransfer()
+	}
 	leader, _ := g.node.Leader()
 	previous := g.leader.Load()
 	if previous != nil && *previous == leader {
@@ -184,23 +192,55 @@
 	g.options.logger.Info("leader changed", zap.String("leader", leader.ID), zap.Uint64("term", g.node.Term()))
 }
 
+// send sends messages. It loads the data of entries that is not in memory.
 func (g *Group) send(ms []Message) {
 	for _, m := range ms {
+		entries, err := g.loadEntries(m.Entries)
+		if err != nil {
+			g.shutDown(err)
+			return
+		}
+		m.Entries = entries
 		g.transport.Send(m)
 	}
 }
 
+func (g *Group) loadEntries(entries []disk.Entry) ([]disk.Entry, error) {
+	if !slices.ContainsFunc(entries, func(e disk.Entry) bool { return e.Size > 0 }) {
+		return entries, nil
+	}
+	loaded := make([]disk.Entry, len(entries))
+	for i, e := range entries {
+		var err error
+		if loaded[i], err = g.store.LoadEntry(e); err != nil {
+			return nil, fmt.Errorf("send: %w", err)
+		}
+	}
+	return loaded, nil
+}
+
 func (g *Group) sendChunk(c ChunkRead) {
-	data, err := g.store.ReadChunk(c.Info, c.Message.Offset, chunkBytes)
-	if err != nil {
+	if g.transfer != nil && g.transfer.Info().Index != c.Info.Index {
+		g.closeTransfer()
+	}
+	if g.transfer == nil {
+		g.transfer = g.store.OpenTransfer(c.Info)
+	}
+	var err error
+	if c.Message.Data, c.Message.Last, err = g.transfer.ReadChunk(c.Message.Offset, chunkBytes); err != nil {
 		g.options.logger.Warn("read snapshot chunk failed", zap.Error(err))
 		return
 	}
-	c.Message.Data = data
-	c.Message.Last = c.Message.Offset+int64(len(data)) >= c.Info.Bytes
 	g.transport.Send(c.Message)
 }
 
+func (g *Group) closeTransfer() {
+	if g.transfer != nil {
+		g.transfer.Close()
+		g.transfer = nil
+	}
+}
+
 func (g *Group) takeWritten() {
 	for _, w := range g.written.takeAll() {
 		g.pendingWrites--
--- a/replica/node.go
+++ b/replica/node.go
@@ -148,6 +148,11 @@
 	Timing Timing
 	// Random randomises election timeouts and generates nonces.
 	Random *rand.Rand
+	// ResidentBytes is the size of the data of applied entries that stays in memory,
+	// and the size of the entries in flight to one follower. Up to twice as much may
+	// be in memory. Output and messages then have entries whose data the driver must
+	// load. 0 keeps all in memory.
+	ResidentBytes int
 }
 
 // Node is the deterministic core of a replica. It does no I/O and reads no
@@ -279,6 +284,9 @@
 		n.out.Apply = append(n.out.Apply, n.log.between(n.applied, high)...)
 		n.applied = high
 	}
+	if n.ResidentBytes > 0 {
+		n.log.evict(n.applied, n.ResidentBytes)
+	}
 }
 
 func (n *Node) fail(format string, args ...any) {
--- a/replica/statemachine.go
+++ b/replica/statemachine.go
@@ -12,7 +12,11 @@
 // Start with Group, which runs one replica; Node is the protocol without I/O.
 package replica
 
-import "io"
+import (
+	"io"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+)
 
 // StateMachine is a state machine replicated by a group. Its methods are called
 // by one goroutine at a time.
@@ -35,3 +39,12 @@
 	// function runs on another goroutine.
 	Capture() (write func(w io.Writer) error)
 }
+
+// SegmentUser is implemented by state machines that keep a part of their state in
+// segments, to which their snapshots refer. Restore must call Retain with all
+// references of the snapshot, and the other methods Append and Release.
+type SegmentUser interface {
+	// UseSegments is called before all other methods. If there is no snapshot, no
+	// segment is retained.
+	UseSegments(s *disk.Segments)
+}
--- a/replica/writer.go
+++ b/replica/writer.go
@@ -67,15 +67,16 @@
 	if err != nil || p.Chunk == nil {
 		return err
 	}
-	if err := w.storeChunk(*p.Chunk); err != nil {
+	if err := w.storeChunk(p.Chunk); err != nil {
 		w.discardReceived()
 		return fmt.Errorf("%w: %w", errChunk, err)
 	}
 	return nil
 }
 
-// storeChunk stores a chunk of a snapshot.
-func (w *writer) storeChunk(c Chunk) error {
+// storeChunk stores a chunk of a snapshot. With the last one, it sets the size of
+// the state, which is less than that of a transfer with segments.
+func (w *writer) storeChunk(c *Chunk) error {
 	if c.Offset == 0 {
 		w.discardReceived()
 		received, err := w.store.ReceiveSnapshot(c.Info)
@@ -93,8 +94,11 @@
 	if !c.Last {
 		return nil
 	}
-	_, err := w.received.Finish()
+	info, err := w.received.Finish()
 	w.received = nil
+	if err == nil {
+		c.Info = info
+	}
 	return err
 }
 
