--- /dev/null
+++ b/cluster/bodies_bench_test.go
@@ -0,0 +1,144 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamoreline/sycamoreline/disk"
+	"github.com/sycamoreline/sycamoreline/ledger"
+	"github.com/sycamoreline/sycamoreline/replica"
+)
+
+// syncCounter counts the syncs of files.
+type syncCounter struct {
+	disk.OS
+	syncs atomic.Int64
+}
+
+type countedFile struct {
+	disk.File
+	syncs *atomic.Int64
+}
+
+func (c *syncCounter) Create(name string) (disk.File, error) {
+	f, err := c.OS.Create(name)
+	return countedFile{f, &c.syncs}, err
+}
+
+func (c *syncCounter) Open(name string) (disk.File, error) {
+	f, err := c.OS.Open(name)
+	return countedFile{f, &c.syncs}, err
+}
+
+func (f countedFile) Sync() error {
+	f.syncs.Add(1)
+	return f.File.Sync()
+}
+
+// memory returns a value in kB of the process's status, such as VmHWM.
+func memory(b *testing.B, key string) float64 {
+	data, err := os.ReadFile("/proc/self/status")
+	assert.NilError(b, err)
+	_, rest, _ := bytes.Cut(data, []byte(key+":"))
+	var kB float64
+	_, err = fmt.Sscan(string(rest), &kB)
+	assert.NilError(b, err)
+	return kB / 1024
+}
+
+func reportMemory(b *testing.B, when string) {
+	b.ReportMetric(memory(b, "VmHWM"), when+"-peak-RSS-MB")
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapAlloc)/(1<<20), when+"-heap-MB")
+	debug.FreeOSMemory()
+	_ = os.WriteFile("/proc/self/clear_refs", []byte("5"), 0) // starts a new peak, where the system allows it
+}
+
+// BenchmarkKeptTurns measures a partition with one replica and the memory limit of a
+// small ledger host: memory and latency while turns of 17 KB are kept, and memory and
+// time until the replica leads again after a restart.
+func BenchmarkKeptTurns(b *testing.B) {
+	const turnBytes, writers = 17_000, 32
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(154 << 20 * 6 / 10))
+	for _, size := range []int{50, 150, 450} {
+		b.Run(fmt.Sprintf("%dMB", size), func(b *testing.B) {
+			for b.Loop() {
+				keepTurns(b, size<<20/turnBytes, turnBytes, writers)
+			}
+		})
+	}
+}
+
+func keepTurns(b *testing.B, turns, turnBytes, writers int) {
+	fs := &syncCounter{}
+	c := HostConfig{ID: "k1", DataFolder: b.TempDir()}
+	open := func() *partitionReplica {
+		p, err := openPartition(1, c, []string{"k1"}, transport{newMesh(nil), 1}, append(groupOptions(zap.NewNop()), replica.WithFS(fs))...)
+		assert.NilError(b, err)
+		for p.group.Read(b.Context()) != nil {
+			time.Sleep(time.Millisecond)
+		}
+		return p
+	}
+	p := open()
+	reportMemory(b, "empty")
+	fs.syncs.Store(0)
+	body := make([]byte, turnBytes)
+	rand.NewChaCha8([32]byte{}).Read(body)
+	var next, waited atomic.Int64
+	var wait sync.WaitGroup
+	for range writers {
+		wait.Go(func() {
+			for i := next.Add(1); int(i) <= turns; i = next.Add(1) {
+				began := time.Now()
+				keepTurn(b, p, int(i), body)
+				waited.Add(int64(time.Since(began)))
+			}
+		})
+	}
+	wait.Wait()
+	b.ReportMetric(float64(waited.Load())/1e6/float64(turns)/2, "ms/append")
+	b.ReportMetric(float64(fs.syncs.Load())/float64(turns)/2, "syncs/append")
+	reportMemory(b, "kept")
+	assert.NilError(b, p.group.Close())
+	p = nil
+	reportMemory(b, "closed")
+	began := time.Now()
+	p = open()
+	b.ReportMetric(time.Since(began).Seconds(), "recovery-s")
+	reportMemory(b, "recovered")
+	chain, err := p.state.chain(fmt.Sprint("turn-", turns))
+	assert.NilError(b, err)
+	assert.Equal(b, len(chain), turnBytes)
+	assert.NilError(b, p.group.Close())
+	assert.NilError(b, os.RemoveAll(filepath.Join(c.DataFolder, "partition-1")))
+}
+
+func keepTurn(b *testing.B, p *partitionReplica, i int, body []byte) {
+	program, turn := fmt.Sprint("program-", i/6), fmt.Sprint("turn-", i)
+	_, err := p.propose(context.Background(), tally.NoopScope, ledger.Command{ReserveTurn: &ledger.ReserveTurn{
+		Program: program, Turn: turn, Budget: 1 << 40, MaxTokens: 100, Retention: 60_000,
+	}})
+	assert.NilError(b, err)
+	k := &ledger.KeptTurn{Input: body[:13_000], Output: body[13_000:], Retention: 600_000}
+	_, err = p.propose(context.Background(), tally.NoopScope, ledger.Command{SettleTurn: &ledger.SettleTurn{
+		Program: program, Turn: turn, Tokens: 50, Session: "s", Server: "server-1", Keep: k,
+	}})
+	assert.NilError(b, err)
+}
--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -222,7 +222,7 @@
 	p, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{ReserveTurn: &r.ReserveTurn})
 	out := turnResponse{Result: result}
 	if err == nil && result.Refusal == nil && r.WantChain && r.Previous != "" {
-		out.Chain, err = p.state.chain(r.Previous)
+		out.Chain, err = p.chain(r.Previous)
 	}
 	return out, err
 }
@@ -236,7 +236,7 @@
 	p, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{ExtendTurn: &r.ExtendTurn})
 	out := turnResponse{Result: result}
 	if err == nil && result.Refusal == nil && !r.OmitChain {
-		out.Chain, err = p.state.chain(r.Turn)
+		out.Chain, err = p.chain(r.Turn)
 	}
 	return out, err
 }
--- a/cluster/partition.go
+++ b/cluster/partition.go
@@ -16,6 +16,7 @@
 
 	"github.com/sycamoreline/sycamoreline/cborwire"
 	"github.com/sycamoreline/sycamoreline/control"
+	"github.com/sycamoreline/sycamoreline/disk"
 	"github.com/sycamoreline/sycamoreline/ledger"
 	"github.com/sycamoreline/sycamoreline/replica"
 	"github.com/sycamoreline/sycamoreline/verdict"
@@ -25,6 +26,17 @@
 // its number.
 const partitionFolderPrefix = "partition-"
 
+const (
+	// partitionSnapshotEntries and partitionSnapshotBytes limit the log between two
+	// snapshots of a partition. The disk of a ledger host holds the log beside the
+	// segments, and a replica that was away gets entries from the log only.
+	partitionSnapshotEntries = 20_000
+	partitionSnapshotBytes   = 24 << 20
+	partitionKeptEntries     = 2_000
+	// residentLogBytes limits the applied entries of a partition in memory.
+	residentLogBytes = 2 << 20
+)
+
 // partitionsOnDisk returns the numbers of the partitions that have a folder.
 func partitionsOnDisk(folder string) ([]int, error) {
 	entries, err := os.ReadDir(folder)
@@ -55,6 +67,9 @@
 // group.
 func openPartition(number int, c HostConfig, founders []string, t replica.Transport, opts ...replica.Option) (*partitionReplica, error) {
 	p := &partitionReplica{number: number, opened: time.Now(), clockID: rand.Uint64(), state: &partitionState{ledger: ledger.New()}}
+	opts = append([]replica.Option{
+		replica.WithSnapshots(partitionSnapshotEntries, partitionSnapshotBytes, partitionKeptEntries), replica.WithResidentLog(residentLogBytes),
+	}, opts...)
 	var err error
 	p.group, err = replica.Open(replica.Config{
 		ID: c.ID, Peers: founders, Open: true, Dir: filepath.Join(c.DataFolder, partitionFolderPrefix+strconv.Itoa(number)),
@@ -65,6 +80,17 @@
 	return p, nil
 }
 
+// chain returns the conversation up to a turn. A replica with a damaged body stops,
+// and joins the group anew when its host has started again.
+func (p *partitionReplica) chain(turn string) ([]byte, error) {
+	chain, err := p.state.chain(turn)
+	if err := p.state.bodyError(); err != nil {
+		p.group.Fail(err)
+		return nil, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the conversation cannot be read on this host", verdict.WithCause(err))
+	}
+	return chain, err
+}
+
 // propose proposes a command to the log and returns its result.
 func (p *partitionReplica) propose(ctx context.Context, m tally.Scope, c ledger.Command) (ledger.Result, error) {
 	if err := requireLeader(p.group); err != nil {
@@ -111,6 +137,26 @@
 type partitionState struct {
 	mu     sync.RWMutex
 	ledger *ledger.StateMachine
+	bodies *segmentBodies // or nil
+}
+
+// UseSegments implements replica.SegmentUser.
+func (s *partitionState) UseSegments(segments *disk.Segments) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodies = &segmentBodies{segments: segments}
+	s.ledger = ledger.New(ledger.WithBodies(s.bodies))
+}
+
+// bodyError returns why a body in use could not be read, or nil.
+func (s *partitionState) bodyError() error {
+	if s.bodies == nil {
+		return nil
+	}
+	if err := s.bodies.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // Apply implements replica.StateMachine.
--- /dev/null
+++ b/ledger/body.go
@@ -0,0 +1,63 @@
+package ledger
+
+// BodyRef locates the input and output of a kept turn in a body store. Its checksum
+// covers the position and the contents.
+type BodyRef struct {
+	Segment uint64 `json:"segment"`
+	Offset  int64  `json:"offset"`
+	Length  int    `json:"length"`
+	Sum     uint32 `json:"sum"`
+}
+
+// Bodies stores the inputs and outputs of kept turns outside of memory. References
+// may differ between the replicas of a group.
+type Bodies interface {
+	// Append stores a body, which is not empty.
+	Append(body []byte) (BodyRef, error)
+	Read(r BodyRef) ([]byte, error)
+	// Release tells that a body is no longer used.
+	Release(r BodyRef)
+	// Retain declares that exactly the given bodies are used. It returns an error
+	// if one of them is missing.
+	Retain(refs []BodyRef) error
+}
+
+// WithBodies stores the inputs and outputs of kept turns in b. Those that cannot be
+// stored stay in memory, as all do without this option. Unlike other options, it may
+// differ between the replicas of a group.
+func WithBodies(b Bodies) Option { return func(o *options) { o.bodies = b } }
+
+// bytes returns the size of the input and output.
+func (k *keptTurn) bytes() int {
+	if k.Body != nil {
+		return k.Body.Length
+	}
+	return len(k.Input) + len(k.Output)
+}
+
+// storeBody moves the input and output of a turn to the body store.
+func (m *StateMachine) storeBody(k *keptTurn) {
+	if m.bodies == nil || k.Body != nil || k.bytes() == 0 {
+		return
+	}
+	body := make([]byte, 0, k.bytes())
+	r, err := m.bodies.Append(append(append(body, k.Input...), k.Output...))
+	if err != nil {
+		return
+	}
+	k.Input, k.Output, k.Body = nil, nil, &r
+}
+
+// retainBodies declares the bodies in use after a snapshot was read.
+func (m *StateMachine) retainBodies() error {
+	if m.bodies == nil {
+		return nil
+	}
+	var refs []BodyRef
+	for _, k := range m.turns.kept {
+		if k.Body != nil {
+			refs = append(refs, *k.Body)
+		}
+	}
+	return m.bodies.Retain(refs)
+}
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -13,6 +13,7 @@
 // use.
 type StateMachine struct {
 	options options
+	bodies  Bodies // or nil, to keep the bodies of turns in memory
 	// clock is in milliseconds. It follows the steady times of the commands or, for
 	// commands without one, is the greatest Unix time passed with a command. It
 	// never goes back, so a new leader with a slow clock cannot make an expired
@@ -39,6 +40,7 @@
 	}
 	return &StateMachine{
 		options:  o,
+		bodies:   o.bodies,
 		programs: make(map[string]*program),
 		timers:   newTimers(),
 		releases: newReleaseRecords(),
--- a/ledger/option.go
+++ b/ledger/option.go
@@ -11,6 +11,7 @@
 	maxClosed   int
 	maxGone     int
 	tickBatch   int
+	bodies      Bodies // or nil
 }
 
 func defaultOptions() options {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -147,6 +147,7 @@
 		return fmt.Errorf("snapshot version %d: want %d", h.Version, snapshotVersion)
 	}
 	n := New()
+	n.bodies = m.bodies
 	n.options, n.clock, n.steady, n.removedPrograms = m.options, h.Clock, h.SteadyOrigin, h.RemovedPrograms
 	for _, r := range h.Due {
 		n.releases.due.Set(r)
@@ -163,23 +164,27 @@
 			return fmt.Errorf("program %q: %w", p.ID, err)
 		}
 	}
-	if err := n.turns.restore(decoder, h); err != nil {
+	if err := n.restoreTurns(decoder, h); err != nil {
+		return err
+	}
+	if err := n.retainBodies(); err != nil {
 		return err
 	}
 	*m = *n
 	return nil
 }
 
-func (t *turns) restore(decoder *json.Decoder, h header) error {
+func (m *StateMachine) restoreTurns(decoder *json.Decoder, h header) error {
+	t := &m.turns
 	for i := range h.Accounts {
-		a := newAccount()
+		a := &account{}
 		if err := decoder.Decode(a); err != nil {
 			return fmt.Errorf("read account %d of %d: %w", i+1, h.Accounts, err)
 		}
 		for turn, n := range a.Reserved {
 			// Older snapshots have reservations by turn only.
 			if _, open := a.Streams[turn]; !open {
-				a.Streams[turn] = openStream{MaxTokens: n, Open: []string{turn}}
+				a.setStream(turn, openStream{MaxTokens: n, Open: []string{turn}})
 			}
 		}
 		t.accounts[a.Program] = a
@@ -189,6 +194,10 @@
 		if err := decoder.Decode(k); err != nil {
 			return fmt.Errorf("read turn %d of %d: %w", i+1, h.Turns, err)
 		}
+		if k.Body != nil && m.bodies == nil {
+			return fmt.Errorf("turn %q: its body is in a segment, and there are none", k.Turn)
+		}
+		m.storeBody(k)
 		t.kept[k.Turn] = k
 	}
 	for i := range h.Streams {
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -151,10 +151,6 @@
 	Open []string `json:"open"`
 }
 
-func newAccount() *account {
-	return &account{Reserved: map[string]int64{}, Streams: map[string]openStream{}}
-}
-
 // used returns the tokens that count as used, settled ones included.
 func (s openStream) used() int64 { return max(s.MaxTokens, s.Settled) }
 
@@ -177,8 +173,14 @@
 	if len(s.Open) == 0 {
 		delete(a.Streams, stream)
 		delete(a.Reserved, stream)
+		if len(a.Streams) == 0 {
+			a.Streams, a.Reserved = nil, nil // most accounts have no open stream, and empty maps take memory
+		}
 		return
 	}
+	if a.Streams == nil {
+		a.Streams, a.Reserved = map[string]openStream{}, map[string]int64{}
+	}
 	a.Streams[stream] = s
 	a.Reserved[stream] = s.used() - s.Settled
 }
@@ -226,11 +228,13 @@
 	return sum
 }
 
-// keptTurn is a stored turn of a conversation.
+// keptTurn is a stored turn of a conversation. Its input and output are empty if
+// they are in the body store.
 type keptTurn struct {
 	Turn string `json:"turn"`
 	KeptTurn
-	Expires int64 `json:"expires"` // milliseconds of the machine's clock
+	Expires int64    `json:"expires"` // milliseconds of the machine's clock
+	Body    *BodyRef `json:"body,omitempty"`
 }
 
 // turns holds the accounts, the stored turns, the records of streams and the output
@@ -262,8 +266,7 @@
 	}
 	a := m.turns.accounts[c.Program]
 	if a == nil {
-		a = newAccount()
-		a.Program = c.Program
+		a = &account{Program: c.Program}
 		m.turns.accounts[c.Program] = a
 	}
 	a.use(m.clock, c.Retention)
@@ -332,7 +335,9 @@
 	}
 	if k := c.Keep; k != nil && m.turns.kept[c.Turn] == nil {
 		a.use(m.clock, k.Retention)
-		m.turns.kept[c.Turn] = &keptTurn{Turn: c.Turn, KeptTurn: *k, Expires: m.clock + k.Retention}
+		kept := &keptTurn{Turn: c.Turn, KeptTurn: *k, Expires: m.clock + k.Retention}
+		m.storeBody(kept)
+		m.turns.kept[c.Turn] = kept
 		m.extendChain(k.Previous, m.clock+k.Retention)
 	}
 	return Result{Turn: a.state(c.Turn)}
@@ -368,8 +373,8 @@
 }
 
 // Chain returns the concatenated inputs and outputs of a turn and of all turns
-// before it, oldest first. It returns false if one of them is missing or there
-// are more than maxChain.
+// before it, oldest first. It returns false if one of them is missing or cannot be
+// read, or there are more than maxChain.
 func (m *StateMachine) Chain(turn string) ([]byte, bool) {
 	var links []*keptTurn
 	size := 0
@@ -379,13 +384,21 @@
 			return nil, false
 		}
 		links = append(links, k)
-		size += len(k.Input) + len(k.Output)
+		size += k.bytes()
 		turn = k.Previous
 	}
 	out := bytes.NewBuffer(make([]byte, 0, size))
-	for i := len(links) - 1; i >= 0; i-- {
-		out.Write(links[i].Input)
-		out.Write(links[i].Output)
+	for _, k := range slices.Backward(links) {
+		out.Write(k.Input)
+		out.Write(k.Output)
+		if k.Body == nil {
+			continue
+		}
+		body, err := m.bodies.Read(*k.Body)
+		if err != nil {
+			return nil, false
+		}
+		out.Write(body)
 	}
 	return out.Bytes(), true
 }
@@ -403,7 +416,13 @@
 
 // sweepTurns removes expired turns, accounts, outputs and records of streams.
 func (m *StateMachine) sweepTurns() {
-	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool { return k.Expires+sweepInterval <= m.clock })
+	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool {
+		expired := k.Expires+sweepInterval <= m.clock
+		if expired && k.Body != nil {
+			m.bodies.Release(*k.Body)
+		}
+		return expired
+	})
 	maps.DeleteFunc(m.turns.accounts, func(_ string, a *account) bool { return a.expired(m.clock) })
 	maps.DeleteFunc(m.turns.outputs, func(_ string, o *streamOutput) bool { return o.Expires <= m.clock })
 	maps.DeleteFunc(m.turns.streams, func(_ string, r streamRecord) bool { return r.Expires <= m.clock })
