ledger, cluster, disk: bound the disk of a ledger host

Cause: segments of expired turns stayed for up to 20 s, and a ledger host did not know the size of its disk. Change: turns are removed 2 to 4 s after they have expired.

--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -33,6 +33,8 @@
 	Name string // by which operators refer to the host
 	// FirstStart is set on the first start of the deployment.
 	FirstStart bool
+	// DiskBytes is the size of the disk, or 0 for no limit.
+	DiskBytes int64
 }
 
 // LedgerHost is a ledger host. It runs a replica of each partition that the
@@ -45,6 +47,8 @@
 	mesh   *mesh
 	link   *Link
 
+	disk   diskLevel // owned by run, read by reserve
+
 	mu         sync.Mutex
 	partitions map[int]*partitionReplica
 	err        error
@@ -116,6 +120,9 @@
 		if err := h.applyPlan(h.link.Ledger()); err != nil {
 			return err
 		}
+		if used := h.diskBytes(); h.disk.update(used, h.config.DiskBytes) {
+			h.logger.Warn("fill level of the disk changed", zap.Stringer("refused", h.disk.refused()), zap.Int64("used-bytes", used), zap.Int64("disk-bytes", h.config.DiskBytes))
+		}
 		if time.Since(metricsAt) >= maxGossipInterval {
 			metricsAt = time.Now()
 			h.recordMetrics()
@@ -174,6 +181,7 @@
 		m.Gauge("log-members").Update(float64(len(s.Members)))
 	}
 	h.config.Metrics.Gauge("log-leads").Update(float64(leads))
+	h.config.Metrics.Gauge("ledger-disk-bytes").Update(float64(h.diskBytes()))
 }
 
 func (h *LedgerHost) partition(number int) *partitionReplica {
@@ -219,6 +227,9 @@
 }
 
 func (h *LedgerHost) reserve(ctx context.Context, _ string, r reserveRequest) (turnResponse, error) {
+	if refusal := h.checkDisk(r); refusal != nil {
+		return turnResponse{Result: ledger.Result{Refusal: refusal}}, nil
+	}
 	p, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{ReserveTurn: &r.ReserveTurn})
 	out := turnResponse{Result: result}
 	if err == nil && result.Refusal == nil && r.WantChain && r.Previous != "" {
--- a/cluster/message.go
+++ b/cluster/message.go
@@ -240,6 +240,8 @@
 	ledger.ReserveTurn
 	// WantChain requests the conversation up to the previous turn.
 	WantChain bool `json:"want-chain,omitempty"`
+	// Elsewhere is set if the turn continues one in another partition.
+	Elsewhere bool `json:"elsewhere,omitempty"`
 }
 
 type settleRequest struct {
--- a/cluster/partition.go
+++ b/cluster/partition.go
@@ -31,7 +31,7 @@
 	// snapshots of a partition. The disk of a ledger host holds the log beside the
 	// segments, and a replica that was away gets entries from the log only.
 	partitionSnapshotEntries = 20_000
-	partitionSnapshotBytes   = 24 << 20
+	partitionSnapshotBytes   = 16 << 20
 	partitionKeptEntries     = 2_000
 	// residentLogBytes limits the applied entries of a partition in memory.
 	residentLogBytes = 2 << 20
--- a/cluster/turns.go
+++ b/cluster/turns.go
@@ -28,6 +28,7 @@
 	ledger.ReserveTurn
 	// WantChain requests the conversation up to the previous turn.
 	WantChain bool
+	elsewhere bool // the previous turn is in another partition
 }
 
 // Reservation describes a reserved turn.
@@ -81,7 +82,7 @@
 	if err != nil {
 		return Reservation{}, err
 	}
-	t.Previous = ""
+	t.Previous, t.elsewhere = "", true
 	r, err = l.reserve(ctx, t)
 	r.Chain, r.OtherPartition = chain, true
 	return r, err
@@ -90,7 +91,7 @@
 func (l *Link) reserve(ctx context.Context, t TurnRequest) (Reservation, error) {
 	var out turnResponse
 	err := l.callProgramLeader(ctx, t.Program, methodReserve, func(partition int) any {
-		return reserveRequest{Partition: partition, ReserveTurn: t.ReserveTurn, WantChain: t.WantChain}
+		return reserveRequest{Partition: partition, ReserveTurn: t.ReserveTurn, WantChain: t.WantChain, Elsewhere: t.elsewhere}
 	}, &out)
 	if err != nil {
 		return Reservation{}, err
@@ -248,7 +249,7 @@
 	if r == nil {
 		return nil
 	}
-	return verdict.New(r.Verdict, r.Reason, r.Message)
+	return verdict.New(r.Verdict, r.Reason, r.Message, verdict.WithRetryAfter(time.Duration(r.RetryAfter)*time.Millisecond))
 }
 
 // partitionCount returns the number of partitions, which never changes.
--- a/cmd/sycamoreline-platform/ledger.go
+++ b/cmd/sycamoreline-platform/ledger.go
@@ -31,7 +31,7 @@
 						ID: s.IP, DataCentre: s.DataCentre, DataFolder: s.DataFolder, Seeds: s.SeedHosts(), Key: key,
 						Address: s.PeerAddress, ToleratedLosses: s.ToleratedLosses, Metrics: p.metrics,
 					},
-					Name: s.Host, FirstStart: s.FirstStart,
+					Name: s.Host, FirstStart: s.FirstStart, DiskBytes: int64(s.DiskMB) << 20,
 				}, l, logger)
 				if err != nil {
 					return err
--- a/disk/segment.go
+++ b/disk/segment.go
@@ -14,6 +14,8 @@
 	segmentPrefix = "segment-"
 	// segmentBytes is the size from which on a segment gets no further records.
 	segmentBytes = 4 << 20
+	// syncBytes is the number of bytes after which the segments are synced.
+	syncBytes = 1 << 20
 	// sequenceBits is the size of the count in the number of a segment. The other
 	// bits are random for each opening of a folder.
 	sequenceBits = 24
@@ -67,6 +69,7 @@
 	failed   error  // returned by all later syncs
 	pins     int    // transfers that read the segments
 	bytes    int64
+	unsynced int64 // bytes appended since the last sync began
 	// saved has the lengths of the segments as of the newest finished snapshot.
 	saved map[uint64]int64
 }
@@ -121,6 +124,22 @@
 	return s.bytes
 }
 
+// SyncDue returns whether so much has been appended since the last sync that Sync
+// should be called, without waiting for a snapshot. Otherwise, the sync before a
+// snapshot would delay the writes to the log.
+func (s *Segments) SyncDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unsynced >= syncBytes
+}
+
+// Sync makes all records durable. After an error, which wraps ErrStopped, all later
+// syncs fail.
+func (s *Segments) Sync() error {
+	_, err := s.sync()
+	return err
+}
+
 // Append writes a record without syncing it. After an error nothing is stored,
 // and Append may be called again.
 func (s *Segments) Append(data []byte) (Ref, error) {
@@ -143,6 +162,7 @@
 	g.size += int64(len(data))
 	g.live++
 	s.bytes += int64(len(data))
+	s.unsynced += int64(len(data))
 	return r, nil
 }
 
@@ -293,6 +313,7 @@
 		}
 	}
 	named := s.named == created
+	s.unsynced = 0
 	s.mu.Unlock()
 	for _, g := range unsynced {
 		failed = errors.Join(failed, s.syncSegment(g))
--- a/disk/transfer.go
+++ b/disk/transfer.go
@@ -110,8 +110,8 @@
 	parsed    bool
 	parts     []segmentPart
 	stateLeft int64
-	current   int // index of the part that is being received
-	partLeft  int64
+	current   int   // index of the part that is being received
+	partBytes int64 // received of it
 }
 
 // take returns the bytes of data that belong to the state, and writes those that
@@ -134,21 +134,29 @@
 			return nil, errors.New("transfer is longer than its header says")
 		}
 		p := &r.parts[r.current]
-		n := min(p.bytes-r.partLeft, int64(len(data)))
+		n := min(p.bytes-r.partBytes, int64(len(data)))
 		if _, err := p.file.Write(data[:n]); err != nil {
 			return nil, fmt.Errorf("write received segment: %w", err)
 		}
-		r.partLeft += n
+		r.partBytes += n
 		data = data[n:]
-		r.skipComplete()
+		if err := r.finishParts(); err != nil {
+			return nil, err
+		}
 	}
 	return state, nil
 }
 
-func (r *receiver) skipComplete() {
-	for r.current < len(r.parts) && r.partLeft == r.parts[r.current].bytes {
-		r.current, r.partLeft = r.current+1, 0
+// finishParts syncs the parts that are complete, so that the end of the transfer
+// does not have to sync all.
+func (r *receiver) finishParts() error {
+	for r.current < len(r.parts) && r.partBytes == r.parts[r.current].bytes {
+		if err := r.parts[r.current].file.Sync(); err != nil {
+			return fmt.Errorf("sync received segment: %w", err)
+		}
+		r.current, r.partBytes = r.current+1, 0
 	}
+	return nil
 }
 
 // parse reads the header once it is complete, and returns the bytes after it.
@@ -181,8 +189,7 @@
 	}
 	r.stateLeft = int64(binary.LittleEndian.Uint64(b))
 	r.parsed, r.pending = true, nil
-	r.skipComplete()
-	return b[transferStateBytes:], nil
+	return b[transferStateBytes:], r.finishParts()
 }
 
 func (r *receiver) temp(p segmentPart) string {
@@ -201,8 +208,8 @@
 		p := &r.parts[i]
 		f := p.file
 		p.file = nil
-		if err := errors.Join(f.Sync(), f.Close()); err != nil {
-			return fmt.Errorf("sync received segment: %w", err)
+		if err := f.Close(); err != nil {
+			return fmt.Errorf("close received segment: %w", err)
 		}
 		if err := r.store.segments.adopt(*p, r.temp(*p)); err != nil {
 			return fmt.Errorf("adopt received segment: %w", err)
--- a/forward/turn.go
+++ b/forward/turn.go
@@ -75,7 +75,7 @@
 }
 
 // refusalsOfTurns are the reasons of the ledger for refusing a turn.
-var refusalsOfTurns = []verdict.Reason{verdict.BudgetExceeded, ledger.UnknownTurn, UnknownStream, ledger.StreamTakenUp}
+var refusalsOfTurns = []verdict.Reason{verdict.BudgetExceeded, verdict.Overloaded, ledger.UnknownTurn, UnknownStream, ledger.StreamTakenUp}
 
 // continues reports whether the call asks for the rest of a stream only, after the
 // last event that its caller has received.
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -14,8 +14,12 @@
 
 const (
 	// sweepInterval is the interval, in milliseconds of the machine's clock, at
-	// which expired turns, accounts and records of streams are removed.
+	// which expired accounts and records of streams are removed.
 	sweepInterval = 10_000
+	// turnSweepInterval is the interval, in milliseconds of the machine's clock, at
+	// which turns are removed that have expired for as long. They take most of the
+	// disk.
+	turnSweepInterval = 2_000
 	// accountRetention is the minimum time, in milliseconds, for which the account
 	// of a program is kept after its last turn. A stopped program may be continued
 	// within the retention of its route.
@@ -409,20 +413,27 @@
 func (m *StateMachine) advanceClock(millis int64) {
 	previous := m.clock
 	m.clock = max(m.clock, min(millis, maxUnixMillis))
-	if m.clock/sweepInterval != previous/sweepInterval {
+	if m.clock/turnSweepInterval != previous/turnSweepInterval {
 		m.sweepTurns()
 	}
+	if m.clock/sweepInterval != previous/sweepInterval {
+		m.sweepAccounts()
+	}
 }
 
-// sweepTurns removes expired turns, accounts, outputs and records of streams.
+// sweepTurns removes expired turns.
 func (m *StateMachine) sweepTurns() {
 	maps.DeleteFunc(m.turns.kept, func(_ string, k *keptTurn) bool {
-		expired := k.Expires+sweepInterval <= m.clock
+		expired := k.Expires+turnSweepInterval <= m.clock
 		if expired && k.Body != nil {
 			m.bodies.Release(*k.Body)
 		}
 		return expired
 	})
+}
+
+// sweepAccounts removes expired accounts, outputs and records of streams.
+func (m *StateMachine) sweepAccounts() {
 	maps.DeleteFunc(m.turns.accounts, func(_ string, a *account) bool { return a.expired(m.clock) })
 	maps.DeleteFunc(m.turns.outputs, func(_ string, o *streamOutput) bool { return o.Expires <= m.clock })
 	maps.DeleteFunc(m.turns.streams, func(_ string, r streamRecord) bool { return r.Expires <= m.clock })
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -33,6 +33,7 @@
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int64
 	savingSnapshot       atomic.Bool // a captured snapshot is being written
+	syncing              atomic.Bool // the segments are being synced
 }
 
 func newApplier(g *Group, r disk.Recovered) (*applier, error) {
@@ -98,6 +99,7 @@
 			return fmt.Errorf("apply: %w", err)
 		}
 		a.apply(e)
+		a.syncIfDue()
 		a.snapshotIfDue()
 	}
 	if len(item.reads) > 0 {
@@ -108,6 +110,20 @@
 	return nil
 }
 
+// syncIfDue syncs the segments in the background, if there are any.
+func (a *applier) syncIfDue() {
+	s := a.group.store.Segments()
+	if s == nil || !s.SyncDue() || !a.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	a.group.workers.Go(func() {
+		defer a.syncing.Store(false)
+		if err := s.Sync(); err != nil {
+			a.group.shutDown(err)
+		}
+	})
+}
+
 func (a *applier) snapshotIfDue() {
 	o := a.group.options
 	due := a.entriesSinceSnapshot >= o.snapshotEntries || a.bytesSinceSnapshot >= o.snapshotBytes
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -245,6 +246,10 @@
 	for _, w := range g.written.takeAll() {
 		g.pendingWrites--
 		switch {
+		case errors.Is(w.err, errChunk) && errors.Is(w.err, syscall.ENOSPC) && g.store.Segments() != nil && g.store.Segments().Bytes() > 0:
+			// The segments of the outdated state take the space for the newer one.
+			g.shutDown(fmt.Errorf("%w: no space for a snapshot beside the present state: %w", disk.ErrDamaged, w.err))
+			return
 		case errors.Is(w.err, errChunk):
 			g.options.logger.Warn("store snapshot chunk failed", zap.Error(w.err))
 			g.handle(g.node.ChunkFailed(g.now(), w.persist))
