--- a/cluster/bodies_bench_test.go
+++ b/cluster/bodies_bench_test.go
@@ -100,7 +100,8 @@
 	reportMemory(b, "empty")
 	fs.syncs.Store(0)
 	body := make([]byte, turnBytes)
-	rand.NewChaCha8([32]byte{}).Read(body)
+	_, err := rand.NewChaCha8([32]byte{}).Read(body)
+	assert.NilError(b, err)
 	var next, waited atomic.Int64
 	var wait sync.WaitGroup
 	for range writers {
--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -47,7 +47,7 @@
 	mesh   *mesh
 	link   *Link
 
-	disk   diskLevel // owned by run, read by reserve
+	disk diskLevel // owned by run, read by reserve
 
 	mu         sync.Mutex
 	partitions map[int]*partitionReplica
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -32,7 +32,9 @@
 func record(i, size int) []byte { return bytes.Repeat([]byte{byte(i + 1)}, size) }
 
 // segmentFile returns the path of the segment with a record.
-func segmentFile(dir string, r disk.Ref) string { return fmt.Sprintf("%s/segment-%016x", dir, r.Segment) }
+func segmentFile(dir string, r disk.Ref) string {
+	return fmt.Sprintf("%s/segment-%016x", dir, r.Segment)
+}
 
 // Guards against a snapshot that refers to records which a crash loses, against torn
 // records that stay in the segments, and against expired records that make a folder
@@ -190,8 +192,16 @@
 	}
 	assert.Equal(t, s.Segments().Bytes(), int64(4<<20))
 	assert.Assert(t, d.Used() < 5<<20)
+	// The next snapshot was captured before the records expired, and refers to them.
+	saveSnapshot(t, s, disk.SnapshotInfo{Index: 2, Term: 1}, "state")
+	assert.NilError(t, s.Close())
+	s, _ = openSegments(t, d, "data", 2<<40)
+	assert.NilError(t, s.Segments().Retain(refs))
+	for _, r := range refs[:3] {
+		s.Segments().Release(r)
+	}
 	for i := range uint64(2) {
-		saveSnapshot(t, s, disk.SnapshotInfo{Index: i + 2, Term: 1}, "state")
+		saveSnapshot(t, s, disk.SnapshotInfo{Index: i + 3, Term: 1}, "state")
 	}
 	names, err := d.List("data")
 	assert.NilError(t, err)
