replica, cluster: the leader goes by the fullest disk of its replicas

Cause: after a loss of hosts some hold more partitions than others, and their disks fill up although the leader's has space. Change: a follower reports its level in its replies to appends; nothing is sent at level 0. First turns are refused from 90% on, all reservations from 96% on.

--- a/cluster/bodies_bench_test.go
+++ b/cluster/bodies_bench_test.go
@@ -144,3 +144,71 @@
 		}
 	}
 }
+
+// benchTransport passes the messages of replicas in one process.
+type benchTransport struct{ replicas sync.Map }
+
+// Send implements replica.Transport.
+func (t *benchTransport) Send(m replica.Message) {
+	if p, ok := t.replicas.Load(m.To.ID); ok {
+		p.(*partitionReplica).group.Deliver(m)
+	}
+}
+
+// BenchmarkNewReplica measures how long a new replica takes to get 150 MB of kept
+// turns while further turns are kept, and the memory of a process with all three
+// replicas.
+func BenchmarkNewReplica(b *testing.B) {
+	const turnBytes, turns = 17_000, 150 << 20 / 17_000
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(154 << 20 * 6 / 10))
+	ids := []string{"k1", "k2", "k3"}
+	for b.Loop() {
+		t := &benchTransport{}
+		dir := b.TempDir()
+		open := func(id string, founders []string) *partitionReplica {
+			p, err := openPartition(1, HostConfig{ID: id, DataFolder: filepath.Join(dir, id)}, founders, t, groupOptions(zap.NewNop())...)
+			assert.NilError(b, err)
+			p.group.SetJoinPeers(ids)
+			t.replicas.Store(id, p)
+			return p
+		}
+		replicas := map[string]*partitionReplica{}
+		for _, id := range ids {
+			replicas[id] = open(id, ids)
+		}
+		leader := func() *partitionReplica {
+			for {
+				for _, p := range replicas {
+					if p.group.Read(b.Context()) == nil {
+						return p
+					}
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		body := make([]byte, turnBytes)
+		for i := range turns {
+			keepTurn(b, leader(), i, body)
+		}
+		lost := ids[0]
+		if leader() == replicas[lost] {
+			lost = ids[1]
+		}
+		assert.NilError(b, replicas[lost].group.Close())
+		assert.NilError(b, os.RemoveAll(filepath.Join(dir, lost)))
+		reportMemory(b, "before")
+		began := time.Now()
+		replicas[lost] = open(lost, nil)
+		for i := turns; ; i++ {
+			keepTurn(b, leader(), i, body)
+			if _, err := replicas[lost].state.chain(fmt.Sprint("turn-", i-1)); err == nil {
+				break
+			}
+		}
+		b.ReportMetric(time.Since(began).Seconds(), "catch-up-s")
+		reportMemory(b, "caught-up")
+		for _, p := range replicas {
+			assert.NilError(b, p.group.Close())
+		}
+	}
+}
--- a/cluster/disklevel.go
+++ b/cluster/disklevel.go
@@ -12,8 +12,8 @@
 // all reservations. What is left is for the turns that are reserved already, for
 // snapshots and for the log while it is rewritten.
 const (
-	refuseFirstTurnsFraction = 0.85
-	refuseAllTurnsFraction   = 0.95
+	refuseFirstTurnsFraction = 0.90
+	refuseAllTurnsFraction   = 0.96
 	// resumeFraction of the disk must be free again before fewer turns are refused.
 	resumeFraction = 0.02
 	// diskRetryAfter is how long a refused caller waits. Bodies expire all the time.
@@ -71,20 +71,21 @@
 	return used
 }
 
-// checkDisk refuses a reservation on a leader whose disk is nearly full: first turns
-// before those that continue a conversation or a stream.
+// checkDisk refuses a reservation on a leader if its disk, or that of another replica
+// of the partition, is nearly full: first turns before those that continue a conversation or a stream.
 func (h *LedgerHost) checkDisk(r reserveRequest) *ledger.Refusal {
-	refused := h.disk.refused()
-	first := r.Previous == "" && !r.Elsewhere && r.Resumes == ""
-	if refused == refuseNone || refused == refuseFirst && !first {
+	p := h.partition(r.Partition)
+	if p == nil || requireLeader(p.group) != nil {
 		return nil
 	}
-	if p := h.partition(r.Partition); p == nil || requireLeader(p.group) != nil {
+	refused := refusedTurns(p.group.Status().DiskLevel)
+	first := r.Previous == "" && !r.Elsewhere && r.Resumes == ""
+	if refused == refuseNone || refused == refuseFirst && !first {
 		return nil
 	}
 	h.config.Metrics.Tagged(map[string]string{"refused": refused.String()}).Counter("ledger-disk-refusals").Inc(1)
 	return &ledger.Refusal{
-		Verdict: verdict.NotRun, Reason: verdict.Overloaded, Message: "the disk of the ledger is nearly full; refused: " + refused.String(),
+		Verdict: verdict.NotRun, Reason: verdict.Overloaded, Message: "a disk of the ledger is nearly full; refused: " + refused.String(),
 		RetryAfter: diskRetryAfter.Milliseconds(),
 	}
 }
--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -47,7 +47,7 @@
 	mesh   *mesh
 	link   *Link
 
-	disk diskLevel // owned by run, read by reserve
+	disk diskLevel // owned by run
 
 	mu         sync.Mutex
 	partitions map[int]*partitionReplica
@@ -123,6 +123,9 @@
 		if used := h.diskBytes(); h.disk.update(used, h.config.DiskBytes) {
 			h.logger.Warn("fill level of the disk changed", zap.Stringer("refused", h.disk.refused()), zap.Int64("used-bytes", used), zap.Int64("disk-bytes", h.config.DiskBytes))
 		}
+		for _, p := range h.allPartitions() {
+			p.group.SetDiskLevel(int(h.disk.refused()))
+		}
 		if time.Since(metricsAt) >= maxGossipInterval {
 			metricsAt = time.Now()
 			h.recordMetrics()
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -4,7 +4,7 @@
 
 func (n *Node) onAppend(m Message) {
 	r := n.message(appendReply, m.From)
-	r.Round = m.Round
+	r.Round, r.DiskLevel = m.Round, n.diskLevel
 	entries, prev, ok := n.matchPrevious(m)
 	if !ok {
 		r.Reject, r.Index = true, n.log.conflict(m.Index)
--- a/replica/group.go
+++ b/replica/group.go
@@ -113,6 +113,7 @@
 	joinPeers       atomic.Pointer[[]string]
 	retiring        atomic.Pointer[[]string]
 	desired         atomic.Pointer[[]string]
+	diskLevel       atomic.Int32
 	pendingWrites   int                   // number of queued and running disk writes; owned by the loop
 	pendingReads    map[uint64][]*request // reads not yet confirmed, by id
 	lastReadID      uint64
@@ -234,6 +235,10 @@
 // are voters. nil allows any replica to join.
 func (g *Group) SetDesiredMembers(ids []string) { g.desired.Store(&ids) }
 
+// SetDiskLevel sets how scarce the disk of this replica is, from 0. The leader's Status
+// has the highest level of all replicas.
+func (g *Group) SetDiskLevel(level int) { g.diskLevel.Store(int32(level)) }
+
 // Leader returns the id of the group's leader, and false if it is unknown.
 func (g *Group) Leader() (id string, ok bool) {
 	r := g.leader.Load()
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -30,6 +30,7 @@
 	lastContact   time.Duration // time of the last reply or, before it, of the start of tracking
 	responded     bool          // has replied to an append since this replica became leader
 	round         uint64        // last heartbeat round echoed
+	diskLevel     int           // of the last reply to an append
 	// Snapshot transfer; snapshot.Index is 0 if there is none.
 	snapshot disk.SnapshotInfo
 	offset   int64
@@ -254,7 +255,7 @@
 	if p == nil {
 		return // not a member: an earlier incarnation or a removed replica
 	}
-	p.lastContact, p.responded = now.Elapsed, true
+	p.lastContact, p.responded, p.diskLevel = now.Elapsed, true, m.DiskLevel
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		n.onAppendRejected(m, p)
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -56,6 +56,7 @@
 			if ids := g.desired.Load(); ids != nil {
 				g.node.SetDesiredMembers(*ids)
 			}
+			g.node.SetDiskLevel(int(g.diskLevel.Load()))
 			g.handle(g.node.Tick(g.now()))
 			g.status.Store(g.node.status())
 		}
--- a/replica/message.go
+++ b/replica/message.go
@@ -55,6 +55,9 @@
 	Offset  int64        `json:"offset,omitempty"` // of Data in the snapshot or, in a reply, of the next chunk, in bytes
 	Data    []byte       `json:"data,omitempty"`
 	Last    bool         `json:"last,omitempty"` // Data is the last chunk of the snapshot; in a reply, no further chunk is needed
+	// DiskLevel is, in an append reply, the level that the follower's SetDiskLevel
+	// was given.
+	DiskLevel int `json:"disk-level,omitempty"`
 	// Promises is the sender's record of the receiver's promises.
 	Promises *Promises `json:"seen,omitempty"`
 }
--- a/replica/node.go
+++ b/replica/node.go
@@ -197,6 +197,7 @@
 	desired     []string         // ids of the desired members; nil for no restriction
 	promises    map[Ref]Promises // promises made by each replica, including this one
 	incoming    incomingSnapshot
+	diskLevel   int
 }
 
 // NewNode returns a Node with the state recovered from disk.
--- a/replica/status.go
+++ b/replica/status.go
@@ -15,13 +15,30 @@
 	Members     Members `json:"members,omitempty"`
 	// MembersCommitted is false while a membership change is in progress.
 	MembersCommitted bool `json:"members-committed"`
+	// DiskLevel is the highest level that SetDiskLevel was given on this replica or, on
+	// a leader, on a follower.
+	DiskLevel int `json:"disk-level,omitempty"`
+}
+
+// SetDiskLevel sets how scarce the disk of this replica is, from 0. Its meaning is the
+// caller's.
+func (n *Node) SetDiskLevel(level int) { n.diskLevel = level }
+
+func (n *Node) highestDiskLevel() int {
+	level := n.diskLevel
+	if n.role == Leader {
+		for _, p := range n.leaderState.progress {
+			level = max(level, p.diskLevel)
+		}
+	}
+	return level
 }
 
 func (n *Node) status() *Status {
 	return &Status{
 		ID: n.Self.ID, Incarnation: n.Self.Incarnation, Role: n.role.String(), Term: n.hardState.Term, Leader: n.leader.ID,
 		Last: n.log.last(), Stable: n.log.stable, Commit: n.commit, First: n.log.base.Index + 1, Snapshot: n.snapshot.Index,
-		Members: n.members, MembersCommitted: n.membersIndex <= n.commit,
+		Members: n.members, MembersCommitted: n.membersIndex <= n.commit, DiskLevel: n.highestDiskLevel(),
 	}
 }
 
