replica, cluster: allowance for the entries of a rewritten log, limits of entries of a partition

Cause: entries without data in memory counted as empty writes, so that a rewrite of the log would look like a slow disk; 2,000 entries of recorded events are 0.3 s of log, after which a replica would need all bodies again.

--- a/cluster/partition.go
+++ b/cluster/partition.go
@@ -30,9 +30,9 @@
 	// partitionSnapshotEntries and partitionSnapshotBytes limit the log between two
 	// snapshots of a partition. The disk of a ledger host holds the log beside the
 	// segments, and a replica that was away gets entries from the log only.
-	partitionSnapshotEntries = 20_000
+	partitionSnapshotEntries = 40_000
 	partitionSnapshotBytes   = 16 << 20
-	partitionKeptEntries     = 2_000
+	partitionKeptEntries     = 20_000
 	// residentLogBytes limits the applied entries of a partition in memory.
 	residentLogBytes = 2 << 20
 )
--- a/replica/node.go
+++ b/replica/node.go
@@ -81,12 +81,11 @@
 	Chunk     *Chunk
 }
 
-// size returns the number of bytes to write, without the headers of entries. A
-// compaction is not included.
+// size returns the number of bytes to write, without the headers of entries.
 func (p Persist) size() int {
 	size := 0
 	for i := range p.Entries {
-		size += len(p.Entries[i].Data)
+		size += p.Entries[i].Bytes()
 	}
 	if p.Chunk != nil {
 		size += len(p.Chunk.Data)
