--- a/replica/loop.go
+++ b/replica/loop.go
@@ -197,7 +197,7 @@
 // send sends messages. It loads the data of entries that is not in memory.
 func (g *Group) send(ms []Message) {
 	for _, m := range ms {
-		entries, err := g.loadEntries(m.Entries)
+		entries, err := loadEntries(g.store, m.Entries)
 		if err != nil {
 			g.shutDown(err)
 			return
@@ -207,14 +207,15 @@
 	}
 }
 
-func (g *Group) loadEntries(entries []disk.Entry) ([]disk.Entry, error) {
+// loadEntries returns entries with their data.
+func loadEntries(store *disk.Store, entries []disk.Entry) ([]disk.Entry, error) {
 	if !slices.ContainsFunc(entries, func(e disk.Entry) bool { return e.Size > 0 }) {
 		return entries, nil
 	}
 	loaded := make([]disk.Entry, len(entries))
 	for i, e := range entries {
 		var err error
-		if loaded[i], err = g.store.LoadEntry(e); err != nil {
+		if loaded[i], err = store.LoadEntry(e); err != nil {
 			return nil, fmt.Errorf("send: %w", err)
 		}
 	}
