ledger, cluster: compress kept turns where disk-mb is set

Cause: turns of 60 s, kept until the response must have ended and until the whole segment has expired, take more than the disk of a ledger host. Change: the leader compresses the input and output before it proposes them; replicas keep them compressed. After a turn that cannot be compressed, the next 31 are not tried.

--- a/cluster/bodies_test.go
+++ b/cluster/bodies_test.go
@@ -251,8 +251,8 @@
 }
 
 // Guards against a ledger with a nearly full disk that takes first turns until it
-// can't continue any conversation, and against a refusal that waits or gets another
-// verdict.
+// can't continue any conversation, against a refusal that waits or gets another
+// verdict, and against turns that change when they are compressed.
 func TestNearlyFullLedgerRefusesFirstTurns(t *testing.T) {
 	d := newDeployment(t, "c1", "k1")
 	d.tolerate = 0
@@ -277,9 +277,18 @@
 	// keep fills the disk: the log and a segment have the turn.
 	keep := func(turn string, size int, want refusedTurns) {
 		input := make([]byte, size)
+		_, err := rand.NewChaCha8([32]byte{}).Read(input) // cannot be compressed
+		assert.NilError(t, err)
 		assert.NilError(t, entry.Settle(ctx, ledger.SettleTurn{Program: "p", Turn: turn, Tokens: 1, Keep: &ledger.KeptTurn{Input: input, Retention: 60_000}}))
 		d.await("the level "+want.String(), func(context.Context) bool { return h.partition(1).group.Status().DiskLevel == int(want) })
 	}
+	words := bytes.Repeat([]byte("words "), 10_000)
+	assert.Equal(t, reserve("w", ""), verdict.Reason(""))
+	assert.NilError(t, entry.Settle(ctx, ledger.SettleTurn{Program: "p", Turn: "w", Tokens: 1, Keep: &ledger.KeptTurn{Input: words, Retention: 60_000}}))
+	r, err := entry.Reserve(ctx, turnRequest("p", "x", 1, "w"))
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(r.Chain, words))
+	assert.Assert(t, h.diskBytes() < int64(len(words)/4))
 	assert.Equal(t, reserve("a", ""), verdict.Reason(""))
 	keep("a", 455_000, refuseFirst)
 	assert.Equal(t, reserve("b", ""), verdict.Overloaded)
--- a/cluster/disklevel.go
+++ b/cluster/disklevel.go
@@ -62,6 +62,21 @@
 	return refuseNone
 }
 
+// packSkipsAfterFailure is the number of turns that are not packed after one that
+// could not be compressed, to save CPU time.
+const packSkipsAfterFailure = 31
+
+// pack compresses a turn before it is proposed.
+func (h *LedgerHost) pack(k *ledger.KeptTurn) {
+	if len(k.Input)+len(k.Output) < ledger.MinPackBytes || h.packSkips.Add(-1) >= 0 {
+		return
+	}
+	h.packSkips.Store(0)
+	if !k.Pack() {
+		h.packSkips.Store(packSkipsAfterFailure)
+	}
+}
+
 // diskBytes returns the size of the logs and segments of this host.
 func (h *LedgerHost) diskBytes() int64 {
 	used := int64(0)
--- a/cluster/ledgerhost.go
+++ b/cluster/ledgerhost.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,6 +49,9 @@
 	link   *Link
 
 	disk diskLevel // owned by run
+	// packSkips is the number of turns that are not packed, after one that could not
+	// be compressed.
+	packSkips atomic.Int32
 
 	mu         sync.Mutex
 	partitions map[int]*partitionReplica
@@ -242,6 +246,9 @@
 }
 
 func (h *LedgerHost) settle(ctx context.Context, _ string, r settleRequest) (turnResponse, error) {
+	if h.config.DiskBytes > 0 && r.Keep != nil {
+		h.pack(r.Keep)
+	}
 	_, result, err := h.proposeTo(ctx, r.Partition, ledger.Command{SettleTurn: &r.SettleTurn})
 	return turnResponse{Result: result}, err
 }
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -194,3 +194,18 @@
 		})
 	}
 }
+
+// BenchmarkPack measures the compression of a turn of 17 KB of words.
+func BenchmarkPack(b *testing.B) {
+	var text bytes.Buffer
+	for i := 0; text.Len() < 17_000; i++ {
+		fmt.Fprintf(&text, "%s-%x ", []string{"the", "ledger", "turn", "of", "host"}[i*i%5], i*7919%4096)
+	}
+	for b.Loop() {
+		k := KeptTurn{Input: text.Bytes()}
+		if !k.Pack() {
+			b.Fatal("not packed")
+		}
+		b.ReportMetric(float64(len(k.Packed))/float64(text.Len()), "ratio")
+	}
+}
--- a/ledger/body.go
+++ b/ledger/body.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "slices"
+
 // BodyRef locates the input and output of a kept turn in a body store. Its checksum
 // covers the position and the contents.
 type BodyRef struct {
@@ -29,23 +31,43 @@
 
 // bytes returns the size of the input and output.
 func (k *keptTurn) bytes() int {
-	if k.Body != nil {
+	switch {
+	case k.Size > 0:
+		return k.Size
+	case k.Body != nil:
 		return k.Body.Length
 	}
 	return len(k.Input) + len(k.Output)
 }
 
+// body returns the input and output of a kept turn.
+func (m *StateMachine) body(k *keptTurn) ([]byte, error) {
+	body := k.Packed
+	switch {
+	case k.Body != nil:
+		var err error
+		if body, err = m.bodies.Read(*k.Body); err != nil {
+			return nil, err
+		}
+	case k.Size == 0:
+		return slices.Concat(k.Input, k.Output), nil
+	}
+	if k.Size > 0 {
+		return unpack(body, k.Size)
+	}
+	return body, nil
+}
+
 // storeBody moves the input and output of a turn to the body store.
 func (m *StateMachine) storeBody(k *keptTurn) {
 	if m.bodies == nil || k.Body != nil || k.bytes() == 0 {
 		return
 	}
-	body := make([]byte, 0, k.bytes())
-	r, err := m.bodies.Append(append(append(body, k.Input...), k.Output...))
+	r, err := m.bodies.Append(slices.Concat(k.Packed, k.Input, k.Output))
 	if err != nil {
 		return
 	}
-	k.Input, k.Output, k.Body = nil, nil, &r
+	k.Packed, k.Input, k.Output, k.Body = nil, nil, nil, &r
 }
 
 // retainBodies declares the bodies in use after a snapshot was read.
--- a/ledger/body_test.go
+++ b/ledger/body_test.go
@@ -70,7 +70,7 @@
 			Stream: turn, Turn: turn, Offset: rapid.IntRange(0, n-1).Draw(t, "offset"), Retention: retention, Events: []OutputEvent{outputEvent(n, turn), {}},
 		}}
 	}
-	keep := &KeptTurn{Previous: other, Input: []byte("in " + turn), Retention: retention}
+	keep := &KeptTurn{Previous: other, Input: bytes.Repeat([]byte("in "+turn), 200), Retention: retention}
 	for n := range events[turn] {
 		keep.Output = append(append(keep.Output, outputEvent(n+1, turn).Data...), '\n', '\n')
 	}
@@ -93,7 +93,14 @@
 			now += rapid.Int64Range(0, 3_000).Draw(t, "pause")
 			c := drawOutputCommand(t, events)
 			b.full = rapid.IntRange(0, 4).Draw(t, "full") == 0
-			want, have := inMemory.ApplyCommand(now, c), onDisk.ApplyCommand(now, c)
+			want := inMemory.ApplyCommand(now, c)
+			if s := c.SettleTurn; s != nil && s.Keep != nil && rapid.Bool().Draw(t, "packed") {
+				settle, keep := *s, *s.Keep
+				settle.Keep = &keep
+				assert.Assert(t, keep.Pack())
+				c.SettleTurn = &settle
+			}
+			have := onDisk.ApplyCommand(now, c)
 			assert.Equal(t, string(encode(have)), string(encode(want)))
 			if c.SettleTurn != nil {
 				chain, ok := inMemory.Chain(c.SettleTurn.Turn)
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -91,7 +91,7 @@
 func (c *SettleTurn) check() error {
 	err := errors.Join(checkID("program", c.Program), checkID("turn", c.Turn), checkAmount("tokens", c.Tokens))
 	if c.Keep != nil {
-		err = errors.Join(err, checkAmount("retention", c.Keep.Retention))
+		err = errors.Join(err, checkAmount("retention", c.Keep.Retention), c.Keep.check())
 	}
 	return err
 }
--- a/ledger/storedoutput.go
+++ b/ledger/storedoutput.go
@@ -26,7 +26,7 @@
 	}
 	s := storedOutput{}
 	data := o.data(len(o.Events))
-	if kept := m.turns.kept[turn]; keep != nil && kept != nil && kept.Expires >= o.Expires && bytes.HasSuffix(keep.Output, data) {
+	if kept := m.turns.kept[turn]; keep != nil && kept != nil && kept.Expires >= o.Expires && keep.endsWith(data) {
 		s.Turn, data = turn, nil
 	}
 	var record []byte
@@ -105,11 +105,3 @@
 
 // maxOutputValue bounds the counts and sizes in a stored output.
 const maxOutputValue = 1 << 30
-
-// body returns the input and output of a kept turn.
-func (m *StateMachine) body(k *keptTurn) ([]byte, error) {
-	if k.Body == nil {
-		return append(bytes.Clone(k.Input), k.Output...), nil
-	}
-	return m.bodies.Read(*k.Body)
-}
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -103,6 +103,13 @@
 	// Retention is in milliseconds from now. It covers the time until the caller
 	// has received the whole answer, from which on callers count.
 	Retention int64 `json:"retention"`
+	// Packed has the input and output, compressed, instead of Input and Output if Size,
+	// their length, is not 0. OutputSize and OutputSum are the length and xxHash of the
+	// output.
+	Packed     []byte `json:"packed,omitempty"`
+	Size       int    `json:"size,omitempty"`
+	OutputSize int    `json:"output-size,omitempty"`
+	OutputSum  uint64 `json:"output-sum,omitempty"`
 }
 
 // TurnState is the result of a turn command. Spent and Reserved are totals of
