--- a/cluster/bodies_bench_test.go
+++ b/cluster/bodies_bench_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -212,3 +213,35 @@
 		}
 	}
 }
+
+// BenchmarkPacedTurns measures the latency of turns that arrive at the rate of one
+// partition of the first deployment, 160 turns/s of 17 KB for 15 s.
+func BenchmarkPacedTurns(b *testing.B) {
+	const rate, turns, turnBytes = 160, 2400, 17_000
+	for b.Loop() {
+		p, err := openPartition(1, HostConfig{ID: "k1", DataFolder: b.TempDir()}, []string{"k1"}, &benchTransport{}, groupOptions(zap.NewNop())...)
+		assert.NilError(b, err)
+		for p.group.Read(b.Context()) != nil {
+			time.Sleep(time.Millisecond)
+		}
+		body := make([]byte, turnBytes)
+		times := make([]float64, turns)
+		var wait sync.WaitGroup
+		ticker := time.NewTicker(time.Second / rate)
+		for i := range turns {
+			<-ticker.C
+			wait.Go(func() {
+				began := time.Now()
+				keepTurn(b, p, i, body)
+				times[i] = time.Since(began).Seconds() * 1000
+			})
+		}
+		wait.Wait()
+		ticker.Stop()
+		slices.Sort(times)
+		b.ReportMetric(times[turns/2], "p50-ms/turn")
+		b.ReportMetric(times[turns*99/100], "p99-ms/turn")
+		b.ReportMetric(times[turns-1], "max-ms/turn")
+		assert.NilError(b, p.group.Close())
+	}
+}
