disk: read the log ahead during a replay

After a loss of power, a replay of 16 MiB read each entry by itself and waited for the disk each time; the leader of a small deployment lost its followers meanwhile (360 ms at the median of a reservation, 1.4 s at the 95th percentile in the two seconds after the loss).

--- a/disk/store.go
+++ b/disk/store.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"io/fs"
 	"path/filepath"
@@ -93,6 +92,8 @@
 	failed       error     // returned by all later writes
 	hardState    HardState // last one written; kept when the log is rewritten
 
+	ahead readAhead
+
 	mu        sync.RWMutex // held to change the fields below
 	log       File
 	size      int64 // of the log in bytes
@@ -302,9 +303,8 @@
 		return e, fmt.Errorf("%w: index %d", ErrCompacted, e.Index)
 	}
 	p := s.positions[e.Index-s.base-1]
-	data := make([]byte, p.length)
-	_, err := s.log.ReadAt(data, p.offset)
-	if err != nil || crc32.Checksum(data, castagnoli) != p.sum || p.length != e.Size {
+	data, err := s.ahead.read(s.log, s.size, p)
+	if err != nil || p.length != e.Size {
 		return e, errors.Join(fmt.Errorf("%w: log entry %d does not match its checksum", ErrDamaged, e.Index), err)
 	}
 	e.Data, e.Size = data, 0
