--- a/cluster/link.go
+++ b/cluster/link.go
@@ -331,7 +331,7 @@
 // interval returns the delay between two polls of a control host that answers.
 func (l *Link) interval(h *controlHost) time.Duration {
 	if l.isLoadSource(h) {
-		return loadInterval
+		return min(loadInterval, l.confirmationInterval(h))
 	}
 	return min(syncInterval, l.confirmationInterval(h))
 }
--- a/cluster/partition.go
+++ b/cluster/partition.go
@@ -38,14 +38,18 @@
 	// ampleMemory is the memory of a host from which on its partitions keep bodies in
 	// memory, up to a share each, and the log between two snapshots too: after a loss of
 	// power they are in use again sooner than with bodies that a replay writes again.
-	ampleMemory       = 256 << 20
-	inlineMemoryShare = 6
+	ampleMemory = 256 << 20
+	// inlineMemoryShare bounds both; a host keeps up to three partitions.
+	inlineMemoryShare    = 8
+	ampleSnapshotEntries = 20_000
+	ampleKeptEntries     = 2_000
 )
 
 // storage returns how much of a partition is kept in memory.
 func (c HostConfig) storage() (l []ledger.Option, r []replica.Option) {
 	if c.MemoryBytes >= ampleMemory {
-		return []ledger.Option{ledger.WithInlineBodies(int(c.MemoryBytes / inlineMemoryShare))}, nil
+		return []ledger.Option{ledger.WithInlineBodies(int(c.MemoryBytes / inlineMemoryShare))},
+			[]replica.Option{replica.WithSnapshots(ampleSnapshotEntries, c.MemoryBytes/inlineMemoryShare, ampleKeptEntries)}
 	}
 	return nil, []replica.Option{
 		replica.WithSnapshots(partitionSnapshotEntries, partitionSnapshotBytes, partitionKeptEntries), replica.WithResidentLog(residentLogBytes),
--- a/cluster/quota.go
+++ b/cluster/quota.go
@@ -73,7 +73,7 @@
 	credit
 	// peaks are at least the highest levels in the last intervals of peakInterval.
 	peaks  [peakCount]float64
-	demand credit // of a bucket of the plain limit that serves every request
+	demand credit // of a bucket of the same rate and capacity that serves every request
 	begin  beginnings
 	// nextContinuation and nextBeginning are the times that are not yet assigned to
 	// refused requests.
@@ -262,7 +262,7 @@
 // continuations per beginning of the workspace are forgotten.
 func (q *quotas) expire(now time.Duration) {
 	maps.DeleteFunc(q.buckets, func(_ string, b *quotaBucket) bool {
-		return now-b.updatedAt > limitTTL && b.tokens+b.rate*(now-b.updatedAt).Seconds() >= b.capacity &&
+		return now-b.updatedAt > limitTTL && b.limit.PerSecond <= 0 || now-b.updatedAt > limitTTL && b.tokens+b.rate*(now-b.updatedAt).Seconds() >= b.capacity &&
 			b.rate*(now-q.since-leaseDuration).Seconds() >= b.capacity
 	})
 }
--- a/cluster/quotalink.go
+++ b/cluster/quotalink.go
@@ -28,8 +28,8 @@
 	// withinLimitWait is how long a request waits for credit when its workspace is
 	// within its limit, as after a change of the leader.
 	withinLimitWait = 1500 * time.Millisecond
-	// permitValidity is how long a permit may be used after it was requested. Calls
-	// wait shorter for a server, and frozen hosts longer.
+	// permitValidity is how long a permit may be used after it was requested. A call
+	// that waits longer for a server renews it.
 	permitValidity = 3 * time.Second
 )
 
--- a/cmd/sycamoreline-platform/connection.go
+++ b/cmd/sycamoreline-platform/connection.go
@@ -266,7 +266,7 @@
 			return
 		}
 		if !c.head.Accept() {
-			return // the connection has been closed
+			panic(http.ErrAbortHandler) // the connection is being closed; a return would answer 200
 		}
 		result := aborted
 		defer func() { c.setStage(result) }()
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -126,7 +126,7 @@
 
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if !b.head.entry.Hold(time.Now(), n*bodyFactor) {
+	if n > 0 && !b.head.entry.Hold(time.Now(), n*bodyFactor) {
 		return 0, ErrBodyMemory
 	}
 	return n, err
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -76,7 +76,7 @@
 // placementFailed returns the error of a call to which no server was assigned.
 // Its verdict also covers the earlier attempts.
 func (r *execution) placementFailed(err error) error {
-	if r.progress.mayHaveRun == 0 {
+	if !r.mayHaveRun {
 		return err
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "an earlier attempt may have run", verdict.WithCause(errors.Join(r.lastErr, err)))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,9 +55,15 @@
 	if err != nil {
 		return target{}, schedule.Assignment{}, err
 	}
-	if err := r.renewPermit(ctx); err != nil {
+	for r.permit.Limited() && !r.permit.Valid() {
+		// The permit has expired while the call was queued.
 		r.release(p)
-		return target{}, schedule.Assignment{}, err
+		if err := r.renewPermit(ctx); err != nil {
+			return target{}, schedule.Assignment{}, err
+		}
+		if p, err = r.nextPlacement(ctx); err != nil {
+			return target{}, schedule.Assignment{}, err
+		}
 	}
 	c, a, e := r.call, p.assignment, p.entry
 	if x := r.view.service(p.service); x != nil && x.Engine != nil {
@@ -322,7 +328,7 @@
 	if step == Retry && ctx.Err() == nil {
 		return nil
 	}
-	if r.progress.mayHaveRun > 0 || !notRun {
+	if r.mayHaveRun {
 		reason := verdict.ServerFailed
 		if ctx.Err() != nil {
 			reason = verdict.Timeout
--- a/forward/call.go
+++ b/forward/call.go
@@ -57,7 +57,7 @@
 
 // ledgerID returns the id under which the ledger and this host remember a program,
 // a session or a request of the caller: callers of different workspaces may use the
-// same ids. Names of workspaces contain no line feed.
+// same ids. Sessions in the ledger belong to a program and need no prefix. Names of workspaces contain no line feed.
 func (c *Call) ledgerID(id string) string {
 	if c.Workspace == nil || id == "" {
 		return id
--- a/forward/quota.go
+++ b/forward/quota.go
@@ -26,8 +26,7 @@
 		if v := verdict.From(err); v.Reason() == verdict.QuotaExceeded {
 			return v
 		}
-		return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the request could not be counted for its workspace",
-			verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
+		return notCounted(err)
 	}
 	if p.Limited() {
 		r.permit = p
@@ -61,16 +60,30 @@
 			r.metrics.quota(r.call.Workspace, "granted")
 			return nil
 		}
-		if v := verdict.From(err); v.Reason() != verdict.QuotaExceeded || time.Now().Add(v.RetryAfter()).After(r.call.Deadline) || !pause.For(ctx, v.RetryAfter()) {
+		v := verdict.From(err)
+		mayWait := v.Reason() == verdict.QuotaExceeded && time.Now().Add(v.RetryAfter()).Before(r.call.Deadline)
+		if mayWait {
+			r.release(r.takeNext()) // a place must not be held meanwhile
+		}
+		if !mayWait || !pause.For(ctx, v.RetryAfter()) {
 			r.metrics.quota(r.call.Workspace, "refused")
 			if r.mayHaveRun {
 				return verdict.New(verdict.MayHaveRun, verdict.ServerFailed, "an earlier attempt may have run", verdict.WithCause(errors.Join(r.lastErr, err)))
 			}
+			if v.Reason() != verdict.QuotaExceeded {
+				return notCounted(err)
+			}
 			return err
 		}
 	}
 }
 
+// notCounted returns the error of a call that no control host has counted.
+func notCounted(err error) error {
+	return verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the request could not be counted for its workspace",
+		verdict.WithCause(err), verdict.WithRetryAfter(recoveryRetryAfter()))
+}
+
 // refundPermit returns the permit unless a server may have run the request.
 func (r *execution) refundPermit() {
 	if r.permit.Limited() && !r.permitUsed {
--- a/schedule/speeds.go
+++ b/schedule/speeds.go
@@ -15,6 +15,9 @@
 	// are forgotten. A neighbour that slows a server 2.5 times for half a second
 	// changes its speed by less than minSpeedDifference.
 	speedMemory = 8.0
+	// maxTiming bounds a reported time, in microseconds. Control hosts reject reports
+	// with more.
+	maxTiming = 1e9
 	// speedPrior is the weight, in seconds of reports, of the assumption that a
 	// server is as fast as the others.
 	speedPrior = 0.5
@@ -73,7 +76,7 @@
 		if out == nil {
 			out = map[string]int{}
 		}
-		out[v.ID] = max(1, int(1e6*math.Exp(v.timing.sumLog/float64(v.timing.n))))
+		out[v.ID] = int(min(maxTiming, max(1, 1e6*math.Exp(v.timing.sumLog/float64(v.timing.n)))))
 	}
 	return out
 }
