disk: start a new segment after a cut

Cause: after Retain had cut the current segment, further records were written where other replicas may still have its former end, and adopt takes a segment of the same number for the same contents. A sync in flight during the cut recorded the former length as synced. Change: Retain always starts a new segment, and a sync records no more than the present length. Result: TestCutSegmentGetsNoRecords passes, and fails without the change.

--- a/disk/segment.go
+++ b/disk/segment.go
@@ -260,6 +260,7 @@
 		u := uses[r.Segment]
 		uses[r.Segment] = use{u.live + 1, max(u.end, r.end())}
 	}
+	s.current = 0 // another replica may have what followed the end of a cut segment
 	clear(s.saved)
 	for number, g := range s.segments {
 		u := uses[number]
@@ -279,9 +280,6 @@
 		}
 		s.saved[number] = g.size
 	}
-	if u := uses[s.current]; u.live == 0 || s.segments[s.current].file == nil {
-		s.current = 0
-	}
 	return nil
 }
 
@@ -344,7 +342,7 @@
 		return nil // expired while it was synced
 	}
 	if err == nil {
-		g.synced = max(g.synced, size)
+		g.synced = max(g.synced, min(size, g.size)) // it may have been cut while it was synced
 	}
 	return err
 }
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -87,6 +87,18 @@
 	})
 }
 
+// Guards against a segment that gets other records after its cut end than those that
+// another replica has there.
+func TestCutSegmentGetsNoRecords(t *testing.T) {
+	d := faults.NewDisk()
+	s, _ := openSegments(t, d, "data", 1<<40)
+	kept := appendRecord(t, s, record(0, 100))
+	appendRecord(t, s, record(1, 100))
+	assert.NilError(t, s.Segments().Retain([]disk.Ref{kept}))
+	next := appendRecord(t, s, record(2, 100))
+	assert.Assert(t, next.Segment != kept.Segment)
+}
+
 // Guards against damaged records that are returned, and against damage that makes
 // other records unreadable.
 func TestBitRotInASegment(t *testing.T) {
