--- a/cluster/bodies.go
+++ b/cluster/bodies.go
@@ -28,6 +28,9 @@
 	return body, err
 }
 
+// Hold implements ledger.Bodies.
+func (b *segmentBodies) Hold(r ledger.BodyRef) { b.segments.Hold(disk.Ref(r)) }
+
 // Release implements ledger.Bodies.
 func (b *segmentBodies) Release(r ledger.BodyRef) { b.segments.Release(disk.Ref(r)) }
 
--- a/disk/segment.go
+++ b/disk/segment.go
@@ -23,6 +23,10 @@
 	// the file of an expired segment is removed. The first of them may have been
 	// captured before the segment expired.
 	finishesBeforeRemoval = 2
+	// finishesBeforeExpiry is the number of snapshots that must be finished after
+	// Hold before a segment may expire. The first of them may have been captured
+	// before the record was read.
+	finishesBeforeExpiry = 2
 )
 
 // ErrExpired is returned for a record whose segment has expired.
@@ -51,6 +55,7 @@
 	synced   int64
 	live     int // records that were not released
 	finishes int // snapshots finished since the segment expired
+	hold     int // snapshots to be finished before the segment may expire
 }
 
 // Segments stores records beside the log and the snapshot of a replica. Records
@@ -227,11 +232,21 @@
 	}
 }
 
-// expire empties a segment, unless a transfer reads the segments. The snapshot on
+// Hold keeps a record readable, also after its release, until the log is no longer
+// replayed from before now. It must be called before a command reads the record.
+func (s *Segments) Hold(r Ref) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.segments[r.Segment]; g != nil {
+		g.hold = finishesBeforeExpiry
+	}
+}
+
+// expire empties a segment, unless it is held or a transfer reads the segments. The snapshot on
 // disk may refer to it, so the empty file stays for now and tells that the segment
 // is not lost.
 func (s *Segments) expire(g *segment) {
-	if s.pins > 0 || g.file == nil {
+	if s.pins > 0 || g.hold > 0 || g.file == nil {
 		return
 	}
 	_ = g.file.Truncate(0) // otherwise the space is freed when the file is removed
@@ -264,7 +279,7 @@
 	clear(s.saved)
 	for number, g := range s.segments {
 		u := uses[number]
-		g.live = u.live
+		g.live, g.hold = u.live, 0
 		switch {
 		case g.live == 0 && s.pins == 0:
 			if err := s.remove(number, g); err != nil {
@@ -348,13 +363,17 @@
 }
 
 // snapshotFinished records the lengths that sync returned for a snapshot, and
-// removes the files of expired segments to which no snapshot refers.
+// removes the files of expired segments to which no snapshot refers. Segments that
+// are no longer held expire if they have no records.
 func (s *Segments) snapshotFinished(sizes map[uint64]int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.saved = sizes
 	for number, g := range s.segments {
 		if g.file != nil {
+			if g.hold = max(g.hold-1, 0); g.live == 0 && number != s.current {
+				s.expire(g)
+			}
 			continue
 		}
 		if g.finishes++; g.finishes >= finishesBeforeRemoval {
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -220,6 +220,32 @@
 	assert.Equal(t, strings.Count(strings.Join(names, " "), "segment-"), 1)
 }
 
+// Guards against a replay that can't read a record which a command has read after the
+// snapshot, since its segment was emptied before the next one.
+func TestHeldRecordOutlivesItsRelease(t *testing.T) {
+	d := faults.NewDisk()
+	s, _ := openSegments(t, d, "data", 1<<40)
+	r := appendRecord(t, s, record(0, 4<<20))
+	appendRecord(t, s, record(1, 100))
+	saveSnapshot(t, s, disk.SnapshotInfo{Index: 1, Term: 1}, "state")
+	replay := func() {
+		s.Segments().Hold(r)
+		data, err := s.Segments().Read(r)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(data, record(0, 4<<20)))
+		s.Segments().Release(r)
+	}
+	replay()
+	assert.NilError(t, s.Close())
+	s, _ = openSegments(t, d, "data", 2<<40)
+	assert.NilError(t, s.Segments().Retain([]disk.Ref{r}))
+	replay()
+	for i, want := range []int64{4 << 20, 0} {
+		saveSnapshot(t, s, disk.SnapshotInfo{Index: uint64(i + 2), Term: 1}, "state")
+		assert.Equal(t, s.Segments().Bytes(), want)
+	}
+}
+
 // Guards against a transfer that lacks records, also those that expire while it is
 // sent, against a crash of the receiver before its end, and against a transfer of
 // the state alone, from a replica without segments, that is not taken.
--- a/ledger/body.go
+++ b/ledger/body.go
@@ -17,6 +17,10 @@
 	// Append stores a body, which is not empty.
 	Append(body []byte) (BodyRef, error)
 	Read(r BodyRef) ([]byte, error)
+	// Hold tells that a command is going to read a body: until a snapshot of the state
+	// after the command is durable, a replay of the log must be able to read the body
+	// too, also if it has been released.
+	Hold(r BodyRef)
 	// Release tells that a body is no longer used.
 	Release(r BodyRef)
 	// Retain declares that exactly the given bodies are used. It returns an error
--- a/ledger/body_test.go
+++ b/ledger/body_test.go
@@ -16,6 +16,7 @@
 	bodies map[int64][]byte
 	next   int64
 	full   bool
+	held   []int64
 }
 
 func (b *memoryBodies) Append(body []byte) (BodyRef, error) {
@@ -35,6 +36,8 @@
 	return body, nil
 }
 
+func (b *memoryBodies) Hold(r BodyRef) { b.held = append(b.held, r.Offset) }
+
 func (b *memoryBodies) Release(r BodyRef) { delete(b.bodies, r.Offset) }
 
 func (b *memoryBodies) Retain(refs []BodyRef) error {
@@ -122,6 +125,25 @@
 	})
 }
 
+// Guards against a replay that lacks what a command has read from the body store: the
+// record of the events and the kept turn with their data.
+func TestBodiesReadByCommandsAreHeld(t *testing.T) {
+	store := &memoryBodies{bodies: map[int64][]byte{}}
+	m := New(WithBodies(store))
+	for _, c := range []Command{
+		firstTurn("t", 1000, 8),
+		{RecordOutput: &RecordOutput{Stream: "t", Turn: "t", Events: []OutputEvent{outputEvent(1, "t")}, Retention: 1000}},
+		{SettleTurn: &SettleTurn{Program: "p", Turn: "t", Keep: &KeptTurn{Input: []byte("input"), Output: []byte("event 1 of t\n"), Retention: 1000}}},
+	} {
+		assert.Assert(t, m.ApplyCommand(0, c).Refusal == nil)
+	}
+	assert.Equal(t, len(store.held), 0)
+	r := m.ApplyCommand(0, Command{ReserveTurn: &ReserveTurn{Program: "p", Turn: "u", Budget: 1000, MaxTokens: 8, Resumes: "t", LastEvent: "1"}})
+	assert.Assert(t, r.Refusal == nil)
+	assert.Equal(t, string(r.Turn.Output), "event 1 of t\n")
+	assert.DeepEqual(t, store.held, []int64{2, 1})
+}
+
 // Guards against bodies that stay in memory beyond their share, and against a share
 // that expired bodies go on using.
 func TestInlineBodies(t *testing.T) {
--- a/ledger/storedoutput.go
+++ b/ledger/storedoutput.go
@@ -49,6 +49,7 @@
 	if o.Stored == nil {
 		return nil
 	}
+	m.bodies.Hold(o.Stored.Body)
 	record, err := m.bodies.Read(o.Stored.Body)
 	if err != nil {
 		return err
@@ -62,6 +63,9 @@
 		total += n + 1 // and a line feed
 	}
 	if k := m.turns.kept[o.Stored.Turn]; k != nil {
+		if k.Body != nil {
+			m.bodies.Hold(*k.Body)
+		}
 		if data, err = m.body(k); err != nil {
 			return err
 		}
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -96,7 +96,13 @@
 			return err
 		}
 	}
+	if len(item.reads) > 0 {
+		a.reads = append(a.reads, item)
+	}
 	for i, e := range item.entries {
+		if a.stopping() {
+			return nil
+		}
 		if i%yieldEntries == yieldEntries-1 {
 			runtime.Gosched()
 		}
@@ -111,8 +117,8 @@
 		a.syncIfDue()
 		a.snapshotIfDue()
 	}
-	if len(item.reads) > 0 {
-		a.reads = append(a.reads, item)
+	if a.stopping() {
+		return nil
 	}
 	a.finishReads()
 	a.snapshotIfDue()
@@ -133,7 +139,21 @@
 	})
 }
 
+// stopping returns whether the replica is stopping. Its state may then be wrong, since
+// a command that fails on this replica alone stops it (see Group.Fail).
+func (a *applier) stopping() bool {
+	select {
+	case <-a.group.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 func (a *applier) snapshotIfDue() {
+	if a.stopping() {
+		return // a snapshot of a wrong state must not replace the last one
+	}
 	o := a.group.options
 	due := a.entriesSinceSnapshot >= o.snapshotEntries || a.bytesSinceSnapshot >= o.snapshotBytes
 	if due && !a.group.sendingSnapshot.Load() && !a.savingSnapshot.Load() {
