--- a/disk/segment.go
+++ b/disk/segment.go
@@ -55,7 +55,8 @@
 	synced   int64
 	live     int // records that were not released
 	finishes int // snapshots finished since the segment expired
-	hold     int // snapshots to be finished before the segment may expire
+	// hold is the number of snapshots to be finished before the segment may expire.
+	hold int
 }
 
 // Segments stores records beside the log and the snapshot of a replica. Records
@@ -75,8 +76,10 @@
 	pins     int    // transfers that read the segments
 	bytes    int64
 	unsynced int64 // bytes appended since the last sync began
-	// saved has the lengths of the segments as of the newest finished snapshot.
-	saved map[uint64]int64
+	// saved has the lengths of the segments as of the newest finished snapshot, and
+	// savedIndex its index, or 0 if it was finished before the folder was opened.
+	saved      map[uint64]int64
+	savedIndex uint64
 }
 
 func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
@@ -276,7 +279,9 @@
 		uses[r.Segment] = use{u.live + 1, max(u.end, r.end())}
 	}
 	s.current = 0 // another replica may have what followed the end of a cut segment
-	clear(s.saved)
+	if s.savedIndex == 0 {
+		s.saved = map[uint64]int64{}
+	}
 	for number, g := range s.segments {
 		u := uses[number]
 		g.live, g.hold = u.live, 0
@@ -293,7 +298,9 @@
 			s.bytes -= g.size - u.end
 			g.size, g.synced = u.end, min(g.synced, u.end)
 		}
-		s.saved[number] = g.size
+		if s.savedIndex == 0 {
+			s.saved[number] = g.size
+		}
 	}
 	return nil
 }
@@ -362,13 +369,26 @@
 	return err
 }
 
-// snapshotFinished records the lengths that sync returned for a snapshot, and
-// removes the files of expired segments to which no snapshot refers. Segments that
+// snapshotReceived records the lengths of the segments that were received with a
+// snapshot.
+func (s *Segments) snapshotReceived(index uint64, sizes map[uint64]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index >= s.savedIndex {
+		s.saved, s.savedIndex = sizes, index
+	}
+}
+
+// snapshotFinished records the lengths that sync returned for a snapshot, unless a
+// newer one was finished or received before. It removes the files of expired segments to which no snapshot refers. Segments that
 // are no longer held expire if they have no records.
-func (s *Segments) snapshotFinished(sizes map[uint64]int64) error {
+func (s *Segments) snapshotFinished(index uint64, sizes map[uint64]int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved = sizes
+	if index < s.savedIndex {
+		return nil
+	}
+	s.saved, s.savedIndex = sizes, index
 	for number, g := range s.segments {
 		if g.file != nil {
 			if g.hold = max(g.hold-1, 0); g.live == 0 && number != s.current {
@@ -419,12 +439,14 @@
 }
 
 // adopt takes over a received file for a segment. A segment that is at least as
-// long has the same contents.
+// long has the same contents. The segment is held until Retain is called with the
+// records of the received state, which the present one does not count.
 func (s *Segments) adopt(p segmentPart, temp string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g := s.segments[p.number]; g != nil {
 		if g.size >= p.bytes && g.file != nil {
+			g.hold = finishesBeforeExpiry
 			return s.fs.Remove(temp)
 		}
 		if g.file != nil {
@@ -436,7 +458,11 @@
 	if err := s.fs.Rename(temp, s.path(p.number)); err != nil {
 		return err
 	}
-	return s.add(p.number)
+	if err := s.add(p.number); err != nil {
+		return err
+	}
+	s.segments[p.number].hold = finishesBeforeExpiry
+	return nil
 }
 
 func (s *Segments) close() error {
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -294,6 +294,44 @@
 	assert.Equal(t, received.Bytes, int64(len("inline")))
 }
 
+// Guards against a received segment that is emptied before the state that uses it is
+// restored, and against a transfer of a received snapshot with the segments of an older
+// one that was finished after it.
+func TestReceivedSegmentsBelongToTheirSnapshot(t *testing.T) {
+	d := faults.NewDisk()
+	from, _ := openSegments(t, d, "from", 1<<40)
+	r := appendRecord(t, from, record(0, 100))
+	transfer := from.OpenTransfer(saveSnapshot(t, from, disk.SnapshotInfo{Index: 9, Term: 1}, "state"))
+	defer transfer.Close()
+	to, _ := openSegments(t, d, "to", 2<<40)
+	assert.NilError(t, to.Segments().Retain(nil))
+	older, err := to.CreateSnapshot(disk.SnapshotInfo{Index: 5, Term: 1})
+	assert.NilError(t, err)
+	_, err = older.Finish()
+	assert.NilError(t, err)
+	older, err = to.CreateSnapshot(disk.SnapshotInfo{Index: 6, Term: 1})
+	assert.NilError(t, err)
+	pinned := to.OpenTransfer(disk.SnapshotInfo{Index: 5, Term: 1})
+	received, err := receive(t, transfer, to, 1<<30).Finish()
+	assert.NilError(t, err)
+	pinned.Close() // empties segments without records
+	_, err = older.Finish()
+	assert.NilError(t, err)
+	assert.NilError(t, to.Segments().Retain([]disk.Ref{r}))
+	data, err := to.Segments().Read(r)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(data, record(0, 100)))
+
+	appendRecord(t, to, record(1, 100)) // of another state than the received one
+	again := to.OpenTransfer(received)
+	defer again.Close()
+	third, _ := openSegments(t, d, "third", 3<<40)
+	_, err = receive(t, again, third, 1<<30).Finish()
+	assert.NilError(t, err)
+	assert.Equal(t, third.Segments().Bytes(), int64(100))
+	assert.NilError(t, third.Segments().Retain([]disk.Ref{r}))
+}
+
 // receive passes up to a number of chunks of a transfer to a store.
 func receive(t *testing.T, transfer *disk.Transfer, to *disk.Store, chunks int) *disk.SnapshotWriter {
 	w, err := to.ReceiveSnapshot(transfer.Info())
--- a/disk/snapshot.go
+++ b/disk/snapshot.go
@@ -138,8 +138,11 @@
 	if err := s.fs.SyncDir(s.dir); err != nil {
 		return SnapshotInfo{}, fmt.Errorf("sync data folder: %w", err)
 	}
-	if s.segments != nil && w.received == nil {
-		if err := s.segments.snapshotFinished(sizes); err != nil {
+	switch {
+	case w.received != nil:
+		s.segments.snapshotReceived(info.Index, w.received.sizes())
+	case s.segments != nil:
+		if err := s.segments.snapshotFinished(info.Index, sizes); err != nil {
 			return SnapshotInfo{}, err
 		}
 	}
--- a/disk/transfer.go
+++ b/disk/transfer.go
@@ -218,6 +218,15 @@
 	return r.store.fs.SyncDir(r.store.dir)
 }
 
+// sizes returns the lengths of the received segments by number.
+func (r *receiver) sizes() map[uint64]int64 {
+	sizes := make(map[uint64]int64, len(r.parts))
+	for _, p := range r.parts {
+		sizes[p.number] = p.bytes
+	}
+	return sizes
+}
+
 func (r *receiver) close() error {
 	var err error
 	for i := range r.parts {
