replica: leave out the disk level of a silent follower

Cause: the level that a follower with a full disk had reported last counted for as long as the leader led, also if the host of the follower was lost. Change: the level of a follower that has not replied for an election timeout counts as 0. Result: TestDiskLevelOfASilentFollowerDoesNotCount passes.

--- a/replica/loop.go
+++ b/replica/loop.go
@@ -58,7 +58,7 @@
 			}
 			g.node.SetDiskLevel(int(g.diskLevel.Load()))
 			g.handle(g.node.Tick(g.now()))
-			g.status.Store(g.node.status())
+			g.status.Store(g.node.status(g.now()))
 		}
 		if closing == nil && g.node.Role() != Leader {
 			g.shutDown(nil)
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -134,3 +135,19 @@
 	n.Step(at, Message{Kind: appendReply, From: Ref{"b", 77}, To: n.Self, Term: n.Term(), Index: 3})
 	assert.Equal(t, n.Commit(), uint64(0))
 }
+
+// Guards against a lost host with a full disk whose last level makes the leader refuse
+// turns for as long as it is away.
+func TestDiskLevelOfASilentFollowerDoesNotCount(t *testing.T) {
+	n := testNode(t, 2)
+	winElection(t, n)
+	at := Now{Elapsed: 2 * simTiming.Election}
+	n.SetDiskLevel(1)
+	n.Step(at, Message{Kind: appendReply, From: testMembers[1].Ref, To: n.Self, Term: n.Term(), Index: 2, DiskLevel: 2})
+	for _, c := range []struct {
+		silent time.Duration
+		want   int
+	}{{0, 2}, {simTiming.Election - 1, 2}, {simTiming.Election, 1}} {
+		assert.Equal(t, n.status(Now{Elapsed: at.Elapsed + c.silent}).DiskLevel, c.want)
+	}
+}
--- a/replica/status.go
+++ b/replica/status.go
@@ -16,7 +16,7 @@
 	// MembersCommitted is false while a membership change is in progress.
 	MembersCommitted bool `json:"members-committed"`
 	// DiskLevel is the highest level that SetDiskLevel was given on this replica or, on
-	// a leader, on a follower.
+	// a leader, on a follower that has replied within the election timeout.
 	DiskLevel int `json:"disk-level,omitempty"`
 }
 
@@ -24,21 +24,25 @@
 // caller's.
 func (n *Node) SetDiskLevel(level int) { n.diskLevel = level }
 
-func (n *Node) highestDiskLevel() int {
+// highestDiskLevel leaves out followers that have not replied for an election timeout:
+// a host that is lost with a full disk must not stop the group.
+func (n *Node) highestDiskLevel(now Now) int {
 	level := n.diskLevel
 	if n.role == Leader {
-		for _, p := range n.leaderState.progress {
-			level = max(level, p.diskLevel)
+		for r, p := range n.leaderState.progress {
+			if n.active(now, r) {
+				level = max(level, p.diskLevel)
+			}
 		}
 	}
 	return level
 }
 
-func (n *Node) status() *Status {
+func (n *Node) status(now Now) *Status {
 	return &Status{
 		ID: n.Self.ID, Incarnation: n.Self.Incarnation, Role: n.role.String(), Term: n.hardState.Term, Leader: n.leader.ID,
 		Last: n.log.last(), Stable: n.log.stable, Commit: n.commit, First: n.log.base.Index + 1, Snapshot: n.snapshot.Index,
-		Members: n.members, MembersCommitted: n.membersIndex <= n.commit, DiskLevel: n.highestDiskLevel(),
+		Members: n.members, MembersCommitted: n.membersIndex <= n.commit, DiskLevel: n.highestDiskLevel(now),
 	}
 }
 
