disk: handle concurrent syncs and replaced segments

Cause: fsync reports an error only once, so that of two concurrent syncs one could miss it and take lost records for durable. Read, Sync and Release went on to use the closed file of a segment that was removed or replaced. After a failed truncation, the former current segment without records never expired. Change: syncs run one after the other. A removed or replaced segment has no file, and Read looks the segment up again if it has changed. The segment expires after the failed truncation if it has no records. There is no new test for these races.

--- a/disk/segment.go
+++ b/disk/segment.go
@@ -66,6 +66,10 @@
 	fs  FS
 	dir string
 
+	// syncing is held through a sync and locked before mu. An error of fsync is
+	// reported only once, so that a concurrent sync could miss it.
+	syncing sync.Mutex
+
 	mu       sync.Mutex
 	segments map[uint64]*segment
 	current  uint64 // segment that gets the next record; 0 for a new one
@@ -163,6 +167,9 @@
 	if _, err := g.file.Write(data); err != nil {
 		if truncateErr := g.file.Truncate(g.size); truncateErr != nil {
 			s.current = 0 // the end of this file is not known
+			if g.live == 0 {
+				s.expire(g)
+			}
 		}
 		return Ref{}, fmt.Errorf("write segment: %w", err)
 	}
@@ -195,30 +202,44 @@
 // its checksum or its segment is missing, and ErrExpired if the segment has
 // expired.
 func (s *Segments) Read(r Ref) ([]byte, error) {
-	s.mu.Lock()
-	g := s.segments[r.Segment]
-	var f File
-	if g != nil {
-		f = g.file
-	}
-	s.mu.Unlock()
-	switch {
-	case g == nil:
-		return nil, fmt.Errorf("%w: %s is missing", ErrDamaged, segmentName(r.Segment))
-	case f == nil:
-		return nil, ErrExpired
+	f, err := s.file(r)
+	if err != nil {
+		return nil, err
 	}
 	data := make([]byte, r.Length)
-	_, err := f.ReadAt(data, r.Offset)
-	if err == nil && recordChecksum(r.Segment, r.Offset, data) == r.Sum {
-		return data, nil
+	for {
+		_, readErr := f.ReadAt(data, r.Offset)
+		if readErr == nil && recordChecksum(r.Segment, r.Offset, data) == r.Sum {
+			return data, nil
+		}
+		// The segment may have expired or been replaced during the read.
+		current, err := s.file(r)
+		if err != nil {
+			return nil, err
+		}
+		if current == f {
+			return nil, newDamagedRecordError(r, readErr)
+		}
+		f = current
 	}
+}
+
+// file returns the file with a record.
+func (s *Segments) file(r Ref) (File, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.file == nil {
+	g := s.segments[r.Segment]
+	switch {
+	case g == nil:
+		return nil, fmt.Errorf("%w: %s is missing", ErrDamaged, segmentName(r.Segment))
+	case g.file == nil:
 		return nil, ErrExpired
 	}
-	return nil, errors.Join(fmt.Errorf("%w: %s offset %d does not match its checksum", ErrDamaged, segmentName(r.Segment), r.Offset), err)
+	return g.file, nil
+}
+
+func newDamagedRecordError(r Ref, err error) error {
+	return errors.Join(fmt.Errorf("%w: %s offset %d does not match its checksum", ErrDamaged, segmentName(r.Segment), r.Offset), err)
 }
 
 // Release tells that a record is no longer used. A segment expires with its last
@@ -308,6 +329,7 @@
 func (s *Segments) remove(number uint64, g *segment) error {
 	if g.file != nil {
 		_ = g.file.Close()
+		g.file = nil
 		s.bytes -= g.size
 	}
 	delete(s.segments, number)
@@ -322,6 +344,8 @@
 // failure, all later syncs fail with ErrStopped, since unsynced records may be lost
 // although a later sync of their file succeeds.
 func (s *Segments) sync() (map[uint64]int64, error) {
+	s.syncing.Lock()
+	defer s.syncing.Unlock()
 	s.mu.Lock()
 	failed, created := s.failed, s.created
 	sizes := make(map[uint64]int64, len(s.segments))
@@ -451,6 +475,7 @@
 		}
 		if g.file != nil {
 			_ = g.file.Close()
+			g.file = nil
 			s.bytes -= g.size
 		}
 		delete(s.segments, p.number)
