ledger: stop a replica that cannot load an output

Cause: a settlement sent twice may bring another kept turn than the stored one. The output then referred to the stored turn for data that only the other one has. Only errors of the body store's Read stopped the replica, not those of a malformed record. Change: an output refers to the kept turn only if the same command has stored it. Every error of loadOutput is given to the body store's new method Fail, after which the replica stops. Result: TestOutputThatCannotBeLoaded passes, and fails without the change of settleTurn.

--- a/cluster/bodies.go
+++ b/cluster/bodies.go
@@ -10,7 +10,7 @@
 // segmentBodies stores the bodies of a partition in its segments.
 type segmentBodies struct {
 	segments *disk.Segments
-	failure  atomic.Pointer[error] // of a Read
+	failure  atomic.Pointer[error] // of a Read or a command
 }
 
 // Append implements ledger.Bodies.
@@ -23,11 +23,14 @@
 func (b *segmentBodies) Read(r ledger.BodyRef) ([]byte, error) {
 	body, err := b.segments.Read(disk.Ref(r))
 	if err != nil {
-		b.failure.CompareAndSwap(nil, &err)
+		b.Fail(err)
 	}
 	return body, err
 }
 
+// Fail implements ledger.Bodies.
+func (b *segmentBodies) Fail(err error) { b.failure.CompareAndSwap(nil, &err) }
+
 // Hold implements ledger.Bodies.
 func (b *segmentBodies) Hold(r ledger.BodyRef) { b.segments.Hold(disk.Ref(r)) }
 
--- a/ledger/body.go
+++ b/ledger/body.go
@@ -21,6 +21,8 @@
 	// after the command is durable, a replay of the log must be able to read the body
 	// too, also if it has been released.
 	Hold(r BodyRef)
+	// Fail tells that a command has failed on this replica alone, which must stop.
+	Fail(err error)
 	// Release tells that a body is no longer used.
 	Release(r BodyRef)
 	// Retain declares that exactly the given bodies are used. It returns an error
--- a/ledger/body_test.go
+++ b/ledger/body_test.go
@@ -17,6 +17,7 @@
 	next   int64
 	full   bool
 	held   []int64
+	failed error
 }
 
 func (b *memoryBodies) Append(body []byte) (BodyRef, error) {
@@ -38,6 +39,8 @@
 
 func (b *memoryBodies) Hold(r BodyRef) { b.held = append(b.held, r.Offset) }
 
+func (b *memoryBodies) Fail(err error) { b.failed = err }
+
 func (b *memoryBodies) Release(r BodyRef) { delete(b.bodies, r.Offset) }
 
 func (b *memoryBodies) Retain(refs []BodyRef) error {
@@ -144,6 +147,34 @@
 	assert.DeepEqual(t, store.held, []int64{2, 1})
 }
 
+// Guards against a replica that goes on with another state than the others after an
+// output that it cannot load, and against an output that refers to a kept turn for data
+// which only the kept turn of a duplicate settlement has.
+func TestOutputThatCannotBeLoaded(t *testing.T) {
+	settle := func(output string) Command {
+		return Command{SettleTurn: &SettleTurn{Program: "p", Turn: "t", Keep: &KeptTurn{Input: []byte("input"), Output: []byte(output), Retention: 1000}}}
+	}
+	for _, damaged := range []bool{false, true} {
+		store := &memoryBodies{bodies: map[int64][]byte{}}
+		m := New(WithBodies(store))
+		for _, c := range []Command{
+			firstTurn("t", 1000, 8), settle("other output"),
+			{RecordOutput: &RecordOutput{Stream: "t", Turn: "t", Events: []OutputEvent{outputEvent(1, "t")}, Retention: 1000}},
+			settle("event 1 of t\n"),
+		} {
+			assert.Assert(t, m.ApplyCommand(0, c).Refusal == nil)
+		}
+		if damaged {
+			store.bodies[store.next] = []byte{1}
+		}
+		r := m.ApplyCommand(0, Command{ReserveTurn: &ReserveTurn{Program: "p", Turn: "u", Budget: 1000, MaxTokens: 8, Resumes: "t", LastEvent: "1"}})
+		assert.Equal(t, store.failed != nil, damaged)
+		if !damaged {
+			assert.Equal(t, string(r.Turn.Output), "event 1 of t\n")
+		}
+	}
+}
+
 // Guards against bodies that stay in memory beyond their share, and against a share
 // that expired bodies go on using.
 func TestInlineBodies(t *testing.T) {
--- a/ledger/storedoutput.go
+++ b/ledger/storedoutput.go
@@ -18,7 +18,9 @@
 var errStoredOutput = errors.New("stored output is malformed")
 
 // storeOutput moves the events of a settled turn to the body store: few of them are
-// asked for again, by callers that have lost the end of the response.
+// asked for again, by callers that have lost the end of the response. keep is the kept
+// turn if the command has stored it, otherwise nil: that of a duplicate may differ from
+// the stored one.
 func (m *StateMachine) storeOutput(turn string, keep *KeptTurn) {
 	o := m.turns.outputs[turn]
 	if m.bodies == nil || m.inlineBytes < m.options.inlineBytes || o == nil || o.Stored != nil || o.current() != turn || len(o.Events) == 0 {
@@ -43,12 +45,20 @@
 	o.Stored, o.Events = &s, nil
 }
 
-// loadOutput moves the events of a stream back to memory. After an error of the body
-// store, this replica must stop, since its state differs from that of the others.
+// loadOutput moves the events of a stream back to memory. After an error, this replica
+// must stop, since its state differs from that of the others.
 func (m *StateMachine) loadOutput(o *streamOutput) error {
 	if o.Stored == nil {
 		return nil
 	}
+	err := m.readOutput(o)
+	if err != nil {
+		m.bodies.Fail(err)
+	}
+	return err
+}
+
+func (m *StateMachine) readOutput(o *streamOutput) error {
 	m.bodies.Hold(o.Stored.Body)
 	record, err := m.bodies.Read(o.Stored.Body)
 	if err != nil {
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -344,14 +344,16 @@
 			a.SessionServers[c.Session] = c.Server
 		}
 	}
+	var stored *KeptTurn // by this command
 	if k := c.Keep; k != nil && m.turns.kept[c.Turn] == nil {
 		a.use(m.clock, k.Retention)
 		kept := &keptTurn{Turn: c.Turn, KeptTurn: *k, Expires: m.clock + k.Retention}
 		m.storeBody(kept)
 		m.turns.kept[c.Turn] = kept
+		stored = k
 		m.extendChain(k.Previous, m.clock+k.Retention)
 	}
-	m.storeOutput(c.Turn, c.Keep)
+	m.storeOutput(c.Turn, stored)
 	return Result{Turn: a.state(c.Turn)}
 }
 
