disk: check lengths of a transfer and release large read buffers

Cause: a negative length in the header of a peer's transfer made the receiver panic, and the buffer for an entry longer than a read of the log stayed in memory. Change: the receiver returns an error. The buffer is released after use. Result: TestTransferWithNegativeLengths passes, and panics without the change. There is no test of the buffer's size; TestEntriesOnDisk reads such entries.

--- a/disk/readahead.go
+++ b/disk/readahead.go
@@ -24,6 +24,7 @@
 func (a *readAhead) read(f File, size int64, p position) ([]byte, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.releaseLarge()
 	if data, ok := a.find(f, p); ok {
 		return data, nil
 	}
@@ -45,6 +46,14 @@
 	return data, nil
 }
 
+// releaseLarge releases the buffer after the read of an entry longer than
+// readAheadBytes, which would otherwise stay in memory.
+func (a *readAhead) releaseLarge() {
+	if cap(a.data) > readAheadBytes {
+		a.file, a.data = nil, nil
+	}
+}
+
 // find returns a copy of the data at a position if the last read contains it.
 func (a *readAhead) find(f File, p position) ([]byte, bool) {
 	from := p.offset - a.offset
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -332,6 +332,22 @@
 	assert.NilError(t, third.Segments().Retain([]disk.Ref{r}))
 }
 
+// Guards against a header from a peer whose lengths make the receiver panic.
+func TestTransferWithNegativeLengths(t *testing.T) {
+	negative := strings.Repeat("\xff", 8)
+	for _, header := range []string{
+		"\x00segment\x00\x00\x00\x00" + negative,
+		"\x00segment\x01\x00\x00\x00" + strings.Repeat("\x01", 8) + negative + strings.Repeat("\x00", 8),
+	} {
+		to, _ := openSegments(t, faults.NewDisk(), "to", 1<<40)
+		w, err := to.ReceiveSnapshot(disk.SnapshotInfo{Index: 1, Term: 1})
+		assert.NilError(t, err)
+		_, err = w.Write([]byte(header + "state"))
+		assert.ErrorContains(t, err, "negative length")
+		assert.NilError(t, w.Close())
+	}
+}
+
 // receive passes up to a number of chunks of a transfer to a store.
 func receive(t *testing.T, transfer *disk.Transfer, to *disk.Store, chunks int) *disk.SnapshotWriter {
 	w, err := to.ReceiveSnapshot(transfer.Info())
--- a/disk/transfer.go
+++ b/disk/transfer.go
@@ -22,6 +22,8 @@
 	maxTransferParts = 1 << 16
 )
 
+var errNegativeLength = errors.New("transfer has a negative length in its header")
+
 // Transfer reads the newest snapshot and the segments to which it refers as one
 // sequence of bytes, for another replica. It reads only what it is asked for.
 type Transfer struct {
@@ -179,6 +181,9 @@
 	b = b[transferHeaderBytes:]
 	for range count {
 		p := segmentPart{number: binary.LittleEndian.Uint64(b), bytes: int64(binary.LittleEndian.Uint64(b[8:]))}
+		if p.bytes < 0 {
+			return nil, errNegativeLength
+		}
 		f, err := r.store.fs.Create(r.temp(p))
 		if err != nil {
 			return nil, fmt.Errorf("create received segment: %w", err)
@@ -187,7 +192,9 @@
 		r.parts = append(r.parts, p)
 		b = b[transferPartBytes:]
 	}
-	r.stateLeft = int64(binary.LittleEndian.Uint64(b))
+	if r.stateLeft = int64(binary.LittleEndian.Uint64(b)); r.stateLeft < 0 {
+		return nil, errNegativeLength
+	}
 	r.parsed, r.pending = true, nil
 	return b[transferStateBytes:], r.finishParts()
 }
