cluster: mark the folder of an emptied live turn as damaged

Cause: a replica that could not read a live turn, since its segment was emptied, stopped but came back with the same folder and failed again. Change: chain wraps ErrExpired of such a turn as disk.ErrDamaged, so that the replica joins its group anew. Result: TestReplicaWithAnEmptiedBodyIsDamaged passes, and fails without the change.

--- a/cluster/bodies_test.go
+++ b/cluster/bodies_test.go
@@ -191,6 +191,27 @@
 	p.checkConversation(r)
 }
 
+// Guards against a replica that comes back with a segment that was emptied although its
+// turns are live, and fails again with each of them.
+func TestReplicaWithAnEmptiedBodyIsDamaged(t *testing.T) {
+	p := newTestPartition(t, "k1", "k2", "k3")
+	p.keep(10)
+	leader := p.leader()
+	segments := leader.state.bodies.segments
+	large, err := segments.Append(make([]byte, 4<<20))
+	assert.NilError(t, err)
+	_, err = segments.Append([]byte("in the next segment"))
+	assert.NilError(t, err)
+	for before := segments.Bytes(); segments.Bytes() == before; {
+		segments.Release(large)
+	}
+	_, err = leader.chain("turn-10")
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	<-leader.group.Done()
+	assert.ErrorIs(t, leader.group.Err(), disk.ErrDamaged)
+	assert.ErrorIs(t, leader.group.Err(), disk.ErrExpired)
+}
+
 // Guards against a data folder of an earlier build, with bodies in its snapshot, that
 // cannot be opened or whose bodies stay in memory.
 func TestSnapshotWithBodiesInside(t *testing.T) {
--- a/cluster/partition.go
+++ b/cluster/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -105,6 +106,10 @@
 func (p *partitionReplica) chain(turn string) ([]byte, error) {
 	chain, err := p.state.chain(turn)
 	if err := p.state.bodyError(); err != nil {
+		if errors.Is(err, disk.ErrExpired) {
+			// The segment was emptied although the turn is live, so a restart does not help.
+			err = fmt.Errorf("%w: turn %q is in use: %w", disk.ErrDamaged, turn, err)
+		}
 		p.group.Fail(err)
 		return nil, verdict.New(verdict.NotRun, verdict.ControlUnavailable, "the conversation cannot be read on this host", verdict.WithCause(err))
 	}
