--- a/disk/segment.go
+++ b/disk/segment.go
@@ -23,6 +23,10 @@
 	// the file of an expired segment is removed. The first of them may have been
 	// captured before the segment expired.
 	finishesBeforeRemoval = 2
+	// finishesBeforeExpiry is the number of snapshots that must be finished after
+	// Hold before a segment may expire. The first of them may have been captured
+	// before the record was read.
+	finishesBeforeExpiry = 2
 )
 
 // ErrExpired is returned for a record whose segment has expired.
@@ -51,6 +55,8 @@
 	synced   int64
 	live     int // records that were not released
 	finishes int // snapshots finished since the segment expired
+	// hold is the number of snapshots to be finished before the segment may expire.
+	hold int
 }
 
 // Segments stores records beside the log and the snapshot of a replica. Records
@@ -60,6 +66,10 @@
 	fs  FS
 	dir string
 
+	// syncing is held through a sync and locked before mu. An error of fsync is
+	// reported only once, so that a concurrent sync could miss it.
+	syncing sync.Mutex
+
 	mu       sync.Mutex
 	segments map[uint64]*segment
 	current  uint64 // segment that gets the next record; 0 for a new one
@@ -70,8 +80,10 @@
 	pins     int    // transfers that read the segments
 	bytes    int64
 	unsynced int64 // bytes appended since the last sync began
-	// saved has the lengths of the segments as of the newest finished snapshot.
-	saved map[uint64]int64
+	// saved has the lengths of the segments as of the newest finished snapshot, and
+	// savedIndex its index, or 0 if it was finished before the folder was opened.
+	saved      map[uint64]int64
+	savedIndex uint64
 }
 
 func segmentName(number uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, number) }
@@ -155,6 +167,9 @@
 	if _, err := g.file.Write(data); err != nil {
 		if truncateErr := g.file.Truncate(g.size); truncateErr != nil {
 			s.current = 0 // the end of this file is not known
+			if g.live == 0 {
+				s.expire(g)
+			}
 		}
 		return Ref{}, fmt.Errorf("write segment: %w", err)
 	}
@@ -187,30 +202,44 @@
 // its checksum or its segment is missing, and ErrExpired if the segment has
 // expired.
 func (s *Segments) Read(r Ref) ([]byte, error) {
-	s.mu.Lock()
-	g := s.segments[r.Segment]
-	var f File
-	if g != nil {
-		f = g.file
-	}
-	s.mu.Unlock()
-	switch {
-	case g == nil:
-		return nil, fmt.Errorf("%w: %s is missing", ErrDamaged, segmentName(r.Segment))
-	case f == nil:
-		return nil, ErrExpired
+	f, err := s.file(r)
+	if err != nil {
+		return nil, err
 	}
 	data := make([]byte, r.Length)
-	_, err := f.ReadAt(data, r.Offset)
-	if err == nil && recordChecksum(r.Segment, r.Offset, data) == r.Sum {
-		return data, nil
+	for {
+		_, readErr := f.ReadAt(data, r.Offset)
+		if readErr == nil && recordChecksum(r.Segment, r.Offset, data) == r.Sum {
+			return data, nil
+		}
+		// The segment may have expired or been replaced during the read.
+		current, err := s.file(r)
+		if err != nil {
+			return nil, err
+		}
+		if current == f {
+			return nil, newDamagedRecordError(r, readErr)
+		}
+		f = current
 	}
+}
+
+// file returns the file with a record.
+func (s *Segments) file(r Ref) (File, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.file == nil {
+	g := s.segments[r.Segment]
+	switch {
+	case g == nil:
+		return nil, fmt.Errorf("%w: %s is missing", ErrDamaged, segmentName(r.Segment))
+	case g.file == nil:
 		return nil, ErrExpired
 	}
-	return nil, errors.Join(fmt.Errorf("%w: %s offset %d does not match its checksum", ErrDamaged, segmentName(r.Segment), r.Offset), err)
+	return g.file, nil
+}
+
+func newDamagedRecordError(r Ref, err error) error {
+	return errors.Join(fmt.Errorf("%w: %s offset %d does not match its checksum", ErrDamaged, segmentName(r.Segment), r.Offset), err)
 }
 
 // Release tells that a record is no longer used. A segment expires with its last
@@ -227,11 +256,21 @@
 	}
 }
 
-// expire empties a segment, unless a transfer reads the segments. The snapshot on
+// Hold keeps a record readable, also after its release, until the log is no longer
+// replayed from before now. It must be called before a command reads the record.
+func (s *Segments) Hold(r Ref) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.segments[r.Segment]; g != nil {
+		g.hold = finishesBeforeExpiry
+	}
+}
+
+// expire empties a segment, unless it is held or a transfer reads the segments. The snapshot on
 // disk may refer to it, so the empty file stays for now and tells that the segment
 // is not lost.
 func (s *Segments) expire(g *segment) {
-	if s.pins > 0 || g.file == nil {
+	if s.pins > 0 || g.hold > 0 || g.file == nil {
 		return
 	}
 	_ = g.file.Truncate(0) // otherwise the space is freed when the file is removed
@@ -260,10 +299,13 @@
 		u := uses[r.Segment]
 		uses[r.Segment] = use{u.live + 1, max(u.end, r.end())}
 	}
-	clear(s.saved)
+	s.current = 0 // another replica may have what followed the end of a cut segment
+	if s.savedIndex == 0 {
+		s.saved = map[uint64]int64{}
+	}
 	for number, g := range s.segments {
 		u := uses[number]
-		g.live = u.live
+		g.live, g.hold = u.live, 0
 		switch {
 		case g.live == 0 && s.pins == 0:
 			if err := s.remove(number, g); err != nil {
@@ -277,10 +319,9 @@
 			s.bytes -= g.size - u.end
 			g.size, g.synced = u.end, min(g.synced, u.end)
 		}
-		s.saved[number] = g.size
-	}
-	if u := uses[s.current]; u.live == 0 || s.segments[s.current].file == nil {
-		s.current = 0
+		if s.savedIndex == 0 {
+			s.saved[number] = g.size
+		}
 	}
 	return nil
 }
@@ -288,6 +329,7 @@
 func (s *Segments) remove(number uint64, g *segment) error {
 	if g.file != nil {
 		_ = g.file.Close()
+		g.file = nil
 		s.bytes -= g.size
 	}
 	delete(s.segments, number)
@@ -302,6 +344,8 @@
 // failure, all later syncs fail with ErrStopped, since unsynced records may be lost
 // although a later sync of their file succeeds.
 func (s *Segments) sync() (map[uint64]int64, error) {
+	s.syncing.Lock()
+	defer s.syncing.Unlock()
 	s.mu.Lock()
 	failed, created := s.failed, s.created
 	sizes := make(map[uint64]int64, len(s.segments))
@@ -344,19 +388,36 @@
 		return nil // expired while it was synced
 	}
 	if err == nil {
-		g.synced = max(g.synced, size)
+		g.synced = max(g.synced, min(size, g.size)) // it may have been cut while it was synced
 	}
 	return err
 }
 
-// snapshotFinished records the lengths that sync returned for a snapshot, and
-// removes the files of expired segments to which no snapshot refers.
-func (s *Segments) snapshotFinished(sizes map[uint64]int64) error {
+// snapshotReceived records the lengths of the segments that were received with a
+// snapshot.
+func (s *Segments) snapshotReceived(index uint64, sizes map[uint64]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index >= s.savedIndex {
+		s.saved, s.savedIndex = sizes, index
+	}
+}
+
+// snapshotFinished records the lengths that sync returned for a snapshot, unless a
+// newer one was finished or received before. It removes the files of expired segments to which no snapshot refers. Segments that
+// are no longer held expire if they have no records.
+func (s *Segments) snapshotFinished(index uint64, sizes map[uint64]int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved = sizes
+	if index < s.savedIndex {
+		return nil
+	}
+	s.saved, s.savedIndex = sizes, index
 	for number, g := range s.segments {
 		if g.file != nil {
+			if g.hold = max(g.hold-1, 0); g.live == 0 && number != s.current {
+				s.expire(g)
+			}
 			continue
 		}
 		if g.finishes++; g.finishes >= finishesBeforeRemoval {
@@ -402,16 +463,19 @@
 }
 
 // adopt takes over a received file for a segment. A segment that is at least as
-// long has the same contents.
+// long has the same contents. The segment is held until Retain is called with the
+// records of the received state, which the present one does not count.
 func (s *Segments) adopt(p segmentPart, temp string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g := s.segments[p.number]; g != nil {
 		if g.size >= p.bytes && g.file != nil {
+			g.hold = finishesBeforeExpiry
 			return s.fs.Remove(temp)
 		}
 		if g.file != nil {
 			_ = g.file.Close()
+			g.file = nil
 			s.bytes -= g.size
 		}
 		delete(s.segments, p.number)
@@ -419,7 +483,11 @@
 	if err := s.fs.Rename(temp, s.path(p.number)); err != nil {
 		return err
 	}
-	return s.add(p.number)
+	if err := s.add(p.number); err != nil {
+		return err
+	}
+	s.segments[p.number].hold = finishesBeforeExpiry
+	return nil
 }
 
 func (s *Segments) close() error {
--- a/disk/segment_test.go
+++ b/disk/segment_test.go
@@ -87,6 +87,18 @@
 	})
 }
 
+// Guards against a segment that gets other records after its cut end than those that
+// another replica has there.
+func TestCutSegmentGetsNoRecords(t *testing.T) {
+	d := faults.NewDisk()
+	s, _ := openSegments(t, d, "data", 1<<40)
+	kept := appendRecord(t, s, record(0, 100))
+	appendRecord(t, s, record(1, 100))
+	assert.NilError(t, s.Segments().Retain([]disk.Ref{kept}))
+	next := appendRecord(t, s, record(2, 100))
+	assert.Assert(t, next.Segment != kept.Segment)
+}
+
 // Guards against damaged records that are returned, and against damage that makes
 // other records unreadable.
 func TestBitRotInASegment(t *testing.T) {
@@ -208,6 +220,32 @@
 	assert.Equal(t, strings.Count(strings.Join(names, " "), "segment-"), 1)
 }
 
+// Guards against a replay that can't read a record which a command has read after the
+// snapshot, since its segment was emptied before the next one.
+func TestHeldRecordOutlivesItsRelease(t *testing.T) {
+	d := faults.NewDisk()
+	s, _ := openSegments(t, d, "data", 1<<40)
+	r := appendRecord(t, s, record(0, 4<<20))
+	appendRecord(t, s, record(1, 100))
+	saveSnapshot(t, s, disk.SnapshotInfo{Index: 1, Term: 1}, "state")
+	replay := func() {
+		s.Segments().Hold(r)
+		data, err := s.Segments().Read(r)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(data, record(0, 4<<20)))
+		s.Segments().Release(r)
+	}
+	replay()
+	assert.NilError(t, s.Close())
+	s, _ = openSegments(t, d, "data", 2<<40)
+	assert.NilError(t, s.Segments().Retain([]disk.Ref{r}))
+	replay()
+	for i, want := range []int64{4 << 20, 0} {
+		saveSnapshot(t, s, disk.SnapshotInfo{Index: uint64(i + 2), Term: 1}, "state")
+		assert.Equal(t, s.Segments().Bytes(), want)
+	}
+}
+
 // Guards against a transfer that lacks records, also those that expire while it is
 // sent, against a crash of the receiver before its end, and against a transfer of
 // the state alone, from a replica without segments, that is not taken.
@@ -256,6 +294,60 @@
 	assert.Equal(t, received.Bytes, int64(len("inline")))
 }
 
+// Guards against a received segment that is emptied before the state that uses it is
+// restored, and against a transfer of a received snapshot with the segments of an older
+// one that was finished after it.
+func TestReceivedSegmentsBelongToTheirSnapshot(t *testing.T) {
+	d := faults.NewDisk()
+	from, _ := openSegments(t, d, "from", 1<<40)
+	r := appendRecord(t, from, record(0, 100))
+	transfer := from.OpenTransfer(saveSnapshot(t, from, disk.SnapshotInfo{Index: 9, Term: 1}, "state"))
+	defer transfer.Close()
+	to, _ := openSegments(t, d, "to", 2<<40)
+	assert.NilError(t, to.Segments().Retain(nil))
+	older, err := to.CreateSnapshot(disk.SnapshotInfo{Index: 5, Term: 1})
+	assert.NilError(t, err)
+	_, err = older.Finish()
+	assert.NilError(t, err)
+	older, err = to.CreateSnapshot(disk.SnapshotInfo{Index: 6, Term: 1})
+	assert.NilError(t, err)
+	pinned := to.OpenTransfer(disk.SnapshotInfo{Index: 5, Term: 1})
+	received, err := receive(t, transfer, to, 1<<30).Finish()
+	assert.NilError(t, err)
+	pinned.Close() // empties segments without records
+	_, err = older.Finish()
+	assert.NilError(t, err)
+	assert.NilError(t, to.Segments().Retain([]disk.Ref{r}))
+	data, err := to.Segments().Read(r)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(data, record(0, 100)))
+
+	appendRecord(t, to, record(1, 100)) // of another state than the received one
+	again := to.OpenTransfer(received)
+	defer again.Close()
+	third, _ := openSegments(t, d, "third", 3<<40)
+	_, err = receive(t, again, third, 1<<30).Finish()
+	assert.NilError(t, err)
+	assert.Equal(t, third.Segments().Bytes(), int64(100))
+	assert.NilError(t, third.Segments().Retain([]disk.Ref{r}))
+}
+
+// Guards against a header from a peer whose lengths make the receiver panic.
+func TestTransferWithNegativeLengths(t *testing.T) {
+	negative := strings.Repeat("\xff", 8)
+	for _, header := range []string{
+		"\x00segment\x00\x00\x00\x00" + negative,
+		"\x00segment\x01\x00\x00\x00" + strings.Repeat("\x01", 8) + negative + strings.Repeat("\x00", 8),
+	} {
+		to, _ := openSegments(t, faults.NewDisk(), "to", 1<<40)
+		w, err := to.ReceiveSnapshot(disk.SnapshotInfo{Index: 1, Term: 1})
+		assert.NilError(t, err)
+		_, err = w.Write([]byte(header + "state"))
+		assert.ErrorContains(t, err, "negative length")
+		assert.NilError(t, w.Close())
+	}
+}
+
 // receive passes up to a number of chunks of a transfer to a store.
 func receive(t *testing.T, transfer *disk.Transfer, to *disk.Store, chunks int) *disk.SnapshotWriter {
 	w, err := to.ReceiveSnapshot(transfer.Info())
