--- a/review/harness-2/configraces.go
+++ b/review/harness-2/configraces.go
@@ -36,7 +36,7 @@
 		}
 		acknowledged++
 	}
-	for round := 0; round < raceRounds && ctx.Err() == nil && time.Since(started) < 85*time.Second && d.ended("control", 3) < 2; round++ {
+	for round := 0; round < raceRounds && ctx.Err() == nil && time.Since(d.started) < 85*time.Second && d.ended("control", 3) < 2; round++ {
 		versions := make([]int, racers)
 		for i := range versions {
 			version += 1 + rand.IntN(3)
